--- /dev/null
+++ b/fleet/relay.ts
@@ -0,0 +1,119 @@
+/** A TCP relay that can lose track of its connections. */
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {FrameReader} from '../src/platform/peers/frame-reader.js';
+import {readFrame} from '../src/platform/peers/read-frame.js';
+
+const frameLimitBytes = 8_388_608;
+
+type Pair = {readonly near: Socket; readonly far: Socket; source: string; isLost: boolean};
+
+/**
+ * Stands between two ends. A cut swallows what is sent and answers nothing, as a network does that is split: neither
+ * end sees its connection closed. `loseOpen` does that to the open connections only, and lets new ones work.
+ */
+export class Relay {
+	readonly #server: Server;
+	readonly #pairs = new Set<Pair>();
+	#destination: {readonly host: string; readonly port: number} | undefined;
+	#isCutFrom: ((source: string) => boolean) | undefined;
+	#isCutTowards: ((source: string) => boolean) | undefined;
+
+	/** With `isPeer`, the source of a connection is the zone that its first frame names. */
+	constructor(private readonly isPeer: boolean) {
+		this.#server = createServer(near => {
+			this.#accept(near);
+		});
+	}
+
+	async listen(): Promise<string> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	leadTo(address: string): void {
+		const [host = '', port = ''] = address.split(':');
+		this.#destination = {host, port: Number(port)};
+	}
+
+	/** Cuts off the sources that the tests name: `from` them to the destination, and `towards` them. */
+	cut(from: (source: string) => boolean, towards: (source: string) => boolean = from): void {
+		this.#isCutFrom = from;
+		this.#isCutTowards = towards;
+	}
+
+	/** Forgets the connections that are open now. */
+	loseOpen(): void {
+		for (const pair of this.#pairs) {
+			pair.isLost = true;
+		}
+	}
+
+	/** Refuses connections and breaks those that are open, as when the process behind it died. */
+	close(): void {
+		this.#server.close();
+		for (const {near, far} of this.#pairs) {
+			near.destroy();
+			far.destroy();
+		}
+	}
+
+	#accept(near: Socket): void {
+		if (this.#destination === undefined) {
+			near.destroy();
+			return;
+		}
+
+		const far = connect(this.#destination);
+		const pair: Pair = {
+			near, far, source: '', isLost: false,
+		};
+		this.#pairs.add(pair);
+		const reader = this.isPeer ? new FrameReader(frameLimitBytes) : undefined;
+		near.on('data', (chunk: Uint8Array) => {
+			pair.source ||= reader === undefined ? '' : sourceOf(reader, chunk);
+			if (!pair.isLost && this.#isCutFrom?.(pair.source) !== true) {
+				far.write(chunk);
+			}
+		});
+		far.on('data', (chunk: Uint8Array) => {
+			if (!pair.isLost && this.#isCutTowards?.(pair.source) !== true) {
+				near.write(chunk);
+			}
+		});
+		this.#joinEnds(pair);
+	}
+
+	/** An end of one side is passed on, unless the connection is lost. A refused destination breaks the near side. */
+	#joinEnds(pair: Pair): void {
+		const {near, far} = pair;
+		const end = (other: Socket) => {
+			this.#pairs.delete(pair);
+			if (!pair.isLost && this.#isCutFrom?.(pair.source) !== true) {
+				other.destroy();
+			}
+		};
+
+		near.on('close', () => {
+			end(far);
+		});
+		far.on('close', () => {
+			end(near);
+		});
+		near.on('error', () => undefined);
+		far.on('error', (error: NodeJS.ErrnoException) => {
+			if (error.code === 'ECONNREFUSED') {
+				this.#server.close();
+			}
+		});
+	}
+}
+
+function sourceOf(reader: FrameReader, chunk: Uint8Array): string {
+	const [first] = reader.push(chunk) ?? [];
+	const frame = first === undefined ? undefined : readFrame(first);
+	return frame?.kind === 'hello' ? frame.member.zone : '';
+}
--- /dev/null
+++ b/src/base/doubt-cause.ts
@@ -0,0 +1,13 @@
+/** Why it isn't known whether a request ran. */
+
+/** Each cause has its row in docs/INTERFACES.md. */
+export type DoubtCause =
+	| 'connectionLost'
+	| 'taskTimeout'
+	| 'answerUnusable'
+	| 'executorLost'
+	| 'homeUnreachable'
+	| 'cannotVouch'
+	| 'answerForgotten'
+	| 'waitExpired'
+	| 'stopped';
--- /dev/null
+++ b/src/base/profile-name.ts
@@ -0,0 +1,5 @@
+/** The branded type of a profile name. */
+import type {Brand} from './brand.js';
+
+/** Name of a profile that operators publish. */
+export type ProfileName = Brand<string, 'ProfileName'>;
--- /dev/null
+++ b/src/entries/command/fleet-view.ts
@@ -0,0 +1,47 @@
+/** The entries as an operator sees them. */
+import {request} from 'undici';
+import {z} from 'zod';
+
+const listTimeoutMilliseconds = 3000;
+const statusTimeoutMilliseconds = 1000;
+
+const listSchema = z.object({
+	instances: z.array(z.object({
+		id: z.string(), kind: z.string(), zone: z.string(), address: z.string(), state: z.string(),
+	})),
+});
+const statusSchema = z.looseObject({configuration: z.looseObject({nextOffset: z.int(), digest: z.string()})});
+
+type Listed = z.output<typeof listSchema>['instances'][number];
+
+/** Reads the instance list and the entries' status. */
+export class FleetView {
+	constructor(private readonly instancesUrl: string) {}
+
+	/** The listed live entries. */
+	async entries(): Promise<readonly Listed[]> {
+		const response = await request(`${this.instancesUrl}/instances`, {headersTimeout: listTimeoutMilliseconds});
+		const {instances} = listSchema.parse(await response.body.json());
+		return instances.filter(instance => instance.kind === 'entry' && instance.state === 'live');
+	}
+
+	/** An entry's status, or nothing where it doesn't answer. */
+	async status(address: string): Promise<z.output<typeof statusSchema> | undefined> {
+		try {
+			const response = await request(`http://${address}/v1/status`, {headersTimeout: statusTimeoutMilliseconds, bodyTimeout: statusTimeoutMilliseconds});
+			return statusSchema.parse(await response.body.json());
+		} catch {
+			return undefined;
+		}
+	}
+
+	/** Names of the entries that haven't reached an offset. */
+	async behind(nextOffset: number): Promise<{readonly entries: number; readonly missing: readonly string[]}> {
+		const entries = await this.entries();
+		const states = await Promise.all(entries.map(async entry => {
+			const status = await this.status(entry.address);
+			return (status?.configuration.nextOffset ?? -1) >= nextOffset ? [] : [entry.id];
+		}));
+		return {entries: entries.length, missing: states.flat()};
+	}
+}
--- /dev/null
+++ b/src/entries/command/main.ts
@@ -0,0 +1,138 @@
+#!/usr/bin/env node
+/** The operators' and callers' command, `savorylock`. */
+import {createReadStream} from 'node:fs';
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import type {ProfileName} from '../../base/profile-name.js';
+import {SystemClock} from '../../base/system-clock.js';
+import {HttpLogStream} from '../../platform/stream/http-log-stream.js';
+import {version} from '../version.js';
+import type {ChangeResult} from './change-result.js';
+import {describeResult} from './describe-result.js';
+import {exitCode} from './exit-code.js';
+import {FleetView} from './fleet-view.js';
+import {OperatorCommands} from './operator-commands.js';
+import {readProfile} from './read-profile.js';
+import {submitJobs} from './submit-jobs.js';
+
+type Shared = {readonly log?: string; readonly instances?: string; readonly json: boolean};
+
+const changeOptions = {
+	base: {type: 'number', describe: 'revision that the change is based on; the one in force where absent'},
+	'dry-run': {type: 'boolean', default: false, describe: 'show the difference to what is in force and change nothing'},
+} as const;
+
+await yargs(hideBin(process.argv))
+	.scriptName('savorylock')
+	.usage('$0 COMMAND\n\nPublishes profiles, submits jobs, and asks entries for their state.')
+	.env('SAVORYLOCK')
+	.option('log', {type: 'string', describe: 'URL of the platform\'s log (SAVORYLOCK_LOG)'})
+	.option('instances', {type: 'string', describe: 'URL of the platform\'s instance list (SAVORYLOCK_INSTANCES)'})
+	.option('json', {type: 'boolean', default: false, describe: 'print JSON for scripts'})
+	.command('publish <file>', 'publish a profile from its TOML file', command => command
+		.positional('file', {type: 'string', demandOption: true})
+		.option('dry-run', changeOptions['dry-run']), async options => {
+		await change(options, options.file, options.dryRun, async (commands, profile) => commands.publish(profile));
+	})
+	.command('revise <file>', 'replace a profile that is in force', command => command
+		.positional('file', {type: 'string', demandOption: true})
+		.options(changeOptions), async options => {
+		await change(options, options.file, options.dryRun, async (commands, profile) => commands.revise(profile, options.base));
+	})
+	.command('retire <name>', 'take a profile out of force; its running jobs end normally', command => command
+		.positional('name', {type: 'string', demandOption: true})
+		.option('base', changeOptions.base), async options => {
+		finish(await commandsOf(options).retire(options.name as ProfileName, options.base), options.json);
+	})
+	.command('settle <change>', 'find out what became of a change whose command ended with "unknown"', command => command.positional('change', {type: 'string', demandOption: true}), async options => {
+		finish(await commandsOf(options).settle(options.change), options.json);
+	})
+	.command('list', 'list the profiles', command => command, async options => {
+		for (const {profile, revision, state} of await commandsOf(options).list()) {
+			print(options.json ? JSON.stringify({name: profile.name, revision, state}) : `${profile.name}  revision ${revision}  ${state}`);
+		}
+	})
+	.command('show <name>', 'show a profile', command => command.positional('name', {type: 'string', demandOption: true}), async options => {
+		const profiles = await commandsOf(options).list();
+		const found = profiles.find(({profile}) => profile.name === options.name);
+		if (found === undefined) {
+			fail(`no profile is named ${options.name}`, exitCode.failed);
+		}
+
+		print(JSON.stringify(found, undefined, options.json ? 0 : 2));
+	})
+	.command('submit [file]', 'submit jobs, one JSON object a line, from a file or standard input', command => command
+		.positional('file', {type: 'string', describe: 'file of JSON lines, - or nothing for standard input'})
+		.option('entry', {type: 'string', demandOption: true, describe: 'URL of an entry or of the balancer'}), async options => {
+		const input = options.file === undefined || options.file === '-' ? process.stdin : createReadStream(options.file);
+		process.exitCode = await submitJobs(options.entry, input, print);
+	})
+	.command('status', 'show an entry\'s state', command => command.option('entry', {type: 'string', demandOption: true, describe: 'URL of an entry'}), async options => {
+		const status = await new FleetView('').status(options.entry.replace(/^https?:\/\//v, ''));
+		if (status === undefined) {
+			fail(`${options.entry} doesn't answer`, exitCode.failed);
+		}
+
+		print(JSON.stringify(status, undefined, options.json ? 0 : 2));
+	})
+	.demandCommand(1, 'name a command')
+	.epilogue('Exit codes: 0 done, 1 failed, 2 usage, 3 rejected, 4 accepted but not yet everywhere, 5 unknown; submit: 10 a job failed, 11 not run, 12 may have run.')
+	.version(version)
+	.strict()
+	.fail((message, error) => {
+		fail(message || error.message, message ? exitCode.usage : exitCode.failed);
+	})
+	.parseAsync();
+
+async function change(options: Shared, file: string, isDry: boolean, run: (commands: OperatorCommands, profile: ReturnType<typeof readProfile>) => Promise<ChangeResult>): Promise<void> {
+	const profile = profileOf(file);
+	const commands = commandsOf(options);
+	if (!isDry) {
+		finish(await run(commands, profile), options.json);
+		return;
+	}
+
+	const lines = await commands.difference(profile);
+	print(lines.length === 0 ? 'no difference' : lines.join('\n'));
+}
+
+function profileOf(file: string): ReturnType<typeof readProfile> {
+	try {
+		return readProfile(file);
+	} catch (error) {
+		return fail((error as Error).message, exitCode.usage);
+	}
+}
+
+function commandsOf({log, instances}: Shared): OperatorCommands {
+	if (log === undefined || instances === undefined) {
+		return fail('--log and --instances are needed', exitCode.usage);
+	}
+
+	return new OperatorCommands({
+		stream: new HttpLogStream(log, 'configuration'),
+		fleet: new FleetView(instances),
+		clock: new SystemClock(),
+		progress(line) {
+			if (process.stderr.isTTY) {
+				process.stderr.write(`${line}\n`);
+			}
+		},
+	});
+}
+
+function finish(result: ChangeResult, isJson: boolean): void {
+	const {line, code} = describeResult(result);
+	print(isJson ? JSON.stringify(result) : line);
+	process.exitCode = code;
+}
+
+function print(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+function fail(message: string, code: number): never {
+	process.stderr.write(`savorylock: ${message}\n`);
+	process.exit(code);
+}
--- /dev/null
+++ b/src/entries/command/operator-context.ts
@@ -0,0 +1,13 @@
+/** What the operators' commands work with. */
+import type {Clock} from '../../base/clock.js';
+import type {LogStream} from '../../platform/stream/log-stream.js';
+import type {FleetView} from './fleet-view.js';
+
+/** Built by the main module from the command line. */
+export type OperatorContext = {
+	readonly stream: LogStream;
+	readonly fleet: FleetView;
+	readonly clock: Clock;
+	/** Called with a line about the progress; does nothing where nobody looks at a terminal. */
+	readonly progress: (line: string) => void;
+};
--- /dev/null
+++ b/src/entries/command/read-configuration.ts
@@ -0,0 +1,24 @@
+/** Reads the configuration from the log. */
+import {CancellationSource} from '../../base/cancellation-source.js';
+import {ConfigurationLedger} from '../../features/profiles/configuration-ledger.js';
+import type {LogStream} from '../../platform/stream/log-stream.js';
+
+/** Folds the whole log; rejects where it can't be read, or doesn't tell the whole configuration any more. */
+export async function readConfiguration(stream: LogStream): Promise<ConfigurationLedger> {
+	const ledger = new ConfigurationLedger();
+	const {token} = new CancellationSource();
+	while (!ledger.isLoaded) {
+		const before = ledger.readFrom;
+		const reading = await stream.read(before, 0, token);
+		if (reading.kind === 'unavailable') {
+			throw new Error(`the log can't be read: ${reading.detail}`);
+		}
+
+		ledger.acceptPage(reading.page);
+		if (!ledger.isLoaded && ledger.readFrom === before) {
+			throw new Error('the log has lost records that no snapshot stands for; ask an entry for its status');
+		}
+	}
+
+	return ledger;
+}
--- /dev/null
+++ b/src/entries/command/read-profile.ts
@@ -0,0 +1,16 @@
+/** Reads a profile's TOML document. */
+import {readFileSync} from 'node:fs';
+import type {Profile} from '../../features/profiles/profile.js';
+import {profileSchema} from '../../features/profiles/profile-schema.js';
+import {describeProblem} from '../../platform/settings/describe-problem.js';
+import {readDocument} from '../../platform/settings/read-document.js';
+
+/** Rejects with a line for each mistake. */
+export function readProfile(file: string): Profile {
+	const document = readDocument(readFileSync(file, 'utf8'), profileSchema);
+	if (document.kind === 'invalid') {
+		throw new Error(document.problems.map(problem => describeProblem(file, problem)).join('\n'));
+	}
+
+	return document.value;
+}
--- /dev/null
+++ b/src/entries/daemon/daemon.ts
@@ -0,0 +1,102 @@
+/** The life of an entry daemon. */
+import process from 'node:process';
+import {intakeKey} from '../../features/intake/intake-key.js';
+import {readinessKey} from '../../features/intake/readiness-key.js';
+import {statusReportKey} from '../../features/intake/status-report-key.js';
+import {jobServiceKey} from '../../features/jobs/job-service-key.js';
+import {membershipKey} from '../../features/membership/membership-key.js';
+import {zonePlacementKey} from '../../features/placement/zone-placement-key.js';
+import {profileBookKey} from '../../features/profiles/profile-book-key.js';
+import {platformKeys} from '../../platform/platform-keys.js';
+import type {Settings} from '../../platform/settings/settings.js';
+import {wireDaemon} from './wiring.js';
+
+/** How long the balancer has to see that the entry isn't ready, before it takes no new connections. */
+const readinessLeadMilliseconds = 300;
+
+type Wired = Awaited<ReturnType<typeof wireDaemon>>;
+
+/** Runs from the settings until it's told to stop. */
+export class Daemon {
+	/** Starts and listens. */
+	static async start(settings: Settings): Promise<Daemon> {
+		const wired = await wireDaemon(settings);
+		const {services, network} = wired;
+		const httpPort = await services.get(intakeKey).listen();
+		const daemon = new Daemon(settings, wired, httpPort);
+		daemon.#report();
+		services.get(platformKeys.journal).record('started', {
+			instance: settings.entry.instance, zone: settings.entry.zone, httpPort, peerPort: network.port,
+		});
+		return daemon;
+	}
+
+	#isStopping = false;
+
+	private constructor(private readonly settings: Settings, private readonly wired: Wired, readonly httpPort: number) {}
+
+	get peerPort(): number {
+		return this.wired.network.port;
+	}
+
+	/**
+	 * Ends gracefully: readiness goes first, then the zone's slots are handed over, new jobs are refused, and what runs
+	 * is finished, up to the drain limit. Returns the number of jobs that the limit cut off.
+	 */
+	async stop(): Promise<number> {
+		this.#isStopping = true;
+		const {services} = this.wired;
+		const jobs = services.get(jobServiceKey);
+		const journal = services.get(platformKeys.journal);
+		const clock = services.get(platformKeys.clock);
+		journal.record('draining', {inFlight: jobs.inFlight});
+		await wait(clock, readinessLeadMilliseconds);
+		services.get(zonePlacementKey).resign();
+		const intakeClosed = services.get(intakeKey).close();
+		await Promise.race([Promise.all([jobs.drain(), intakeClosed]), wait(clock, this.settings.entry.drainMilliseconds)]);
+		const unfinished = jobs.inFlight;
+		services.get(membershipKey).announceLeft();
+		journal.record('stopped', {unfinished});
+		await wait(clock, 50);
+		this.wired.dispose();
+		return unfinished;
+	}
+
+	#report(): void {
+		const {services, network} = this.wired;
+		const membership = services.get(membershipKey);
+		const placement = services.get(zonePlacementKey);
+		const book = services.get(profileBookKey);
+		const status = services.get(statusReportKey);
+		status.add('entry', () => ({
+			instance: this.settings.entry.instance, zone: this.settings.entry.zone, member: network.self.id, isStopping: this.#isStopping,
+		}));
+		status.add('configuration', () => ({
+			nextOffset: book.configuration.nextOffset,
+			digest: book.configuration.digest,
+			isLoaded: book.isLoaded,
+			profiles: [...book.configuration.profiles.values()].map(({profile, revision, state}) => ({name: profile.name, revision, state})),
+		}));
+		status.add('membership', () => ({members: membership.all.map(member => ({id: member.id, zone: member.zone, heardAgoMilliseconds: membership.heardAgo(member.id)}))}));
+		status.add('placement', () => ({
+			arbiter: placement.tenure.holder?.member,
+			isArbiter: placement.tenure.isHolder,
+			held: placement.desk.held,
+			freeSlots: placement.arbiter?.freeSlots,
+			waiting: placement.arbiter?.waiting,
+		}));
+		status.add('jobs', () => ({inFlight: services.get(jobServiceKey).inFlight}));
+		status.add('peers', () => network.traffic);
+		status.add('process', () => ({residentBytes: process.memoryUsage.rss(), cpu: process.cpuUsage(), uptimeSeconds: process.uptime()}));
+		const readiness = services.get(readinessKey);
+		readiness.add('not stopping', () => !this.#isStopping);
+		readiness.add('configuration', () => book.isLoaded);
+		readiness.add('arbiter', () => placement.tenure.holder !== undefined);
+	}
+}
+
+async function wait(clock: {schedule(delay: number, callback: () => void): unknown}, milliseconds: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		clock.schedule(milliseconds, resolve);
+	});
+}
--- /dev/null
+++ b/src/entries/daemon/wiring.ts
@@ -0,0 +1,71 @@
+/** Builds an entry daemon: the one module that knows which class stands behind each contract. */
+import '../../features/intake/intake.contribution.js';
+import '../../features/jobs/jobs.contribution.js';
+import '../../features/membership/membership.contribution.js';
+import '../../features/placement/placement.contribution.js';
+import '../../features/profiles/profiles.contribution.js';
+import '../../features/submissions/submissions.contribution.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {hashText} from '../../base/hash-text.js';
+import {Random} from '../../base/random.js';
+import {SystemClock} from '../../base/system-clock.js';
+import {Readiness} from '../../features/intake/readiness.js';
+import {readinessKey} from '../../features/intake/readiness-key.js';
+import {StatusReport} from '../../features/intake/status-report.js';
+import {statusReportKey} from '../../features/intake/status-report-key.js';
+import {HttpInstanceList} from '../../platform/instances/http-instance-list.js';
+import {DebugJournal} from '../../platform/journal/debug-journal.js';
+import {Kernel} from '../../platform/kernel/kernel.js';
+import {ServiceContainer} from '../../platform/kernel/service-container.js';
+import {SilentMetrics} from '../../platform/metrics/silent-metrics.js';
+import {StatsdMetrics} from '../../platform/metrics/statsd-metrics.js';
+import {TcpPeerNetwork} from '../../platform/peers/tcp-peer-network.js';
+import {platformKeys} from '../../platform/platform-keys.js';
+import type {Settings} from '../../platform/settings/settings.js';
+import {HttpStreamSource} from '../../platform/stream/http-stream-source.js';
+import {HttpTargetDriver} from '../../platform/targets/http-target-driver.js';
+
+/** A daemon's services, and the means to end them all. */
+type Wired = Disposable & {readonly services: ServiceContainer; readonly network: TcpPeerNetwork};
+
+/** Wires and activates everything; the peer port listens, the HTTP port doesn't yet. */
+export async function wireDaemon(settings: Settings): Promise<Wired> {
+	const store = new DisposableStore();
+	const services = new ServiceContainer();
+	const clock = new SystemClock();
+	const journal = new DebugJournal();
+	const {entry, platform, peers, limits} = settings;
+
+	const network = store.add(new TcpPeerNetwork({
+		instance: entry.instance, zone: entry.zone, address: entry.address, port: entry.peerPort, key: peers.key, advertised: entry.advertisedPeerAddress,
+	}, clock, journal));
+	await network.listen();
+	const list = store.add(new HttpInstanceList(platform.instanceListUrl, clock, journal));
+
+	services.provide(platformKeys.settings, settings);
+	services.provide(platformKeys.clock, clock);
+	services.provide(platformKeys.random, new Random(hashText(network.self.id)));
+	services.provide(platformKeys.journal, journal);
+	services.provide(platformKeys.metrics, metricsOf(settings, store));
+	services.provide(platformKeys.instanceList, list);
+	services.provide(platformKeys.peerNetwork, network);
+	services.provide(platformKeys.streams, new HttpStreamSource(platform.logUrl));
+	services.provide(platformKeys.targetDriver, store.add(new HttpTargetDriver(limits.answerBytes)));
+	services.provide(statusReportKey, new StatusReport());
+	services.provide(readinessKey, new Readiness());
+
+	const kernel = store.add(new Kernel(services));
+	kernel.activate();
+	list.start();
+	return {
+		services, network, dispose() {
+			store.dispose();
+		},
+	};
+}
+
+function metricsOf(settings: Settings, store: DisposableStore) {
+	const {statsdHost, statsdPort} = settings.platform;
+	return statsdHost === undefined ? new SilentMetrics() : store.add(new StatsdMetrics(statsdHost, statsdPort, settings.entry.zone));
+}
--- /dev/null
+++ b/src/features/intake/intake-key.ts
@@ -0,0 +1,6 @@
+/** The container's name for the HTTP interface. */
+import {ServiceKey} from '../../platform/kernel/service-key.js';
+import type {Intake} from './intake.js';
+
+/** Provided by the intake feature; the daemon opens and closes it. */
+export const intakeKey = new ServiceKey<Intake>('intake');
--- /dev/null
+++ b/src/features/intake/intake.contribution.ts
@@ -0,0 +1,29 @@
+/** Registers the intake feature. */
+import type {DisposableStore} from '../../base/disposable-store.js';
+import {Contribution} from '../../platform/kernel/contribution.js';
+import {contributions} from '../../platform/kernel/contributions.js';
+import type {ServiceContainer} from '../../platform/kernel/service-container.js';
+import {platformKeys} from '../../platform/platform-keys.js';
+import {jobServiceKey} from '../jobs/job-service-key.js';
+import {submissionDeskKey} from '../submissions/submission-desk-key.js';
+import {Intake} from './intake.js';
+import {intakeKey} from './intake-key.js';
+import {readinessKey} from './readiness-key.js';
+import {statusReportKey} from './status-report-key.js';
+
+contributions.register(new class extends Contribution {
+	override readonly name = 'intake';
+	override readonly requires = ['jobs', 'submissions'];
+
+	override activate(services: ServiceContainer, store: DisposableStore): void {
+		const {entry, limits} = services.get(platformKeys.settings);
+		services.provide(intakeKey, store.add(new Intake(
+			{
+				zone: entry.zone, address: entry.address, port: entry.httpPort, ...limits,
+			},
+			services.get(jobServiceKey),
+			services.get(submissionDeskKey),
+			{readiness: services.get(readinessKey), status: services.get(statusReportKey)},
+		)));
+	}
+}());
--- /dev/null
+++ b/src/features/intake/status-report-key.ts
@@ -0,0 +1,6 @@
+/** The container's name for the status report. */
+import {ServiceKey} from '../../platform/kernel/service-key.js';
+import type {StatusReport} from './status-report.js';
+
+/** Provided by the wiring module, since every feature may add to it. */
+export const statusReportKey = new ServiceKey<StatusReport>('status-report');
--- /dev/null
+++ b/src/features/jobs/job-tools.ts
@@ -0,0 +1,21 @@
+/** What a running job uses. */
+import type {Clock} from '../../base/clock.js';
+import type {Journal} from '../../platform/journal/journal.js';
+import type {Metrics} from '../../platform/metrics/metrics.js';
+import type {TargetDriver} from '../../platform/targets/target-driver.js';
+import type {SlotDesk} from '../placement/slot-desk.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {VariantGuard} from './variant-guard.js';
+import type {ZoneChoice} from './zone-choice.js';
+
+/** Shared by all jobs of an entry. */
+export type JobTools = {
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly metrics: Metrics;
+	readonly driver: TargetDriver;
+	readonly slots: SlotDesk;
+	readonly budget: RetryBudget;
+	readonly guard: VariantGuard;
+	readonly zones: ZoneChoice;
+};
--- /dev/null
+++ b/src/features/jobs/jobs.contribution.ts
@@ -0,0 +1,35 @@
+/** Registers the jobs feature. */
+import type {DisposableStore} from '../../base/disposable-store.js';
+import {Contribution} from '../../platform/kernel/contribution.js';
+import {contributions} from '../../platform/kernel/contributions.js';
+import type {ServiceContainer} from '../../platform/kernel/service-container.js';
+import {platformKeys} from '../../platform/platform-keys.js';
+import {slotDeskKey} from '../placement/slot-desk-key.js';
+import {profileBookKey} from '../profiles/profile-book-key.js';
+import {submissionDeskKey} from '../submissions/submission-desk-key.js';
+import {JobService} from './job-service.js';
+import {jobServiceKey} from './job-service-key.js';
+import {RetryBudget} from './retry-budget.js';
+import {VariantGuard} from './variant-guard.js';
+import {ZoneChoice} from './zone-choice.js';
+
+contributions.register(new class extends Contribution {
+	override readonly name = 'jobs';
+	override readonly requires = ['placement', 'profiles', 'submissions'];
+
+	override activate(services: ServiceContainer, _store: DisposableStore): void {
+		const {entry} = services.get(platformKeys.settings);
+		const clock = services.get(platformKeys.clock);
+		const journal = services.get(platformKeys.journal);
+		services.provide(jobServiceKey, new JobService(services.get(profileBookKey), services.get(submissionDeskKey), {
+			clock,
+			journal,
+			metrics: services.get(platformKeys.metrics),
+			driver: services.get(platformKeys.targetDriver),
+			slots: services.get(slotDeskKey),
+			budget: new RetryBudget(),
+			guard: new VariantGuard(journal),
+			zones: new ZoneChoice(entry.zone, entry.zones, clock, services.get(platformKeys.random)),
+		}));
+	}
+}());
--- /dev/null
+++ b/src/features/jobs/variant-guard.ts
@@ -0,0 +1,103 @@
+/** Trials of new behaviour on live traffic. */
+import {hashText} from '../../base/hash-text.js';
+import type {SubmissionId} from '../../base/submission-id.js';
+import type {Journal} from '../../platform/journal/journal.js';
+import type {ProfileRevision} from '../profiles/profile-revision.js';
+
+const hashRange = 0x1_00_00_00_00;
+/** Weight of the newest task in the moving averages. */
+const smoothing = 0.05;
+
+type Arm = {tasks: number; failureShare: number; runMilliseconds: number};
+type Trial = {readonly base: Arm; readonly variant: Arm; isStopped: boolean};
+
+/**
+ * Sends a share of the submissions to the variant, the same ones each time, and stops the trial when the variant does
+ * worse than the profile's guard allows. Each entry decides on its own, for one revision of a profile.
+ */
+export class VariantGuard {
+	readonly #trials = new Map<string, Trial>();
+
+	constructor(private readonly journal: Journal) {}
+
+	/** The label of the targets that the submission's tasks go to, where it takes part in a trial. */
+	labelFor(revision: ProfileRevision, id: SubmissionId): string | undefined {
+		const {variant, name} = revision.profile;
+		if (variant === undefined || this.#trialOf(revision).isStopped) {
+			return undefined;
+		}
+
+		return hashText(`${name}|${id}`) / hashRange < variant.share ? variant.label : undefined;
+	}
+
+	/** True where a trial of the revision was stopped. */
+	isStopped(revision: ProfileRevision): boolean {
+		return this.#trials.get(keyOf(revision))?.isStopped ?? false;
+	}
+
+	/** Takes the end of a task of a profile that has a variant. */
+	report(revision: ProfileRevision, isVariant: boolean, isGood: boolean, runMilliseconds: number): void {
+		if (revision.profile.variant === undefined) {
+			return;
+		}
+
+		const trial = this.#trialOf(revision);
+		const arm = isVariant ? trial.variant : trial.base;
+		// The first samples weigh more, so that the averages don't start out from nothing.
+		const weight = Math.max(smoothing, 1 / (arm.tasks + 1));
+		arm.tasks += 1;
+		arm.failureShare += weight * ((isGood ? 0 : 1) - arm.failureShare);
+		arm.runMilliseconds += isGood ? weight * (runMilliseconds - arm.runMilliseconds) : 0;
+		this.#judge(revision, trial);
+	}
+
+	#judge(revision: ProfileRevision, trial: Trial): void {
+		const {base, variant} = trial;
+		const {guard, label} = revision.profile.variant!;
+		if (trial.isStopped || variant.tasks < guard.minimumTasks) {
+			return;
+		}
+
+		const isFailing = variant.failureShare > base.failureShare + guard.failureShare;
+		const isSlow = base.tasks >= guard.minimumTasks && variant.runMilliseconds > base.runMilliseconds * guard.slowdown;
+		if (!isFailing && !isSlow) {
+			return;
+		}
+
+		trial.isStopped = true;
+		this.journal.record('trialStopped', {
+			profile: revision.profile.name,
+			revision: revision.revision,
+			label,
+			cause: isFailing ? 'failures' : 'run time',
+			variantFailureShare: rounded(variant.failureShare),
+			baseFailureShare: rounded(base.failureShare),
+			variantMilliseconds: Math.round(variant.runMilliseconds),
+			baseMilliseconds: Math.round(base.runMilliseconds),
+		});
+	}
+
+	#trialOf(revision: ProfileRevision): Trial {
+		const key = keyOf(revision);
+		const known = this.#trials.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const trial: Trial = {base: emptyArm(), variant: emptyArm(), isStopped: false};
+		this.#trials.set(key, trial);
+		return trial;
+	}
+}
+
+function emptyArm(): Arm {
+	return {tasks: 0, failureShare: 0, runMilliseconds: 0};
+}
+
+function keyOf(revision: ProfileRevision): string {
+	return `${revision.profile.name}@${revision.revision}`;
+}
+
+function rounded(share: number): number {
+	return Math.round(share * 1000) / 1000;
+}
--- /dev/null
+++ b/src/features/membership/listed-membership.ts
@@ -0,0 +1,189 @@
+/** The membership from the instance list, the peer connections and farewells. */
+import {z} from 'zod';
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Emitter} from '../../base/emitter.js';
+import type {MemberId} from '../../base/member-id.js';
+import {rankByKey} from '../../base/rank-by-key.js';
+import type {Instance} from '../../platform/instances/instance.js';
+import type {InstanceList} from '../../platform/instances/instance-list.js';
+import type {InstanceSnapshot} from '../../platform/instances/instance-snapshot.js';
+import type {Journal} from '../../platform/journal/journal.js';
+import type {Member} from '../../platform/peers/member.js';
+import type {PeerNetwork} from '../../platform/peers/peer-network.js';
+import type {Loss} from './loss.js';
+import {Membership} from './membership.js';
+
+const channel = 'membership';
+/** A member that was watched and not heard of for so long is silent: three pings and a redial went unanswered. */
+const silenceMilliseconds = 2000;
+/** A silent member that the list doesn't name any more is given up after so long. */
+const delistedMilliseconds = 5000;
+/** Peers of the own zone that are pinged; with the one in each other zone, this bounds the traffic of an entry. */
+const watchedInZone = 8;
+/** Beyond this an entry that doesn't hear of a member most likely isn't connected to it. */
+const meaningfulMilliseconds = 20_000;
+
+const messageSchema = z.object({kind: z.literal('left')});
+
+/**
+ * Members are met through their handshakes and lost by proof: a refused connection, a newer life at the address, a
+ * farewell, or silence together with the list's word that they're gone. Silence alone proves nothing.
+ */
+export class ListedMembership extends Membership implements Disposable {
+	readonly #members = new Map<MemberId, Member>();
+	readonly #metAt = new Map<MemberId, number>();
+	readonly #refusedAddresses = new Set<string>();
+	readonly #left = new Set<MemberId>();
+	readonly #store = new DisposableStore();
+	readonly #join = this.#store.add(new Emitter<Member>());
+	readonly #lose = this.#store.add(new Emitter<Loss>());
+	#listed: readonly Instance[] = [];
+	#listedAt: number | undefined;
+
+	constructor(
+		private readonly network: PeerNetwork,
+		private readonly list: InstanceList,
+		private readonly clock: Clock,
+		private readonly journal: Journal,
+	) {
+		super();
+		this.#store.add(network.onDidMeet(member => {
+			this.#met(member);
+		}));
+		this.#store.add(network.onDidProveDead(id => {
+			this.#lost(id, 'dead');
+		}));
+		this.#store.add(network.onDidRefuse(address => {
+			this.#refusedAddresses.add(address);
+		}));
+		this.#store.add(network.onDidReceive(({from, message}) => {
+			if (message.channel === channel && messageSchema.safeParse(message.body).success) {
+				this.#lost(from.id, 'left');
+			}
+		}));
+		this.#store.add(list.onDidRead(snapshot => {
+			this.#read(snapshot);
+		}));
+	}
+
+	override get self(): Member {
+		return this.network.self;
+	}
+
+	override get all(): readonly Member[] {
+		return [...this.#members.values()];
+	}
+
+	override get onDidJoin() {
+		return this.#join.event;
+	}
+
+	override get onDidLose() {
+		return this.#lose.event;
+	}
+
+	override get listedAt(): number | undefined {
+		return this.#listedAt;
+	}
+
+	override inZone(zone: AvailabilityZone): readonly Member[] {
+		const others = this.all.filter(member => member.zone === zone);
+		return this.self.zone === zone ? [this.self, ...others] : others;
+	}
+
+	override memberOf(member: MemberId): Member | undefined {
+		return member === this.self.id ? this.self : this.#members.get(member);
+	}
+
+	override isUnresolved(zone: AvailabilityZone): boolean {
+		const met = new Set(this.all.map(member => member.peerAddress));
+		return this.#listed.some(({peerAddress, zone: listedZone, id}) => listedZone === zone
+			&& id !== this.self.instance
+			&& peerAddress !== undefined
+			&& !met.has(peerAddress)
+			&& !this.#refusedAddresses.has(peerAddress));
+	}
+
+	override isSilent(member: MemberId): boolean {
+		const heardAt = this.network.lastHeard(member) ?? this.#metAt.get(member);
+		return heardAt === undefined || this.clock.now() - heardAt > silenceMilliseconds;
+	}
+
+	override heardAgo(member: MemberId): number | undefined {
+		const heardAt = this.network.lastHeard(member);
+		const ago = heardAt === undefined ? undefined : this.clock.now() - heardAt;
+		return ago !== undefined && ago < meaningfulMilliseconds ? ago : undefined;
+	}
+
+	override announceLeft(): void {
+		for (const member of this.#members.values()) {
+			this.network.send(member, {channel, body: {kind: 'left'}});
+		}
+	}
+
+	dispose(): void {
+		this.#store.dispose();
+	}
+
+	#met(member: Member): void {
+		if (this.#left.has(member.id)) {
+			return;
+		}
+
+		this.#members.set(member.id, member);
+		this.#metAt.set(member.id, this.clock.now());
+		this.#refusedAddresses.delete(member.peerAddress);
+		this.journal.record('memberMet', {member: member.id, zone: member.zone});
+		this.#watch();
+		this.#join.fire(member);
+	}
+
+	#lost(id: MemberId, manner: Loss['manner']): void {
+		const member = this.#members.get(id);
+		if (member === undefined) {
+			return;
+		}
+
+		this.#members.delete(id);
+		this.#metAt.delete(id);
+		this.#left.add(id);
+		this.journal.record(manner === 'left' ? 'memberLeft' : 'memberDead', {member: id, zone: member.zone});
+		this.#watch();
+		this.#lose.fire({member, manner});
+	}
+
+	#read(snapshot: InstanceSnapshot): void {
+		this.#listed = snapshot.instances.filter(instance => instance.kind === 'entry');
+		if (this.#listed.some(instance => instance.id === this.self.instance)) {
+			this.#listedAt = snapshot.readAt;
+		}
+
+		const addresses = new Set(this.#listed.flatMap(({peerAddress}) => peerAddress ?? []));
+		addresses.delete(this.self.peerAddress);
+		this.network.meet(addresses);
+		this.#watch();
+		this.#giveUpDelisted(addresses);
+	}
+
+	#giveUpDelisted(addresses: ReadonlySet<string>): void {
+		for (const member of this.all) {
+			const heardAt = this.network.lastHeard(member.id) ?? this.#metAt.get(member.id) ?? 0;
+			if (!addresses.has(member.peerAddress) && this.clock.now() - heardAt > delistedMilliseconds) {
+				this.#lost(member.id, 'dead');
+			}
+		}
+	}
+
+	/** Watches a few neighbours of the own zone and one entry of each other zone: the same number in any fleet. */
+	#watch(): void {
+		const inZone = this.all.filter(member => member.zone === this.self.zone);
+		const watched = rankByKey(this.self.instance, inZone, member => member.instance).slice(0, watchedInZone);
+		const zones = new Set(this.all.map(member => member.zone));
+		zones.delete(this.self.zone);
+		const others = [...zones].flatMap(zone => rankByKey(this.self.instance, this.inZone(zone), member => member.instance).slice(0, 1));
+		this.network.watch(new Set([...watched, ...others].map(member => member.peerAddress)));
+	}
+}
--- /dev/null
+++ b/src/features/membership/loss.ts
@@ -0,0 +1,8 @@
+/** How a member went away. */
+import type {Member} from '../../platform/peers/member.js';
+
+/** `left` after it handed everything over; `dead` otherwise, with all that only it knew. */
+export type Loss = {
+	readonly member: Member;
+	readonly manner: 'left' | 'dead';
+};
--- /dev/null
+++ b/src/features/membership/membership-key.ts
@@ -0,0 +1,6 @@
+/** The container's name for the membership. */
+import {ServiceKey} from '../../platform/kernel/service-key.js';
+import type {Membership} from './membership.js';
+
+/** Provided by the membership feature. */
+export const membershipKey = new ServiceKey<Membership>('membership');
--- /dev/null
+++ b/src/features/placement/candidate.ts
@@ -0,0 +1,17 @@
+/** A target as a policy sees it. */
+import type {Instance} from '../../platform/instances/instance.js';
+
+/** A target that can take the task at hand. */
+export type Candidate = {
+	readonly instance: Instance;
+	/** Slots that are lent to nobody. */
+	readonly free: number;
+	readonly slots: number;
+	/** Slots that are lent to the requester of the task at hand. */
+	readonly heldByRequester: number;
+	/** Tasks bound to the target that wait for a slot there; 0 under late binding. */
+	readonly bound: number;
+	/** Tasks of the same job in the target's rack. */
+	readonly jobTasksInRack: number;
+	readonly condition: 'fit' | 'slow' | 'probe';
+};
--- /dev/null
+++ b/src/features/placement/placement.contribution.ts
@@ -0,0 +1,45 @@
+/** Registers the placement feature and its policies. */
+import type {DisposableStore} from '../../base/disposable-store.js';
+import {Contribution} from '../../platform/kernel/contribution.js';
+import {contributions} from '../../platform/kernel/contributions.js';
+import type {ServiceContainer} from '../../platform/kernel/service-container.js';
+import {platformKeys} from '../../platform/platform-keys.js';
+import {membershipKey} from '../membership/membership-key.js';
+import {placements} from './placements.js';
+import './policies/fixed-shares.js';
+import './policies/late-binding.js';
+import './policies/least-in-flight.js';
+import './policies/power-of-two.js';
+import './policies/random-choice.js';
+import './policies/round-robin.js';
+import {slotDeskKey} from './slot-desk-key.js';
+import {ZonePlacement} from './zone-placement.js';
+import {zonePlacementKey} from './zone-placement-key.js';
+
+contributions.register(new class extends Contribution {
+	override readonly name = 'placement';
+	override readonly requires = ['membership'];
+
+	override activate(services: ServiceContainer, store: DisposableStore): void {
+		const settings = services.get(platformKeys.settings).placement;
+		const placement = placements.named(settings.policy);
+		if (placement === undefined) {
+			throw new Error(`placement.policy = ${settings.policy}: one of ${placements.names().join(', ')}`);
+		}
+
+		const zonePlacement = store.add(new ZonePlacement({
+			placement,
+			quarantineMilliseconds: settings.quarantineMilliseconds,
+			network: services.get(platformKeys.peerNetwork),
+			membership: services.get(membershipKey),
+			list: services.get(platformKeys.instanceList),
+			driver: services.get(platformKeys.targetDriver),
+			clock: services.get(platformKeys.clock),
+			random: services.get(platformKeys.random),
+			journal: services.get(platformKeys.journal),
+		}));
+		services.provide(slotDeskKey, zonePlacement.desk);
+		services.provide(zonePlacementKey, zonePlacement);
+		zonePlacement.start();
+	}
+}());
--- /dev/null
+++ b/src/features/placement/policies/late-binding.ts
@@ -0,0 +1,40 @@
+/** The policy in use. */
+import type {Candidate} from '../candidate.js';
+import {Placement} from '../placement.js';
+import {placements} from '../placements.js';
+
+/**
+ * Waits for a slot, then takes the fittest target: one that isn't slow, in a rack with fewer tasks of the same job, with
+ * the most free slots. A target that is due for a probe gets it first, since nothing else brings it back.
+ */
+class LateBinding extends Placement {
+	override readonly name = 'late-binding';
+	override readonly binding = 'late';
+
+	override choose(candidates: readonly Candidate[]): Candidate | undefined {
+		let best: Candidate | undefined;
+		for (const candidate of candidates) {
+			if (candidate.free > 0 && (best === undefined || isBetter(candidate, best))) {
+				best = candidate;
+			}
+		}
+
+		return best;
+	}
+}
+
+const conditionOrder = {probe: 0, fit: 1, slow: 2};
+
+function isBetter(left: Candidate, right: Candidate): boolean {
+	if (left.condition !== right.condition) {
+		return conditionOrder[left.condition] < conditionOrder[right.condition];
+	}
+
+	if (left.jobTasksInRack !== right.jobTasksInRack) {
+		return left.jobTasksInRack < right.jobTasksInRack;
+	}
+
+	return left.free > right.free;
+}
+
+placements.register(new LateBinding());
--- /dev/null
+++ b/src/features/placement/slot-desk-key.ts
@@ -0,0 +1,6 @@
+/** The container's name for the slots of all zones. */
+import {ServiceKey} from '../../platform/kernel/service-key.js';
+import type {SlotDesk} from './slot-desk.js';
+
+/** Provided by the placement feature. */
+export const slotDeskKey = new ServiceKey<SlotDesk>('slot-desk');
--- /dev/null
+++ b/src/features/placement/slot-ledger.ts
@@ -0,0 +1,247 @@
+/** Which slots of which targets are lent to whom. */
+import type {InstanceId} from '../../base/instance-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {SubmissionId} from '../../base/submission-id.js';
+import type {TicketId} from '../../base/ticket-id.js';
+import type {Instance} from '../../platform/instances/instance.js';
+import type {Candidate} from './candidate.js';
+import type {HeldSlot} from './held-slot.js';
+import type {TargetHealth} from './target-health.js';
+import type {WaitingTicket} from './waiting-ticket.js';
+
+/** For targets whose row in the instance list gives no number. */
+const defaultSlots = 8;
+
+type TargetState = {
+	instance: Instance;
+	/** False once the list shows the target as leaving, or no longer shows it. */
+	isOpen: boolean;
+	/** Slots that nobody may use yet, since a former arbiter may have lent them. */
+	quarantined: number;
+	readonly held: Map<TicketId, HeldSlot>;
+	readonly heldBy: Map<MemberId, number>;
+	usedMemoryMegabytes: number;
+	usedAccelerators: number;
+	/** Tasks that an early binding tied to this target. */
+	readonly bound: WaitingTicket[];
+};
+
+/** The slots of one zone. A slot is free again only by its release, the end of its lease, or the target's word. */
+export class SlotLedger {
+	readonly #targets = new Map<InstanceId, TargetState>();
+	readonly #held = new Map<TicketId, HeldSlot>();
+	/** Running tasks by job and rack. */
+	readonly #jobRacks = new Map<string, number>();
+
+	constructor(private readonly health: TargetHealth) {}
+
+	get targets(): readonly Instance[] {
+		return [...this.#targets.values()].filter(state => state.isOpen).map(state => state.instance);
+	}
+
+	get held(): readonly HeldSlot[] {
+		return [...this.#held.values()];
+	}
+
+	/** Free slots of the targets that take work. */
+	get freeSlots(): number {
+		let free = 0;
+		for (const state of this.#targets.values()) {
+			free += state.isOpen ? Math.max(0, freeOf(state)) : 0;
+		}
+
+		return free;
+	}
+
+	/** Slots of the targets that take work, lent or not. */
+	get openSlots(): number {
+		let slots = 0;
+		for (const state of this.#targets.values()) {
+			slots += state.isOpen ? slotsOf(state) : 0;
+		}
+
+		return slots;
+	}
+
+	setTargets(instances: readonly Instance[]): void {
+		const listed = new Map(instances.map(instance => [instance.id, instance]));
+		for (const [id, state] of this.#targets) {
+			state.isOpen = listed.get(id)?.state === 'live';
+			if (!listed.has(id) && state.held.size === 0) {
+				this.#targets.delete(id);
+			}
+		}
+
+		for (const instance of instances) {
+			this.#setTarget(instance);
+		}
+
+		this.health.retain(new Set(this.#targets.keys()));
+	}
+
+	slotOf(ticket: TicketId): HeldSlot | undefined {
+		return this.#held.get(ticket);
+	}
+
+	lend(slot: HeldSlot): void {
+		this.free(slot.ticket);
+		this.#held.set(slot.ticket, slot);
+		const state = this.#targets.get(slot.target);
+		if (state !== undefined) {
+			state.held.set(slot.ticket, slot);
+			this.#account(state, slot, 1);
+		}
+	}
+
+	free(ticket: TicketId): HeldSlot | undefined {
+		const slot = this.#held.get(ticket);
+		if (slot === undefined) {
+			return undefined;
+		}
+
+		this.#held.delete(ticket);
+		const state = this.#targets.get(slot.target);
+		if (state?.held.delete(ticket)) {
+			this.#account(state, slot, -1);
+		}
+
+		return slot;
+	}
+
+	/** The requester is gone; its slots stay lent until their leases end, or the target says that the tasks did. */
+	orphan(requester: MemberId): void {
+		for (const slot of this.#held.values()) {
+			slot.isOrphaned ||= slot.requester === requester;
+		}
+	}
+
+	bind(ticket: WaitingTicket, target: InstanceId): void {
+		this.#targets.get(target)?.bound.push(ticket);
+	}
+
+	/** The next task that's bound to a target with a free slot. */
+	takeBound(): {readonly ticket: WaitingTicket; readonly instance: Instance} | undefined {
+		for (const state of this.#targets.values()) {
+			while (state.bound[0]?.isGone === true) {
+				state.bound.shift();
+			}
+
+			if (state.bound.length > 0 && freeOf(state) > 0) {
+				return {ticket: state.bound.shift()!, instance: state.instance};
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Withholds all slots of all targets that aren't accounted for. */
+	quarantineUnaccounted(): void {
+		for (const state of this.#targets.values()) {
+			state.quarantined = Math.max(0, slotsOf(state) - state.held.size);
+		}
+	}
+
+	/** Ends the quarantine of a target, but for so many tasks that it runs and nobody accounts for. */
+	setQuarantine(target: InstanceId, unaccounted: number): void {
+		const state = this.#targets.get(target);
+		if (state !== undefined) {
+			state.quarantined = unaccounted;
+		}
+	}
+
+	get quarantinedTargets(): readonly Instance[] {
+		return [...this.#targets.values()].filter(state => state.quarantined > 0).map(state => state.instance);
+	}
+
+	/** True where some open target is large enough and labelled for the task, whatever it runs now. */
+	isPlaceable(ticket: Pick<WaitingTicket, 'task'>): boolean {
+		return [...this.#targets.values()].some(state => state.isOpen && suits(state.instance, ticket));
+	}
+
+	/** Targets that suit a task now; with `hasSlot`, only those with a free slot. */
+	candidatesFor(ticket: WaitingTicket, hasSlot: boolean, now: number): readonly Candidate[] {
+		const candidates: Candidate[] = [];
+		for (const state of this.#targets.values()) {
+			if (!state.isOpen || (hasSlot && freeOf(state) <= 0) || !suits(state.instance, ticket) || !hasRoom(state, ticket)) {
+				continue;
+			}
+
+			const condition = this.health.condition(state.instance.id, now);
+			if (condition !== 'out') {
+				candidates.push(this.#candidate(state, ticket, condition));
+			}
+		}
+
+		return candidates;
+	}
+
+	#candidate(state: TargetState, ticket: WaitingTicket, condition: Candidate['condition']): Candidate {
+		const bound = state.bound.filter(waiting => !waiting.isGone);
+		const boundByRequester = bound.filter(waiting => waiting.requester === ticket.requester).length;
+		return {
+			instance: state.instance,
+			free: freeOf(state),
+			slots: slotsOf(state),
+			heldByRequester: (state.heldBy.get(ticket.requester) ?? 0) + boundByRequester,
+			bound: bound.length,
+			jobTasksInRack: this.#jobRacks.get(jobRackKey(ticket.request.job, state.instance)) ?? 0,
+			condition,
+		};
+	}
+
+	/** Adds a slot to, or takes it from, the running counts. */
+	#account(state: TargetState, slot: HeldSlot, sign: 1 | -1): void {
+		state.usedMemoryMegabytes += sign * slot.memoryMegabytes;
+		state.usedAccelerators += sign * slot.accelerators;
+		addTo(state.heldBy, slot.requester, sign);
+		addTo(this.#jobRacks, jobRackKey(slot.job, state.instance), sign);
+	}
+
+	#setTarget(instance: Instance): void {
+		const state = this.#targets.get(instance.id);
+		if (state === undefined) {
+			this.#targets.set(instance.id, {
+				instance, isOpen: instance.state === 'live', quarantined: 0, held: new Map(), heldBy: new Map(), usedMemoryMegabytes: 0, usedAccelerators: 0, bound: [],
+			});
+			return;
+		}
+
+		state.instance = instance;
+	}
+}
+
+function slotsOf(state: TargetState): number {
+	return state.instance.slots ?? defaultSlots;
+}
+
+function freeOf(state: TargetState): number {
+	return slotsOf(state) - state.held.size - state.quarantined;
+}
+
+function suits(instance: Instance, {task}: Pick<WaitingTicket, 'task'>): boolean {
+	const labels = instance.labels ?? [];
+	return task.labels.every(label => labels.includes(label))
+		&& !task.avoided.some(label => labels.includes(label))
+		&& !task.excluded.includes(instance.id)
+		&& task.memoryMegabytes <= (instance.memoryMegabytes ?? Number.POSITIVE_INFINITY)
+		&& task.accelerators <= (instance.accelerators ?? 0);
+}
+
+/** Room beside the tasks that run there already. */
+function hasRoom(state: TargetState, {task}: WaitingTicket): boolean {
+	return task.memoryMegabytes + state.usedMemoryMegabytes <= (state.instance.memoryMegabytes ?? Number.POSITIVE_INFINITY)
+		&& (task.accelerators === 0 || task.accelerators + state.usedAccelerators <= (state.instance.accelerators ?? 0));
+}
+
+function jobRackKey(job: SubmissionId, instance: Instance): string {
+	return `${job}|${instance.rack ?? ''}`;
+}
+
+function addTo<Key>(counts: Map<Key, number>, key: Key, count: number): void {
+	const sum = (counts.get(key) ?? 0) + count;
+	if (sum === 0) {
+		counts.delete(key);
+	} else {
+		counts.set(key, sum);
+	}
+}
--- /dev/null
+++ b/src/features/placement/target-health.ts
@@ -0,0 +1,163 @@
+/** Whether a target is fit for work. */
+import type {InstanceId} from '../../base/instance-id.js';
+import type {ProfileName} from '../../base/profile-name.js';
+import type {Journal} from '../../platform/journal/journal.js';
+
+/** Failures in a row after which a target is out; a loss or a refusal weighs as much as a failure. */
+const failuresToEject = 3;
+const firstEjectionMilliseconds = 2000;
+const longestEjectionMilliseconds = 60_000;
+const ejectionGrowth = 2;
+/** No more of a zone's targets are out at once: when many look bad, the cause is most likely elsewhere. */
+const ejectedShareLimit = 0.5;
+/** A target is slow when its tasks take so many times what their profiles take elsewhere. */
+const slowFactor = 2.5;
+const slowSamples = 8;
+/** Weight of the newest sample in moving averages. */
+const smoothing = 0.2;
+/** A profile whose tasks fail this often on the other targets as well has itself to blame. */
+const profileFailureShare = 0.5;
+
+type Outcome = 'result' | 'failure' | 'refused' | 'lost';
+
+/** The end of a task; the expected time is the profile's mean over the zone. */
+type TaskEnd = {
+	readonly target: InstanceId;
+	readonly profile: ProfileName;
+	readonly outcome: Outcome;
+	readonly runMilliseconds: number;
+	readonly expectedMilliseconds: number;
+};
+
+type State = {
+	failureStreak: number;
+	ejections: number;
+	ejectedUntil: number;
+	isOut: boolean;
+	isProbing: boolean;
+	slowness: number;
+	samples: number;
+	/** Moving failure share of each profile on this target. */
+	readonly failureShares: Map<ProfileName, number>;
+};
+
+/**
+ * Judges the targets of a zone by the outcomes of their tasks. A target that fails everything is fast and always free,
+ * so that it would draw all the load; it's taken out after a few failures in a row and comes back over one probe, each
+ * time after a longer period.
+ */
+export class TargetHealth {
+	readonly #states = new Map<InstanceId, State>();
+
+	constructor(private readonly journal: Journal) {}
+
+	/** Keeps the judgement of the listed targets only. */
+	retain(targets: ReadonlySet<InstanceId>): void {
+		for (const id of this.#states.keys()) {
+			if (!targets.has(id)) {
+				this.#states.delete(id);
+			}
+		}
+
+		for (const id of targets) {
+			this.#stateOf(id);
+		}
+	}
+
+	/** `probe`: takes one task now and no second one before that has ended. */
+	condition(target: InstanceId, now: number): 'fit' | 'slow' | 'probe' | 'out' {
+		const state = this.#stateOf(target);
+		if (state.isOut) {
+			return now >= state.ejectedUntil && !state.isProbing ? 'probe' : 'out';
+		}
+
+		return state.samples >= slowSamples && state.slowness > slowFactor ? 'slow' : 'fit';
+	}
+
+	/** A task goes to a target that is out, to find out whether it's back. */
+	beginProbe(target: InstanceId): void {
+		this.#stateOf(target).isProbing = true;
+	}
+
+	/** A probe ended without telling anything. */
+	cancelProbe(target: InstanceId): void {
+		this.#stateOf(target).isProbing = false;
+	}
+
+	/** Takes the end of a task. */
+	report({target, profile, outcome, runMilliseconds, expectedMilliseconds}: TaskEnd, now: number): void {
+		const state = this.#stateOf(target);
+		const isGood = outcome === 'result';
+		const share = state.failureShares.get(profile) ?? 0;
+		state.failureShares.set(profile, share + (smoothing * ((isGood ? 0 : 1) - share)));
+		if (isGood) {
+			this.#good(target, state, runMilliseconds / Math.max(1, expectedMilliseconds));
+			return;
+		}
+
+		// A failing task says nothing about its target when the same profile fails on the others too.
+		if (outcome === 'failure' && this.#failsElsewhere(target, profile)) {
+			state.isProbing = false;
+			return;
+		}
+
+		state.failureStreak += 1;
+		if (state.isProbing || (!state.isOut && state.failureStreak >= failuresToEject)) {
+			this.#eject(target, state, outcome, now);
+		}
+	}
+
+	#good(target: InstanceId, state: State, ratio: number): void {
+		state.failureStreak = 0;
+		state.samples += 1;
+		state.slowness += smoothing * (ratio - state.slowness);
+		if (!state.isOut || !state.isProbing) {
+			return;
+		}
+
+		state.isOut = false;
+		state.isProbing = false;
+		this.journal.record('targetBack', {target, ejections: state.ejections});
+	}
+
+	#eject(target: InstanceId, state: State, outcome: Outcome, now: number): void {
+		state.isProbing = false;
+		const out = [...this.#states.values()].filter(other => other.isOut).length;
+		if (!state.isOut && out + 1 > this.#states.size * ejectedShareLimit) {
+			this.journal.record('ejectionCapped', {target, out});
+			return;
+		}
+
+		const period = Math.min(longestEjectionMilliseconds, firstEjectionMilliseconds * (ejectionGrowth ** state.ejections));
+		state.isOut = true;
+		state.ejections += 1;
+		state.ejectedUntil = now + period;
+		this.journal.record('targetEjected', {target, outcome, periodMilliseconds: period});
+	}
+
+	#failsElsewhere(target: InstanceId, profile: ProfileName): boolean {
+		const shares: number[] = [];
+		for (const [id, state] of this.#states) {
+			const share = state.failureShares.get(profile);
+			if (id !== target && share !== undefined && !state.isOut) {
+				shares.push(share);
+			}
+		}
+
+		const sum = shares.reduce((total, share) => total + share, 0);
+		return shares.length > 0 && sum / shares.length > profileFailureShare;
+	}
+
+	#stateOf(target: InstanceId): State {
+		const known = this.#states.get(target);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const state: State = {
+			failureStreak: 0, ejections: 0, ejectedUntil: 0, isOut: false, isProbing: false, slowness: 1, samples: 0, failureShares: new Map(),
+		};
+		this.#states.set(target, state);
+		return state;
+	}
+}
--- /dev/null
+++ b/src/features/placement/zone-placement.ts
@@ -0,0 +1,247 @@
+/** This entry's part in the placement: its desk, its zone's office, and the arbiter while it holds that. */
+import {z} from 'zod';
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {Random} from '../../base/random.js';
+import {repeat} from '../../base/repeat.js';
+import type {Instance} from '../../platform/instances/instance.js';
+import type {InstanceList} from '../../platform/instances/instance-list.js';
+import type {Journal} from '../../platform/journal/journal.js';
+import type {Member} from '../../platform/peers/member.js';
+import type {PeerNetwork} from '../../platform/peers/peer-network.js';
+import type {TargetDriver} from '../../platform/targets/target-driver.js';
+import type {Membership} from '../membership/membership.js';
+import {Arbiter} from './arbiter.js';
+import {NetworkSlotDesk} from './network-slot-desk.js';
+import type {Placement} from './placement.js';
+import type {PlacementReply} from './placement-reply.js';
+import {placementReplySchema} from './placement-reply-schema.js';
+import type {PlacementRequest} from './placement-request.js';
+import {placementRequestSchema} from './placement-request-schema.js';
+import type {Succession} from './succession.js';
+import {Tenure} from './tenure.js';
+import type {TenureMessage} from './tenure-message.js';
+import {tenureMessageSchema} from './tenure-message-schema.js';
+
+const channel = 'placement';
+/** How often targets are asked what they run while some of their slots aren't accounted for. */
+const usagePeriodMilliseconds = 250;
+/** A target's word counts once what a dead entry had sent last has certainly arrived. */
+const settlingMilliseconds = 300;
+
+const messageSchema = z.discriminatedUnion('to', [
+	z.object({to: z.literal('arbiter'), request: placementRequestSchema}),
+	z.object({to: z.literal('desk'), reply: placementReplySchema}),
+	z.object({to: z.literal('tenure'), message: tenureMessageSchema}),
+]);
+
+/** What the placement of an entry works with. */
+type ZonePlacementParts = {
+	readonly placement: Placement;
+	readonly quarantineMilliseconds: number;
+	readonly network: PeerNetwork;
+	readonly membership: Membership;
+	readonly list: InstanceList;
+	readonly driver: TargetDriver;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly journal: Journal;
+};
+
+/** Owns the three parts and carries messages between them and the network. */
+export class ZonePlacement implements Disposable {
+	readonly #store = new DisposableStore();
+	readonly #tenure: Tenure;
+	readonly #desk: NetworkSlotDesk;
+	#arbiter: Arbiter | undefined;
+	#gainedAt = 0;
+
+	constructor(private readonly parts: ZonePlacementParts) {
+		const {network, membership, clock, journal} = parts;
+		this.#tenure = this.#store.add(new Tenure(membership, clock, journal, (to, message) => {
+			network.send(to, {channel, body: {to: 'tenure', message}});
+		}));
+		this.#desk = new NetworkSlotDesk(membership, clock, journal, {
+			request: (to, request) => {
+				this.#sendRequest(to, request);
+			},
+			askHolder(of, zone) {
+				network.send(of, {channel, body: {to: 'tenure', message: {kind: 'who', zone}}});
+			},
+		});
+	}
+
+	get desk(): NetworkSlotDesk {
+		return this.#desk;
+	}
+
+	get arbiter(): Arbiter | undefined {
+		return this.#arbiter;
+	}
+
+	get tenure(): Tenure {
+		return this.#tenure;
+	}
+
+	start(): void {
+		const {clock} = this.parts;
+		this.#store.add(this.parts.network.onDidReceive(({from, message}) => {
+			if (message.channel === channel) {
+				this.#receive(from, message.body);
+			}
+		}));
+		this.#store.add(this.#tenure.onDidChange(holder => {
+			this.#desk.setArbiter(this.parts.membership.self.zone, holder);
+		}));
+		this.#store.add(this.#tenure.onDidGain(succession => {
+			this.#gain(succession);
+		}));
+		this.#store.add(this.#tenure.onDidLose(() => {
+			this.#arbiter = undefined;
+		}));
+		this.#store.add(this.parts.membership.onDidLose(loss => {
+			this.#tenure.memberLost(loss);
+			this.#desk.memberLost(loss);
+			this.#arbiter?.forget(loss.member.id);
+		}));
+		this.#store.add(this.parts.list.onDidRead(({instances}) => {
+			this.#arbiter?.setTargets(instances);
+		}));
+		this.#store.add(repeat(clock, Tenure.tickMilliseconds, () => {
+			this.#tenure.tick();
+			this.#arbiter?.tick();
+		}));
+		this.#store.add(repeat(clock, NetworkSlotDesk.tickMilliseconds, () => {
+			this.#desk.tick();
+		}));
+		this.#store.add(repeat(clock, usagePeriodMilliseconds, () => {
+			this.#askTargets();
+		}));
+	}
+
+	/** Hands the office over if this entry holds it; it stays a requester until its work has ended. */
+	resign(): void {
+		const now = this.parts.clock.now();
+		const held = this.#arbiter?.lentSlots.map(({requester, ticket, target, profile, leaseEndsAt}) => ({
+			requester, ticket, target, profile, endsInMilliseconds: leaseEndsAt - now,
+		}));
+		const successor = this.#tenure.resign(held ?? []);
+		this.parts.journal.record('tenureResigned', {successor: successor?.id, held: held?.length ?? 0});
+	}
+
+	dispose(): void {
+		this.#store.dispose();
+	}
+
+	#receive(from: Member, body: unknown): void {
+		const checked = messageSchema.safeParse(body);
+		if (!checked.success) {
+			this.parts.journal.record('peerMessageUnreadable', {peer: from.id, channel});
+			return;
+		}
+
+		const message = checked.data;
+		if (message.to === 'tenure') {
+			this.#receiveTenure(from, message.message);
+		} else if (message.to === 'arbiter') {
+			this.#receiveRequest(from.id, message.request);
+		} else {
+			this.#desk.receive(from.id, message.reply);
+		}
+	}
+
+	/** An announcement of another zone's arbiter answers a question of the desk. */
+	#receiveTenure(from: Member, message: TenureMessage): void {
+		if (message.kind === 'holds' && message.zone !== this.parts.membership.self.zone) {
+			this.#desk.setArbiter(message.zone, {member: message.holder, epoch: message.epoch});
+		}
+
+		this.#tenure.receive(from, message);
+	}
+
+	#receiveRequest(from: MemberId, request: PlacementRequest): void {
+		if (this.#arbiter === undefined) {
+			this.#sendReply(from, {kind: 'elsewhere', zone: this.parts.membership.self.zone});
+			return;
+		}
+
+		this.#arbiter.receive(from, request);
+	}
+
+	#sendRequest(to: MemberId, request: PlacementRequest): void {
+		if (to === this.parts.membership.self.id) {
+			queueMicrotask(() => {
+				this.#receiveRequest(to, request);
+			});
+			return;
+		}
+
+		const member = this.parts.membership.memberOf(to);
+		if (member !== undefined) {
+			this.parts.network.send(member, {channel, body: {to: 'arbiter', request}});
+		}
+	}
+
+	#sendReply(to: MemberId, reply: PlacementReply): void {
+		if (to === this.parts.membership.self.id) {
+			queueMicrotask(() => {
+				this.#desk.receive(to, reply);
+			});
+			return;
+		}
+
+		const member = this.parts.membership.memberOf(to);
+		if (member !== undefined) {
+			this.parts.network.send(member, {channel, body: {to: 'desk', reply}});
+		}
+	}
+
+	#gain(succession: Succession): void {
+		const {zone} = this.parts.membership.self;
+		const arbiter = new Arbiter({
+			...this.parts,
+			zone,
+			outbox: (to, reply) => {
+				this.#sendReply(to, reply);
+			},
+			mayGrant: () => this.#tenure.mayGrant(),
+		});
+		this.#arbiter = arbiter;
+		this.#gainedAt = this.parts.clock.now();
+		const instances: readonly Instance[] = this.parts.list.last?.instances ?? [];
+		arbiter.setTargets(instances);
+		if (succession.kind === 'handover') {
+			arbiter.adoptAll(succession.held);
+			return;
+		}
+
+		arbiter.beginQuarantine();
+	}
+
+	#askTargets(): void {
+		const arbiter = this.#arbiter;
+		const age = this.parts.clock.now() - this.#gainedAt;
+		if (arbiter === undefined || age < settlingMilliseconds) {
+			return;
+		}
+
+		if (age > this.parts.quarantineMilliseconds) {
+			arbiter.endQuarantine();
+		}
+
+		const doubtful = new Map([...arbiter.quarantinedTargets, ...arbiter.orphanedTargets].map(target => [target.id, target]));
+		for (const target of doubtful.values()) {
+			void this.#askTarget(arbiter, target);
+		}
+	}
+
+	async #askTarget(arbiter: Arbiter, target: Instance): Promise<void> {
+		const usage = await this.parts.driver.usage(target);
+		if (usage !== undefined && arbiter === this.#arbiter) {
+			arbiter.takeUsage(target.id, usage);
+		}
+	}
+}
--- /dev/null
+++ b/src/features/submissions/open-submission-desk.ts
@@ -0,0 +1,23 @@
+/** A desk without a registry. */
+import type {CancellationToken} from '../../base/cancellation-token.js';
+import type {Claim} from './claim.js';
+import type {Submission} from './submission.js';
+import {SubmissionDesk} from './submission-desk.js';
+
+/**
+ * Grants every claim. For the benchmark only, which measures what the registry costs: without it a job that's submitted
+ * twice runs twice.
+ */
+export class OpenSubmissionDesk extends SubmissionDesk {
+	override async claim(_submission: Submission, _token: CancellationToken): Promise<Claim> {
+		return {kind: 'granted', nonce: ''};
+	}
+
+	override settle(): void {
+		// Nothing was recorded.
+	}
+
+	override cancel(): void {
+		// Nothing was recorded.
+	}
+}
--- /dev/null
+++ b/src/platform/metrics/silent-metrics.ts
@@ -0,0 +1,17 @@
+/** Metrics for an entry without a metrics server. */
+import {Metrics} from './metrics.js';
+
+/** Drops everything. */
+export class SilentMetrics extends Metrics {
+	override count(): void {
+		// Nobody listens.
+	}
+
+	override gauge(): void {
+		// Nobody listens.
+	}
+
+	override timing(): void {
+		// Nobody listens.
+	}
+}
--- /dev/null
+++ b/src/platform/peers/outgoing-link.ts
@@ -0,0 +1,194 @@
+/** The dialing end of a peer connection. */
+import {connect} from 'node:net';
+import type {z} from 'zod';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import type {MemberId} from '../../base/member-id.js';
+import {repeat} from '../../base/repeat.js';
+import {FrameSocket} from './frame-socket.js';
+import {handshake} from './handshake.js';
+import type {LinkListener} from './link-listener.js';
+import type {Member} from './member.js';
+import type {peerFrameSchema} from './peer-frame.js';
+import type {PeerMessage} from './peer-message.js';
+import type {TrafficCounter} from './traffic-counter.js';
+
+/** How often a watched or recently used connection is asked for a sign of life. */
+const pingPeriodMilliseconds = 500;
+/**
+ * A connection without a sign of life for so long is given up and dialled anew: a network that lost track of it lets
+ * a new one through. Whoever waits for an answer sends again on the new one.
+ */
+const silenceLimitMilliseconds = 1500;
+/** A connection that nobody watches is pinged for so long after its last use. */
+const useMilliseconds = 10_000;
+const redialMilliseconds = 250;
+const connectLimitMilliseconds = 1000;
+/** Messages that wait for the connection; older ones are dropped, since their senders send again. */
+const queueLimit = 512;
+
+type Frame = z.output<typeof peerFrameSchema>;
+type QueuedMessage = {readonly to: MemberId; readonly message: PeerMessage};
+
+/** What a link works with. */
+type OutgoingLinkParts = {
+	readonly peerAddress: string;
+	readonly self: Member;
+	readonly key: string;
+	readonly clock: Clock;
+	readonly counter: TrafficCounter;
+	readonly listener: LinkListener;
+};
+
+/** Owns the connection to one peer address, and keeps it alive while it's watched or used. */
+export class OutgoingLink implements Disposable {
+	#socket: FrameSocket | undefined;
+	#peer: Member | undefined;
+	#nonce = '';
+	#queue: QueuedMessage[] = [];
+	#heardAt = 0;
+	#usedAt: number;
+	#isDisposed = false;
+	#redial: Disposable | undefined;
+	readonly #pings: Disposable;
+
+	constructor(private readonly parts: OutgoingLinkParts, public isWatched: boolean) {
+		const {clock} = parts;
+		this.#usedAt = clock.now();
+		this.#pings = repeat(clock, pingPeriodMilliseconds, () => {
+			this.#check();
+		});
+		this.#dial();
+	}
+
+	send(to: MemberId, message: PeerMessage): void {
+		this.#usedAt = this.parts.clock.now();
+		if (this.#peer !== undefined) {
+			this.#deliver({to, message});
+			return;
+		}
+
+		this.#queue.push({to, message});
+		if (this.#queue.length > queueLimit) {
+			this.#queue.shift();
+		}
+
+		if (this.#socket === undefined && this.#redial === undefined) {
+			this.#dial();
+		}
+	}
+
+	dispose(): void {
+		this.#isDisposed = true;
+		this.#pings.dispose();
+		this.#redial?.dispose();
+		this.#socket?.dispose();
+	}
+
+	get #isWanted(): boolean {
+		return this.isWatched || this.parts.clock.now() - this.#usedAt < useMilliseconds;
+	}
+
+	#dial(): void {
+		this.#redial = undefined;
+		if (this.#isDisposed) {
+			return;
+		}
+
+		const [host = '', port = ''] = this.parts.peerAddress.split(':');
+		const socket = connect({host, port: Number(port), timeout: connectLimitMilliseconds});
+		this.#heardAt = this.parts.clock.now();
+		this.#nonce = handshake.nonce();
+		const frames = new FrameSocket(socket, this.parts.counter, frame => {
+			this.#receive(frame);
+		}, reason => {
+			this.#closed(frames, reason);
+		});
+		this.#socket = frames;
+		socket.on('connect', () => {
+			socket.setTimeout(0);
+			frames.send({
+				kind: 'hello', version: 1, nonce: this.#nonce, member: this.parts.self,
+			});
+		});
+		socket.on('timeout', () => {
+			frames.dispose();
+		});
+	}
+
+	#receive(frame: Frame): void {
+		this.#heardAt = this.parts.clock.now();
+		if (this.#peer !== undefined) {
+			this.parts.listener.onHeard(this.#peer);
+			if (frame.kind === 'message') {
+				this.parts.listener.onMessage(this.#peer, frame);
+			}
+
+			return;
+		}
+
+		this.#prove(frame);
+	}
+
+	#prove(frame: Frame): void {
+		if (frame.kind !== 'welcome' || !handshake.matches(handshake.proof(this.parts.key, 'listener', this.#nonce, frame.member.id), frame.proof)) {
+			this.parts.listener.onStranger(`listener at ${this.parts.peerAddress}`);
+			this.#socket?.dispose();
+			return;
+		}
+
+		this.#socket?.send({kind: 'proof', proof: handshake.proof(this.parts.key, 'dialer', frame.nonce, this.parts.self.id)});
+		this.#peer = frame.member;
+		this.parts.listener.onMet(frame.member);
+		this.parts.listener.onHeard(frame.member);
+		const queued = this.#queue;
+		this.#queue = [];
+		for (const entry of queued) {
+			this.#deliver(entry);
+		}
+	}
+
+	/** A message to an earlier life is dropped: the present one doesn't know what the earlier one was told. */
+	#deliver(entry: QueuedMessage): void {
+		if (entry.to === this.#peer?.id) {
+			this.#socket?.send({kind: 'message', ...entry.message});
+		}
+	}
+
+	#closed(socket: FrameSocket, reason: string): void {
+		if (socket !== this.#socket) {
+			return;
+		}
+
+		this.#socket = undefined;
+		this.#peer = undefined;
+		if (reason === 'ECONNREFUSED') {
+			this.parts.listener.onRefused(this.parts.peerAddress);
+		}
+
+		if (!this.#isDisposed && (this.#isWanted || this.#queue.length > 0)) {
+			this.#redial = this.parts.clock.schedule(redialMilliseconds, () => {
+				this.#dial();
+			});
+		}
+	}
+
+	#check(): void {
+		if (this.#socket === undefined) {
+			if (this.#redial === undefined && this.#isWanted) {
+				this.#dial();
+			}
+
+			return;
+		}
+
+		if (this.parts.clock.now() - this.#heardAt > silenceLimitMilliseconds) {
+			this.#socket.dispose();
+			return;
+		}
+
+		if (this.#peer !== undefined && this.#isWanted) {
+			this.#socket.send({kind: 'ping'});
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/peers/tcp-peer-network.ts
@@ -0,0 +1,237 @@
+/** The peer network over TCP. */
+import {createServer, type AddressInfo, type Server} from 'node:net';
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {Emitter} from '../../base/emitter.js';
+import type {InstanceId} from '../../base/instance-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {Journal} from '../journal/journal.js';
+import {AcceptedConnection} from './accepted-connection.js';
+import type {LinkListener} from './link-listener.js';
+import type {Member} from './member.js';
+import {OutgoingLink} from './outgoing-link.js';
+import type {PeerMessage} from './peer-message.js';
+import {PeerNetwork} from './peer-network.js';
+import type {PeerTraffic} from './peer-traffic.js';
+import type {ReceivedMessage} from './received-message.js';
+import {TrafficCounter} from './traffic-counter.js';
+
+/** Who this entry is, and where it listens. */
+type Identity = {
+	readonly instance: InstanceId;
+	readonly zone: AvailabilityZone;
+	readonly address: string;
+	readonly port: number;
+	readonly key: string;
+	/** Where peers reach this entry, if not at its own address. */
+	readonly advertised?: string;
+};
+
+/** Owns the listening socket, all accepted connections, and one outgoing link for each peer address. */
+export class TcpPeerNetwork extends PeerNetwork implements Disposable {
+	readonly #server: Server;
+	readonly #counter = new TrafficCounter();
+	readonly #accepted = new Set<AcceptedConnection>();
+	readonly #links = new Map<string, OutgoingLink>();
+	readonly #lives = new Map<string, Member>();
+	readonly #heard = new Map<MemberId, number>();
+	readonly #receive = new Emitter<ReceivedMessage>();
+	readonly #meet = new Emitter<Member>();
+	readonly #proveDead = new Emitter<MemberId>();
+	readonly #refuse = new Emitter<string>();
+	readonly #dead = new Set<MemberId>();
+	#watched: ReadonlySet<string> = new Set();
+	#self: Member;
+	readonly #listener: LinkListener;
+
+	constructor(private readonly identity: Identity, private readonly clock: Clock, private readonly journal: Journal) {
+		super();
+		this.#self = this.#newLife(identity.port);
+		this.#listener = this.#createListener();
+		this.#server = createServer(socket => {
+			const connection = new AcceptedConnection({
+				...this.#linkParts(),
+				socket,
+				onDidClose: () => {
+					this.#accepted.delete(connection);
+				},
+			});
+			this.#accepted.add(connection);
+		});
+	}
+
+	override get self(): Member {
+		return this.#self;
+	}
+
+	/** The port that the system gave. */
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	override get traffic(): PeerTraffic {
+		return this.#counter.total;
+	}
+
+	override get onDidReceive() {
+		return this.#receive.event;
+	}
+
+	override get onDidMeet() {
+		return this.#meet.event;
+	}
+
+	override get onDidProveDead() {
+		return this.#proveDead.event;
+	}
+
+	override get onDidRefuse() {
+		return this.#refuse.event;
+	}
+
+	/** Listens; with port 0 the system gives one. */
+	async listen(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(this.identity.port, this.identity.address, resolve);
+		});
+		this.#self = this.#newLife(this.port);
+	}
+
+	override send(to: Member, message: PeerMessage): void {
+		this.#linkTo(to.peerAddress).send(to.id, message);
+	}
+
+	override watch(peerAddresses: ReadonlySet<string>): void {
+		this.#watched = peerAddresses;
+		for (const [address, link] of this.#links) {
+			link.isWatched = peerAddresses.has(address);
+		}
+
+		for (const address of peerAddresses) {
+			this.#linkTo(address);
+		}
+	}
+
+	override meet(peerAddresses: ReadonlySet<string>): void {
+		for (const address of peerAddresses) {
+			this.#linkTo(address);
+		}
+	}
+
+	override lastHeard(member: MemberId): number | undefined {
+		return this.#heard.get(member);
+	}
+
+	override renew(): void {
+		this.#self = this.#newLife(this.port);
+		this.#disconnect();
+		this.watch(this.#watched);
+	}
+
+	dispose(): void {
+		this.#server.close();
+		this.#disconnect();
+		for (const emitter of [this.#receive, this.#meet, this.#proveDead, this.#refuse]) {
+			emitter.dispose();
+		}
+	}
+
+	#disconnect(): void {
+		for (const link of this.#links.values()) {
+			link.dispose();
+		}
+
+		this.#links.clear();
+		for (const connection of this.#accepted) {
+			connection.dispose();
+		}
+	}
+
+	#newLife(port: number): Member {
+		const {instance, zone, address, advertised} = this.identity;
+		const incarnation = `${this.clock.wallTime().toString(36)}${Math.floor(this.clock.now()).toString(36)}`;
+		return {
+			id: `${instance}#${incarnation}` as MemberId, instance, zone, peerAddress: advertised ?? `${address}:${port}`,
+		};
+	}
+
+	#linkTo(address: string): OutgoingLink {
+		const known = this.#links.get(address);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const link = new OutgoingLink({...this.#linkParts(), peerAddress: address}, this.#watched.has(address));
+		this.#links.set(address, link);
+		return link;
+	}
+
+	#linkParts() {
+		return {
+			self: this.#self, key: this.identity.key, clock: this.clock, counter: this.#counter, listener: this.#listener,
+		};
+	}
+
+	#createListener(): LinkListener {
+		return {
+			onMet: member => {
+				this.#met(member);
+			},
+			onHeard: member => {
+				this.#heard.set(member.id, this.clock.now());
+			},
+			onMessage: (from, message) => {
+				this.#receive.fire({from, message});
+			},
+			onRefused: address => {
+				this.#refused(address);
+			},
+			onStranger: detail => {
+				this.journal.record('strangerDropped', {detail});
+			},
+		};
+	}
+
+	#met(member: Member): void {
+		const earlier = this.#lives.get(member.peerAddress);
+		// A handshake of an earlier life may arrive after a later one was met; it must not bring that life back.
+		if (earlier?.id === member.id || this.#dead.has(member.id)) {
+			return;
+		}
+
+		this.#lives.set(member.peerAddress, member);
+		if (earlier !== undefined) {
+			this.#forget(earlier);
+		}
+
+		this.#meet.fire(member);
+	}
+
+	#refused(address: string): void {
+		this.#dropUnwatched(address);
+		const member = this.#lives.get(address);
+		if (member === undefined) {
+			this.#refuse.fire(address);
+			return;
+		}
+
+		this.#lives.delete(address);
+		this.#forget(member);
+	}
+
+	/** A port that refuses isn't dialled again unless it's listed, or somebody sends there. */
+	#dropUnwatched(address: string): void {
+		if (!this.#watched.has(address)) {
+			this.#links.get(address)?.dispose();
+			this.#links.delete(address);
+		}
+	}
+
+	#forget(member: Member): void {
+		this.#dead.add(member.id);
+		this.#heard.delete(member.id);
+		this.#proveDead.fire(member.id);
+	}
+}
--- /dev/null
+++ b/src/platform/peers/traffic-counter.ts
@@ -0,0 +1,32 @@
+/** Adds up what goes over the peer connections. */
+import type {PeerTraffic} from './peer-traffic.js';
+
+/** One counter for all connections of an entry. */
+export class TrafficCounter {
+	#sentFrames = 0;
+	#sentBytes = 0;
+	#receivedFrames = 0;
+	#receivedBytes = 0;
+
+	get total(): PeerTraffic {
+		return {
+			sentFrames: this.#sentFrames,
+			sentBytes: this.#sentBytes,
+			receivedFrames: this.#receivedFrames,
+			receivedBytes: this.#receivedBytes,
+		};
+	}
+
+	sent(bytes: number): void {
+		this.#sentFrames += 1;
+		this.#sentBytes += bytes;
+	}
+
+	received(bytes: number): void {
+		this.#receivedBytes += bytes;
+	}
+
+	receivedFrame(): void {
+		this.#receivedFrames += 1;
+	}
+}
--- /dev/null
+++ b/src/platform/stream/log-stream.ts
@@ -0,0 +1,15 @@
+/** One stream of the platform's append-only log. */
+import type {CancellationToken} from '../../base/cancellation-token.js';
+import type {JsonValue} from '../../base/json-value.js';
+import type {StreamOffset} from '../../base/stream-offset.js';
+import type {AppendOutcome} from './append-outcome.js';
+import type {StreamReading} from './stream-reading.js';
+
+/** The adapter to the log service. Both operations end within their own time-out and never reject. */
+export abstract class LogStream {
+	/** Appends one record. */
+	abstract append(body: JsonValue, token: CancellationToken): Promise<AppendOutcome>;
+
+	/** Reads from an offset; waits up to so many milliseconds for a record where there is none yet. */
+	abstract read(from: StreamOffset, waitMilliseconds: number, token: CancellationToken): Promise<StreamReading>;
+}
--- /dev/null
+++ b/src/platform/stream/stream-source.ts
@@ -0,0 +1,7 @@
+/** Opens streams of the platform's log. */
+import type {LogStream} from './log-stream.js';
+
+/** One stream for each name. */
+export abstract class StreamSource {
+	abstract open(name: string): LogStream;
+}
--- /dev/null
+++ b/standins/target/target-server.ts
@@ -0,0 +1,188 @@
+/** A stand-in for a target: it runs tasks by waiting, enforces its limits and counts the truth. */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {z} from 'zod';
+import {behaviourSchema} from './behaviour.js';
+import type {Truth} from './truth.js';
+
+type Behaviour = z.output<typeof behaviourSchema>;
+type Payload = {readonly runMilliseconds?: number; readonly fails?: boolean; readonly echo?: unknown};
+type Running = {readonly end: (isStopped: boolean) => void};
+
+const defaultRunMilliseconds = 50;
+
+/** Listens on a port of the system's choice. */
+export class TargetServer {
+	readonly truth: Truth = {
+		starts: 0, doubleStarts: 0, finished: 0, failed: 0, overSlots: 0, overConnections: 0, refused: 0, stopped: 0, unwanted: 0, usageAsked: 0, peakSlots: 0, peakConnections: 0, busyMilliseconds: 0,
+	};
+
+	readonly #server: Server;
+	readonly #running = new Map<string, Running>();
+	#connections = 0;
+	#behaviour: Behaviour = behaviourSchema.parse({});
+
+	/** The begun tasks are shared by all targets of a process, so that a second start elsewhere is seen. */
+	constructor(private readonly slots: number, private readonly connections: number, private readonly begun: Set<string>) {
+		this.#server = createServer((request, response) => {
+			void this.#handle(request, response);
+		});
+		this.#server.on('connection', socket => {
+			this.#connections += 1;
+			this.truth.peakConnections = Math.max(this.truth.peakConnections, this.#connections);
+			if (this.#connections > this.connections) {
+				this.truth.overConnections += 1;
+				socket.destroy();
+			}
+
+			socket.on('close', () => {
+				this.#connections -= 1;
+			});
+		});
+	}
+
+	async listen(address: string, port: number): Promise<number> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(port, address, resolve);
+		});
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	behave(behaviour: Partial<Behaviour>): void {
+		this.#behaviour = behaviourSchema.parse({...this.#behaviour, ...behaviour});
+	}
+
+	/** Dies as a process would: connections break, nothing more is answered. */
+	kill(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+		for (const running of this.#running.values()) {
+			running.end(true);
+		}
+	}
+
+	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = request.url ?? '';
+		const body = await textOf(request);
+		if (request.method === 'POST' && url === '/v1/tasks') {
+			this.#run(request, response, JSON.parse(body) as Payload);
+		} else if (request.method === 'DELETE' && url.startsWith('/v1/tasks/')) {
+			this.#stop(decodeURIComponent(url.slice('/v1/tasks/'.length)), response);
+		} else {
+			switch (url) {
+				case '/v1/usage': {
+					this.truth.usageAsked += 1;
+					reply(response, 200, {running: [...this.#running.keys()], lagMilliseconds: 0});
+
+					break;
+				}
+
+				case '/truth': {
+					reply(response, 200, this.truth);
+
+					break;
+				}
+
+				case '/behaviour': {
+					this.behave(JSON.parse(body) as Partial<Behaviour>);
+					reply(response, 200, {status: 'done'});
+
+					break;
+				}
+
+				default: {
+					reply(response, 404, {failure: 'no such resource'});
+				}
+			}
+		}
+	}
+
+	#run(request: IncomingMessage, response: ServerResponse, payload: Payload): void {
+		const taskId = String(request.headers['task-id']);
+		const limit = Number(request.headers['task-limit-milliseconds'] ?? Number.POSITIVE_INFINITY);
+		if (this.#running.size >= this.slots || this.#behaviour.mode === 'refusing') {
+			this.truth.overSlots += this.#running.size >= this.slots ? 1 : 0;
+			this.truth.refused += 1;
+			reply(response, 503, {failure: 'no free slot'}, {'task-id': taskId, 'task-verdict': 'not-run'});
+			return;
+		}
+
+		this.#begin(taskId);
+		const isFailing = payload.fails === true || this.#behaviour.mode === 'failing';
+		// A failing target answers fast, which is what makes it draw load.
+		const wanted = this.#behaviour.mode === 'failing' ? 1 : (payload.runMilliseconds ?? defaultRunMilliseconds) * this.#behaviour.slowness;
+		const startedAt = performance.now();
+		const timer = setTimeout(() => {
+			end(false);
+		}, Math.min(wanted, limit));
+		const end = (isStopped: boolean) => {
+			clearTimeout(timer);
+			this.#running.delete(taskId);
+			const runMilliseconds = performance.now() - startedAt;
+			this.truth.busyMilliseconds += runMilliseconds;
+			if (isStopped) {
+				this.truth.stopped += 1;
+				response.destroy();
+				return;
+			}
+
+			this.#answer(response, taskId, {isFailing: isFailing || wanted > limit, runMilliseconds, echo: payload.echo ?? taskId});
+		};
+
+		this.#running.set(taskId, {end});
+	}
+
+	#begin(taskId: string): void {
+		this.truth.starts += 1;
+		this.truth.doubleStarts += this.begun.has(taskId) ? 1 : 0;
+		this.begun.add(taskId);
+		this.truth.peakSlots = Math.max(this.truth.peakSlots, this.#running.size + 1);
+	}
+
+	#answer(response: ServerResponse, taskId: string, {isFailing, runMilliseconds, echo}: {isFailing: boolean; runMilliseconds: number; echo: unknown}): void {
+		this.truth.unwanted += response.destroyed || response.socket?.destroyed === true ? 1 : 0;
+		this.truth.finished += isFailing ? 0 : 1;
+		this.truth.failed += isFailing ? 1 : 0;
+		const {mode} = this.#behaviour;
+		if (mode === 'silent') {
+			return;
+		}
+
+		const answeredId = mode === 'crossed' ? `${taskId}-of-another` : taskId;
+		const body = isFailing ? {failure: 'the task failed', runMilliseconds} : {result: echo, runMilliseconds};
+		if (mode === 'half') {
+			const text = JSON.stringify(body);
+			response.writeHead(200, {'content-type': 'application/json', 'content-length': text.length, 'task-id': answeredId});
+			response.write(text.slice(0, text.length / 2));
+			setTimeout(() => {
+				response.destroy();
+			}, 1);
+			return;
+		}
+
+		reply(response, isFailing ? 500 : 200, body, {'task-id': answeredId});
+	}
+
+	#stop(taskId: string, response: ServerResponse): void {
+		this.#running.get(taskId)?.end(true);
+		reply(response, 200, {status: 'not running'});
+	}
+}
+
+function reply(response: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
+	const text = JSON.stringify(body);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...headers});
+	response.end(text);
+}
+
+async function textOf(request: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of request) {
+		chunks.push(chunk as Uint8Array);
+	}
+
+	return new TextDecoder().decode(Buffer.concat(chunks));
+}
--- /dev/null
+++ b/test/features/intake/intake.test.ts
@@ -0,0 +1,127 @@
+/** The callers' interface: what a mistaken request gets. */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
+import {Emitter} from '../../../src/base/emitter.js';
+import type {ProfileName} from '../../../src/base/profile-name.js';
+import {Intake} from '../../../src/features/intake/intake.js';
+import {Readiness} from '../../../src/features/intake/readiness.js';
+import {StatusReport} from '../../../src/features/intake/status-report.js';
+import {JobService} from '../../../src/features/jobs/job-service.js';
+import type {Configuration} from '../../../src/features/profiles/configuration.js';
+import {emptyConfiguration} from '../../../src/features/profiles/empty-configuration.js';
+import {ProfileBook} from '../../../src/features/profiles/profile-book.js';
+import type {ProfileRevision} from '../../../src/features/profiles/profile-revision.js';
+import {OpenSubmissionDesk} from '../../../src/features/submissions/open-submission-desk.js';
+import {FakeClock} from '../../support/fake-clock.js';
+import {FakeSlotDesk} from '../../support/fake-slot-desk.js';
+import {FakeTargetDriver} from '../../support/fake-target-driver.js';
+import {jobToolsOf} from '../../support/job-tools-of.js';
+import {profileRevisionOf} from '../../support/profile-revision-of.js';
+import {snapshotsOf} from '../../support/snapshots.js';
+
+const matchSnapshot = snapshotsOf(import.meta.url);
+
+class FixedBook extends ProfileBook {
+	override readonly configuration = emptyConfiguration;
+	override readonly onDidAdvance = new Emitter<Configuration>().event;
+	override isLoaded = true;
+
+	override profileNamed(name: ProfileName): ProfileRevision | undefined {
+		if (name === 'winter-desk') {
+			return {...profileRevisionOf({name: 'winter-desk'}), state: 'retired'};
+		}
+
+		return name === 'flight-desk' ? profileRevisionOf() : undefined;
+	}
+}
+
+const driver = new FakeTargetDriver();
+const book = new FixedBook();
+const readiness = new Readiness();
+const submissions = new OpenSubmissionDesk();
+const jobs = new JobService(book, submissions, jobToolsOf(new FakeClock(), new FakeSlotDesk(true), driver));
+const intake = new Intake(
+	{
+		zone: 'zone-1' as AvailabilityZone, address: '127.0.0.1', port: 0, bodyBytes: 4096, maximumDeadlineMilliseconds: 60_000,
+	},
+	jobs,
+	submissions,
+	{readiness, status: new StatusReport()},
+);
+let url = '';
+
+before(async () => {
+	url = `http://127.0.0.1:${await intake.listen()}`;
+});
+after(() => {
+	intake.dispose();
+});
+
+async function submit(body: string, headers: Record<string, string> = {}): Promise<unknown> {
+	const response = await fetch(`${url}/v1/jobs`, {method: 'POST', body, headers: {'content-type': 'application/json', 'idempotency-key': '"job-1"', ...headers}});
+	const text = await response.text();
+	return {
+		status: response.status,
+		type: response.headers.get('content-type'),
+		verdict: response.headers.get('savorylock-verdict'),
+		retryAfter: response.headers.get('retry-after'),
+		hasLength: response.headers.get('content-length') === String(new TextEncoder().encode(text).length),
+		body: JSON.parse(text) as unknown,
+	};
+}
+
+function jobOf(keys: Record<string, unknown>): string {
+	return JSON.stringify({profile: 'flight-desk', tasks: [{payload: 'seat 4'}], ...keys});
+}
+
+test('mistaken requests get a clear 4xx that says that nothing ran', async () => {
+	const cases = {
+		'malformed JSON': '{"profile": "flight-desk", "tasks": [',
+		'no object': '[]',
+		'unknown profile': jobOf({profile: 'sailing-desk'}),
+		'retired profile': jobOf({profile: 'winter-desk'}),
+		'no task': jobOf({tasks: []}),
+		'201 tasks': jobOf({tasks: Array.from({length: 201}, () => ({payload: 1}))}),
+		'body over the limit': jobOf({tasks: [{payload: 'x'.repeat(5000)}]}),
+		'deadline of a year': jobOf({deadlineMilliseconds: 31_536_000_000}),
+		'deadline over the profile\'s': jobOf({deadlineMilliseconds: 20_000}),
+		'deadline of nothing': jobOf({deadlineMilliseconds: 0}),
+		'negative deadline': jobOf({deadlineMilliseconds: -5}),
+		'unknown key': jobOf({dedline: 5}),
+	};
+	for (const [name, body] of Object.entries(cases)) {
+		matchSnapshot(name, await submit(body));
+	}
+
+	assert.equal(driver.starts.length, 0);
+});
+
+test('an id that is none is refused', async () => {
+	matchSnapshot('bad id', await submit(jobOf({}), {'idempotency-key': '"../other"'}));
+	assert.equal(driver.starts.length, 0);
+});
+
+test('a complete answer comes whole, with its length', async () => {
+	const answer = submit(jobOf({}));
+	while (driver.starts.length === 0) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 1);
+		});
+	}
+
+	driver.succeed(0, 'seat 4 is free');
+	matchSnapshot('complete', await answer);
+});
+
+test('an entry without configuration refuses truthfully', async () => {
+	book.isLoaded = false;
+	matchSnapshot('no configuration', await submit(jobOf({})));
+	book.isLoaded = true;
+});
+
+test('readiness names what is missing', async () => {
+	readiness.add('configuration', () => false);
+	const response = await fetch(`${url}/ready`);
+	assert.deepEqual([response.status, await response.json()], [503, {status: 'not ready', missing: ['configuration']}]);
+});
--- /dev/null
+++ b/test/features/jobs/running-job.test.ts
@@ -0,0 +1,150 @@
+/** One job against fake slots and targets. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setImmediate as turn} from 'node:timers/promises';
+import {CancellationSource} from '../../../src/base/cancellation-source.js';
+import type {SubmissionId} from '../../../src/base/submission-id.js';
+import {RunningJob} from '../../../src/features/jobs/running-job.js';
+import {FakeClock} from '../../support/fake-clock.js';
+import {FakeSlotDesk} from '../../support/fake-slot-desk.js';
+import {FakeTargetDriver} from '../../support/fake-target-driver.js';
+import {jobToolsOf} from '../../support/job-tools-of.js';
+import {profileRevisionOf} from '../../support/profile-revision-of.js';
+import {snapshotsOf} from '../../support/snapshots.js';
+
+const matchSnapshot = snapshotsOf(import.meta.url);
+
+function jobOf(tasks: number, keys: Record<string, unknown> = {}, isGenerous = true) {
+	const clock = new FakeClock();
+	const slots = new FakeSlotDesk(isGenerous);
+	const driver = new FakeTargetDriver();
+	const tools = jobToolsOf(clock, slots, driver);
+	const source = new CancellationSource();
+	const job = new RunningJob({
+		id: 'job' as SubmissionId,
+		revision: profileRevisionOf(keys),
+		tasks: Array.from({length: tasks}, () => ({payload: 'work'})),
+		deadlineAt: clock.now() + 5000,
+	}, tools);
+	return {clock, slots, driver, tools, source, verdict: job.run(source.token)};
+}
+
+test('a complete job has one result for each task, in the order of submission', async () => {
+	const {driver, verdict} = jobOf(3);
+	driver.succeed(2, 'third');
+	driver.succeed(0, 'first');
+	driver.succeed(1, 'second');
+	matchSnapshot('complete job', await verdict);
+});
+
+test('a failing third task fails the job, and nothing of the others is delivered', async () => {
+	// A guide submits three seat checks; two answer, then the third fails.
+	// The caller must not get two of three answers and sell by them.
+	const {driver, verdict} = jobOf(3);
+	driver.succeed(0, 'first');
+	driver.succeed(1, 'second');
+	driver.fail(2);
+	matchSnapshot('third task fails', await verdict);
+});
+
+test('a failed job stops at once what still runs', async () => {
+	const {driver, slots, verdict} = jobOf(3);
+	driver.fail(1);
+	matchSnapshot('stops the rest', await verdict);
+	await turn();
+	assert.deepEqual(slots.released.map(release => release.outcome), ['failure', 'unused', 'unused']);
+});
+
+test('a target that dies in the middle of a task leaves a doubt, and no second start', async () => {
+	// A pilot waits for a loading sheet; the worker dies after it began to compute it.
+	// The connection breaks: the entry can't know whether the work was done, and starting it again could do it twice.
+	const {driver, slots, verdict} = jobOf(1);
+	driver.lose(0);
+	matchSnapshot('target dies', await verdict);
+	assert.equal(driver.startsOf('job/0'), 1);
+	assert.deepEqual(slots.released, [{ticket: 'job/0:0', outcome: 'lost'}]);
+});
+
+test('a task that a target refused is tried on another one', async () => {
+	const {driver, slots, verdict} = jobOf(1);
+	driver.refuse(0);
+	await turn();
+	driver.succeed(1, 'done');
+	matchSnapshot('refused once', await verdict);
+	assert.deepEqual(slots.asked[1]!.task.excluded, ['target-1']);
+});
+
+test('retries end with the profile\'s number, and the job was truly not run', async () => {
+	const {driver, verdict} = jobOf(1, {retries: 1});
+	driver.refuse(0);
+	await turn();
+	driver.refuse(1);
+	matchSnapshot('refused twice', await verdict);
+	assert.equal(driver.starts.length, 2);
+});
+
+test('a refused task of a job that has begun fails the job: it is never called not run', async () => {
+	const {driver, verdict} = jobOf(2, {retries: 0});
+	driver.succeed(0, 'first');
+	await turn();
+	driver.refuse(1);
+	matchSnapshot('begun and refused', await verdict);
+});
+
+test('a job that its zone refuses goes to one other zone, then is refused', async () => {
+	const {slots, verdict} = jobOf(2, {}, false);
+	const refusal = {cause: 'deadlineUnreachable', detail: 'too late', retryAfterMilliseconds: 700} as const;
+	slots.refuse(slots.asked[0]!.task.ticket, refusal);
+	assert.equal(slots.asked[2]!.zone, 'zone-2');
+	slots.refuse(slots.asked[2]!.task.ticket, refusal);
+	matchSnapshot('refused by both zones', await verdict);
+});
+
+test('cancelling a waiting job sends nothing to any target', async () => {
+	const {slots, driver, source, verdict} = jobOf(2, {}, false);
+	source.cancel();
+	matchSnapshot('cancelled while waiting', await verdict);
+	assert.deepEqual([driver.starts.length, slots.withdrawn.length], [0, 2]);
+});
+
+test('cancelling a running job stops it at the target, and the caller learns that it was running', async () => {
+	const {slots, source, verdict} = jobOf(1);
+	source.cancel();
+	matchSnapshot('cancelled while running', await verdict);
+	await turn();
+	assert.deepEqual(slots.released, [{ticket: 'job/0:0', outcome: 'unused'}]);
+});
+
+test('a slot that comes after the job has ended is given back unused', async () => {
+	const {slots, driver, source, verdict} = jobOf(1, {}, false);
+	const {listener, task} = slots.asked[0]!;
+	source.cancel();
+	await verdict;
+	listener.onDidGrant({ticket: task.ticket, target: {id: 'target-1' as never, address: '127.0.0.1:1'}});
+	assert.equal(driver.starts.length, 0);
+	assert.deepEqual(slots.released, [{ticket: 'job/0:0', outcome: 'unused'}]);
+});
+
+test('an entry that was paused past the deadline does not start what it is granted then', async () => {
+	// The entry asks for a slot, is stopped for six seconds, and finds the grant when it wakes.
+	// The caller has been told that the deadline passed, or will be: a start now would contradict it.
+	const {clock, slots, driver, verdict} = jobOf(1, {}, false);
+	clock.sleep(6000);
+	slots.grant(slots.asked[0]!.task.ticket);
+	matchSnapshot('woken after the deadline', await verdict);
+	assert.equal(driver.starts.length, 0);
+});
+
+test('what a variant refuses goes to the base, and starts once', async () => {
+	// A trial sends the submission to a canary that refuses it: the customer must not pay for the trial.
+	const {slots, driver, verdict} = jobOf(1, {variant: {label: 'canary', share: 1}}, false);
+	const first = slots.asked[0]!.task;
+	assert.deepEqual(first.labels, ['canary']);
+	slots.refuse(first.ticket, {cause: 'noTarget', detail: 'no canary'});
+	const second = slots.asked[1]!.task;
+	assert.deepEqual([second.labels, second.avoided], [[], ['canary']]);
+	slots.grant(second.ticket);
+	driver.succeed(0, 'done');
+	matchSnapshot('variant refuses', await verdict);
+	assert.equal(driver.starts.length, 1);
+});
--- /dev/null
+++ b/test/platform/journal/event-catalogue.test.ts
@@ -0,0 +1,16 @@
+/** The documented events are those of the code. */
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {test} from 'node:test';
+import {eventCatalogue} from '../../../src/platform/journal/event-catalogue.js';
+
+test('docs/EVENTS.md has a row for each event, as the code describes it', () => {
+	const rows = readFileSync('docs/EVENTS.md', 'utf8').split('\n').filter(line => /^\| \d/v.test(line));
+	const expected = Object.entries(eventCatalogue).map(([name, {number, level, meaning, fields}]) => `| ${number} | ${name} | ${level} | ${meaning} | ${fields.join(', ')} |`);
+	assert.deepEqual(rows, expected);
+});
+
+test('no number is used twice', () => {
+	const numbers = Object.values(eventCatalogue).map(({number}) => number);
+	assert.equal(new Set(numbers).size, numbers.length);
+});
--- /dev/null
+++ b/test/platform/settings/read-document.test.ts
@@ -0,0 +1,42 @@
+/** What an operator reads when settings are wrong. */
+import {test} from 'node:test';
+import {describeProblem} from '../../../src/platform/settings/describe-problem.js';
+import {entrySettingsSchema} from '../../../src/platform/settings/entry-settings.js';
+import {readDocument} from '../../../src/platform/settings/read-document.js';
+import {snapshotsOf} from '../../support/snapshots.js';
+
+const matchSnapshot = snapshotsOf(import.meta.url);
+
+const valid = `[entry]
+instance = "entry-1"
+zone = "zone-1"
+zones = ["zone-1", "zone-2"]
+address = "127.0.0.1"
+
+[platform]
+logUrl = "http://127.0.0.1:8001"
+instanceListUrl = "http://127.0.0.1:8002"
+
+[peers]
+key = "a key of enough characters"
+`;
+
+function problemsOf(text: string): unknown {
+	const document = readDocument(text, entrySettingsSchema);
+	return document.kind === 'valid' ? 'valid' : document.problems.map(problem => describeProblem('entry.toml', problem));
+}
+
+test('settings name the key, the value, what is allowed, and the line', () => {
+	const cases = {
+		valid,
+		'wrong type': valid.replace('"127.0.0.1"\n', '127\n'),
+		'unknown key': `${valid}keyy = "twice"\n`,
+		'missing table': valid.replace('[peers]\nkey = "a key of enough characters"\n', ''),
+		'zone that is not listed': valid.replace('zone = "zone-1"', 'zone = "zone-9"'),
+		'port out of range': valid.replace('[platform]', 'httpPort = 70000\n\n[platform]'),
+		'no TOML': 'entry = [',
+	};
+	for (const [name, text] of Object.entries(cases)) {
+		matchSnapshot(name, problemsOf(text));
+	}
+});
--- /dev/null
+++ b/test/support/fake-target-driver.ts
@@ -0,0 +1,49 @@
+/** Targets whose answers a test gives. */
+import type {CancellationToken} from '../../src/base/cancellation-token.js';
+import type {TaskAnswer} from '../../src/base/task-answer.js';
+import type {TaskId} from '../../src/base/task-id.js';
+import type {Verdict} from '../../src/base/verdict.js';
+import type {TargetAddress} from '../../src/platform/targets/target-address.js';
+import {TargetDriver} from '../../src/platform/targets/target-driver.js';
+import type {TaskOrder} from '../../src/platform/targets/task-order.js';
+
+type Start = {readonly target: TargetAddress; readonly order: TaskOrder; readonly answer: (verdict: Verdict<TaskAnswer>) => void};
+
+/** Records every start; a stopped task ends as the real driver would end it. */
+export class FakeTargetDriver extends TargetDriver {
+	readonly starts: Start[] = [];
+
+	override async run(target: TargetAddress, order: TaskOrder, token: CancellationToken): Promise<Verdict<TaskAnswer>> {
+		return new Promise(resolve => {
+			token.onDidRequestCancellation(() => {
+				resolve({kind: 'mayHaveRun', cause: 'stopped', detail: 'the task was stopped at the target'});
+			});
+			this.starts.push({target, order, answer: resolve});
+		});
+	}
+
+	override async usage(): Promise<undefined> {
+		return undefined;
+	}
+
+	/** How often each task was started. */
+	startsOf(task: string): number {
+		return this.starts.filter(start => start.order.taskId === task as TaskId).length;
+	}
+
+	succeed(index: number, value: string): void {
+		this.starts[index]!.answer({kind: 'answered', answer: {kind: 'result', value, runMilliseconds: 50}});
+	}
+
+	fail(index: number): void {
+		this.starts[index]!.answer({kind: 'answered', answer: {kind: 'failure', detail: 'out of fuel', runMilliseconds: 50}});
+	}
+
+	refuse(index: number): void {
+		this.starts[index]!.answer({kind: 'notRun', cause: 'targetRefused', detail: 'no free slot'});
+	}
+
+	lose(index: number): void {
+		this.starts[index]!.answer({kind: 'mayHaveRun', cause: 'connectionLost', detail: 'other side closed'});
+	}
+}
--- /dev/null
+++ b/test/support/job-tools-of.ts
@@ -0,0 +1,21 @@
+/** Tools for running jobs in tests. */
+import type {AvailabilityZone} from '../../src/base/availability-zone.js';
+import {Random} from '../../src/base/random.js';
+import type {JobTools} from '../../src/features/jobs/job-tools.js';
+import {RetryBudget} from '../../src/features/jobs/retry-budget.js';
+import {VariantGuard} from '../../src/features/jobs/variant-guard.js';
+import {ZoneChoice} from '../../src/features/jobs/zone-choice.js';
+import type {SlotDesk} from '../../src/features/placement/slot-desk.js';
+import {SilentMetrics} from '../../src/platform/metrics/silent-metrics.js';
+import type {TargetDriver} from '../../src/platform/targets/target-driver.js';
+import type {FakeClock} from './fake-clock.js';
+import {RecordingJournal} from './recording-journal.js';
+
+/** Two zones, of which zone-1 is the entry's own. */
+export function jobToolsOf(clock: FakeClock, slots: SlotDesk, driver: TargetDriver): JobTools & {readonly journal: RecordingJournal} {
+	const journal = new RecordingJournal();
+	const zones = ['zone-1', 'zone-2'] as AvailabilityZone[];
+	return {
+		clock, journal, metrics: new SilentMetrics(), driver, slots, budget: new RetryBudget(), guard: new VariantGuard(journal), zones: new ZoneChoice(zones[0]!, zones, clock, new Random(1)),
+	};
+}
