Registry of submissions: an owner and a copy for each id, before anything starts

Cause: two copies of a submission at two entries both ran. Change: every id has a home zone (named in the id, or by hash); its owner there writes a copy to the next in rank before it grants a claim; handover, fences, a pause check, vouching limits, memory bounds. Entries announce their births on the log, so that a zone knows whether it's new. Found: the 'no limit' of vouching was minus infinity, which the message check rejects, so that no second entry of a zone got in; it is 0 now.

--- a/src/entries/daemon/daemon.ts
+++ b/src/entries/daemon/daemon.ts
@@ -6,6 +6,7 @@
 import {jobServiceKey} from '../../features/jobs/job-service-key.js';
 import {membershipKey} from '../../features/membership/membership-key.js';
 import {zonePlacementKey} from '../../features/placement/zone-placement-key.js';
+import {submissionRegistryKey} from '../../features/submissions/submission-registry-key.js';
 import {profileBookKey} from '../../features/profiles/profile-book-key.js';
 import {platformKeys} from '../../platform/platform-keys.js';
 import type {Settings} from '../../platform/settings/settings.js';
@@ -13,6 +14,8 @@
 
 /** How long the balancer has to see that the entry isn't ready, before it takes no new connections. */
 const readinessLeadMilliseconds = 300;
+/** How long the others have to take over the records of submissions. */
+const handoverMilliseconds = 3000;
 
 type Wired = Awaited<ReturnType<typeof wireDaemon>>;
 
@@ -55,7 +58,13 @@
 		const intakeClosed = services.get(intakeKey).close();
 		await Promise.race([Promise.all([jobs.drain(), intakeClosed]), wait(clock, this.settings.entry.drainMilliseconds)]);
 		const unfinished = jobs.inFlight;
-		services.get(membershipKey).announceLeft();
+		const registry = services.get(submissionRegistryKey);
+		await Promise.race([registry.leave(), wait(clock, handoverMilliseconds)]);
+		// Without a whole handover the others must take this entry for lost, and its records too.
+		if (registry.registrar.hasHandedOver) {
+			services.get(membershipKey).announceLeft();
+		}
+
 		journal.record('stopped', {unfinished});
 		await wait(clock, 50);
 		this.wired.dispose();
@@ -91,6 +100,11 @@
 		const readiness = services.get(readinessKey);
 		readiness.add('not stopping', () => !this.#isStopping);
 		readiness.add('configuration', () => book.isLoaded);
+		const {registrar} = services.get(submissionRegistryKey);
+		status.add('submissions', () => ({
+			isActive: registrar.isActive, records: registrar.records, bytes: registrar.bytes, circle: registrar.circle.map(member => member.id),
+		}));
+		readiness.add('registry', () => registrar.isActive);
 		readiness.add('arbiter', () => placement.tenure.holder !== undefined);
 	}
 }
--- a/src/features/intake/intake.ts
+++ b/src/features/intake/intake.ts
@@ -1,8 +1,8 @@
 /** The HTTP interface of an entry. */
-import {randomUUID} from 'node:crypto';
 import {serve, type ServerType} from '@hono/node-server';
 import {Hono} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
+import {v7 as makeTimedId} from 'uuid';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import {CancellationSource} from '../../base/cancellation-source.js';
 import type {Disposable} from '../../base/disposable.js';
@@ -96,7 +96,7 @@
 	async #submit(request: Request): Promise<Response> {
 		const header = request.headers.get('idempotency-key');
 		// An id that's made here names this zone as its home: it's served also while the zone is cut off.
-		const id = header === null ? `${this.limits.zone}~${randomUUID()}` as SubmissionId : submissionIdOf(header);
+		const id = header === null ? `${this.limits.zone}~${makeTimedId()}` as SubmissionId : submissionIdOf(header);
 		if (id === undefined) {
 			return responseOf(undefined, refusal('invalidRequest', 'Idempotency-Key: letters, digits, ".", "_", "-", 128 at most; a zone\'s name and "~" may stand before'));
 		}
--- a/src/features/jobs/jobs.contribution.ts
+++ b/src/features/jobs/jobs.contribution.ts
@@ -17,11 +17,12 @@
 	override readonly name = 'jobs';
 	override readonly requires = ['placement', 'profiles', 'submissions'];
 
-	override activate(services: ServiceContainer, _store: DisposableStore): void {
+	override activate(services: ServiceContainer, store: DisposableStore): void {
 		const {entry} = services.get(platformKeys.settings);
 		const clock = services.get(platformKeys.clock);
 		const journal = services.get(platformKeys.journal);
-		services.provide(jobServiceKey, new JobService(services.get(profileBookKey), services.get(submissionDeskKey), {
+		const submissions = services.get(submissionDeskKey);
+		const jobs = new JobService(services.get(profileBookKey), submissions, {
 			clock,
 			journal,
 			metrics: services.get(platformKeys.metrics),
@@ -30,6 +31,10 @@
 			budget: new RetryBudget(),
 			guard: new VariantGuard(journal),
 			zones: new ZoneChoice(entry.zone, entry.zones, clock, services.get(platformKeys.random)),
+		});
+		store.add(submissions.onDidRequestCancel(id => {
+			jobs.cancel(id);
 		}));
+		services.provide(jobServiceKey, jobs);
 	}
 }());
--- a/src/features/membership/listed-membership.ts
+++ b/src/features/membership/listed-membership.ts
@@ -19,7 +19,10 @@
 const channel = 'membership';
 /** A member that was watched and not heard of for so long is silent: three pings and a redial went unanswered. */
 const silenceMilliseconds = 2000;
-/** A silent member that the list doesn't name any more is given up after so long. */
+/**
+ * A silent member is given up when the list hasn't named it for so long. A member that acts in another's place must have
+ * seen itself on the list more recently than this, so that it never does so after it was given up.
+ */
 const delistedMilliseconds = 5000;
 /** Peers of the own zone that are pinged; with the one in each other zone, this bounds the traffic of an entry. */
 const watchedInZone = 8;
@@ -35,6 +38,7 @@
 export class ListedMembership extends Membership implements Disposable {
 	readonly #members = new Map<MemberId, Member>();
 	readonly #metAt = new Map<MemberId, number>();
+	readonly #delistedAt = new Map<MemberId, number>();
 	readonly #refusedAddresses = new Set<string>();
 	readonly #left = new Set<MemberId>();
 	readonly #store = new DisposableStore();
@@ -149,6 +153,7 @@
 
 		this.#members.delete(id);
 		this.#metAt.delete(id);
+		this.#delistedAt.delete(id);
 		this.#left.add(id);
 		this.journal.record(manner === 'left' ? 'memberLeft' : 'memberDead', {member: id, zone: member.zone});
 		this.#watch();
@@ -169,9 +174,17 @@
 	}
 
 	#giveUpDelisted(addresses: ReadonlySet<string>): void {
+		const now = this.clock.now();
 		for (const member of this.all) {
+			if (addresses.has(member.peerAddress)) {
+				this.#delistedAt.delete(member.id);
+				continue;
+			}
+
+			const delistedAt = this.#delistedAt.get(member.id) ?? now;
+			this.#delistedAt.set(member.id, delistedAt);
 			const heardAt = this.network.lastHeard(member.id) ?? this.#metAt.get(member.id) ?? 0;
-			if (!addresses.has(member.peerAddress) && this.clock.now() - heardAt > delistedMilliseconds) {
+			if (now - Math.max(heardAt, delistedAt) > delistedMilliseconds) {
 				this.#lost(member.id, 'dead');
 			}
 		}
--- a/src/features/submissions/open-submission-desk.ts
+++ b/src/features/submissions/open-submission-desk.ts
@@ -1,5 +1,7 @@
 /** A desk without a registry. */
 import type {CancellationToken} from '../../base/cancellation-token.js';
+import {Emitter} from '../../base/emitter.js';
+import type {SubmissionId} from '../../base/submission-id.js';
 import type {Claim} from './claim.js';
 import type {Submission} from './submission.js';
 import {SubmissionDesk} from './submission-desk.js';
@@ -9,6 +11,8 @@
  * twice runs twice.
  */
 export class OpenSubmissionDesk extends SubmissionDesk {
+	override readonly onDidRequestCancel = new Emitter<SubmissionId>().event;
+
 	override async claim(_submission: Submission, _token: CancellationToken): Promise<Claim> {
 		return {kind: 'granted', nonce: ''};
 	}
--- /dev/null
+++ b/src/features/submissions/registry-message-schema.ts
@@ -0,0 +1,89 @@
+/** What the registry's parts tell each other. */
+import {z} from 'zod';
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {InstanceId} from '../../base/instance-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {SubmissionId} from '../../base/submission-id.js';
+import {verdictSchema} from './verdict-schema.js';
+
+const id = z.string().max(256).transform(text => text as SubmissionId);
+const nonce = z.string().max(128);
+const memberId = z.string().max(256).transform(text => text as MemberId);
+const member = z.object({
+	id: memberId,
+	instance: z.string().transform(text => text as InstanceId),
+	zone: z.string().transform(text => text as AvailabilityZone),
+	peerAddress: z.string(),
+});
+/** `version` 0: granted and running; 1: settled; 2: released, which forgets the submission. */
+const record = z.object({
+	id,
+	fingerprint: z.string().max(64),
+	executor: memberId,
+	nonce,
+	version: z.int().min(0).max(2),
+	/** Until a running one is given up, or a settled one forgotten. */
+	remainingMilliseconds: z.number(),
+	verdict: verdictSchema.optional(),
+});
+
+/** From a desk to the registrar of the submission's home zone. */
+const requests = [
+	z.object({
+		kind: z.literal('claim'), id, fingerprint: z.string().max(64), nonce, remainingMilliseconds: z.number(),
+	}),
+	z.object({
+		kind: z.literal('settle'), id, fingerprint: z.string().max(64), nonce, verdict: verdictSchema,
+	}),
+	z.object({kind: z.literal('cancel'), id}),
+] as const;
+
+/** From a registrar to a desk; `waiting` means that another copy runs and its verdict will be told. */
+const replies = [
+	z.object({kind: z.literal('granted'), id, nonce}),
+	z.object({kind: z.literal('waiting'), id, nonce}),
+	z.object({
+		kind: z.literal('concluded'), id, nonce, verdict: verdictSchema,
+	}),
+	/** The sender can't decide; `to` may. */
+	z.object({
+		kind: z.literal('redirect'), id, nonce, to: memberId.optional(),
+	}),
+	z.object({kind: z.literal('settled'), id, nonce}),
+	z.object({kind: z.literal('cancelRequested'), id}),
+] as const;
+
+/** Between the registrars of a zone; `era` counts a registrar's entries into the circle. */
+const circle = [
+	z.object({
+		kind: z.literal('copy'), era: z.int(), record, fenced: z.array(memberId),
+	}),
+	z.object({
+		kind: z.literal('copied'), id, nonce, version: z.int(),
+	}),
+	/** Not accepted: the sender was fenced or isn't known any more, or the views differ; `existing` stands instead. */
+	z.object({
+		kind: z.literal('notCopied'), id, nonce, isFenced: z.boolean(), existing: record.optional(),
+	}),
+	z.object({kind: z.literal('join'), era: z.int()}),
+	z.object({kind: z.literal('welcome'), era: z.int(), circle: z.array(member)}),
+	z.object({kind: z.literal('enter'), era: z.int()}),
+	z.object({
+		kind: z.literal('state'),
+		era: z.int(),
+		records: z.array(record),
+		isLast: z.boolean(),
+		isActive: z.boolean(),
+		/** Ids made before this time (milliseconds since the epoch) are vouched for only where there's a record. */
+		vouchFrom: z.number(),
+		ownEra: z.int(),
+	}),
+	z.object({kind: z.literal('handover'), sequence: z.int(), records: z.array(record)}),
+	z.object({kind: z.literal('handoverTaken'), sequence: z.int()}),
+	z.object({kind: z.literal('leftCircle')}),
+	/** All records that the lost member's absence left single have a second place again. */
+	z.object({kind: z.literal('restored'), lost: memberId}),
+] as const;
+
+/** Every message of the registry. */
+export const registryMessageSchema = z.discriminatedUnion('kind', [...requests, ...replies, ...circle]);
--- /dev/null
+++ b/src/features/submissions/submission-registry.ts
@@ -0,0 +1,183 @@
+/** This entry's part in the registry: its desk, and its registrar. */
+import {match, P} from 'ts-pattern';
+import {CancellationSource} from '../../base/cancellation-source.js';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import type {MemberId} from '../../base/member-id.js';
+import {repeat} from '../../base/repeat.js';
+import type {Journal} from '../../platform/journal/journal.js';
+import type {Member} from '../../platform/peers/member.js';
+import type {PeerNetwork} from '../../platform/peers/peer-network.js';
+import type {Settings} from '../../platform/settings/settings.js';
+import type {Membership} from '../membership/membership.js';
+import {Registrar} from './registrar.js';
+import type {RegistrarSurroundings} from './registrar-surroundings.js';
+import type {RegistryMessage} from './registry-message.js';
+import {registryMessageSchema} from './registry-message-schema.js';
+import {RegistrySubmissionDesk} from './registry-submission-desk.js';
+import type {ZoneBirths} from './zone-births.js';
+
+const channel = 'registry';
+const bytesPerMegabyte = 1_048_576;
+/** How often an entry looks whether the instance list shows it, before it enters its zone's circle. */
+const listPollMilliseconds = 100;
+const handoverPollMilliseconds = 20;
+
+/** What the registry of an entry works with. */
+type SubmissionRegistryParts = {
+	readonly settings: Settings;
+	readonly network: PeerNetwork;
+	readonly membership: Membership;
+	readonly births: ZoneBirths;
+	readonly clock: Clock;
+	readonly journal: Journal;
+};
+
+/** Owns both parts and carries messages between them and the network. */
+export class SubmissionRegistry implements Disposable {
+	readonly desk: RegistrySubmissionDesk;
+	readonly registrar: Registrar;
+	readonly #store = new DisposableStore();
+	readonly #cancellation = new CancellationSource();
+
+	constructor(private readonly parts: SubmissionRegistryParts) {
+		const {settings, membership, clock, journal} = parts;
+		const send = (to: MemberId, message: RegistryMessage) => {
+			this.#send(to, message);
+		};
+
+		this.desk = new RegistrySubmissionDesk({
+			self: membership.self.id,
+			zones: settings.entry.zones,
+			clock,
+			journal,
+			membersOf: zone => membership.inZone(zone),
+			isSilent: member => member !== membership.self.id && membership.isSilent(member),
+			send,
+		});
+		this.registrar = new Registrar({
+			self: membership.self,
+			clock,
+			journal,
+			surroundings: surroundingsOf(membership),
+			send,
+			retentionMilliseconds: settings.registry.retentionMilliseconds,
+			limitBytes: settings.registry.memoryMegabytes * bytesPerMegabyte,
+		});
+	}
+
+	start(): void {
+		const {network, membership, clock} = this.parts;
+		this.#store.add(network.onDidReceive(({from, message}) => {
+			if (message.channel === channel) {
+				this.#receive(from, message.body);
+			}
+		}));
+		this.#store.add(membership.onDidLose(({member, manner}) => {
+			this.registrar.memberLost(member.id, manner === 'left');
+		}));
+		this.#store.add(repeat(clock, Registrar.tickMilliseconds, () => {
+			this.registrar.tick();
+		}));
+		this.#store.add(repeat(clock, RegistrySubmissionDesk.tickMilliseconds, () => {
+			this.desk.tick();
+		}));
+		void this.#enter();
+	}
+
+	/** Hands the records over to the others; resolves when they have them, or the caller's patience ends. */
+	async leave(): Promise<void> {
+		this.registrar.leave();
+		while (!(this.registrar.hasHandedOver && this.desk.isSettled)) {
+			await this.#wait(handoverPollMilliseconds);
+		}
+
+		this.registrar.farewell();
+	}
+
+	dispose(): void {
+		this.#cancellation.cancel();
+		this.#store.dispose();
+	}
+
+	/** Enters when the list shows this entry: whoever enters later then sees it there. */
+	async #enter(): Promise<void> {
+		const {membership, births, clock, journal, settings} = this.parts;
+		const {zone} = membership.self;
+		const {token} = this.#cancellation;
+		while (membership.listedAt === undefined) {
+			await this.#wait(listPollMilliseconds);
+		}
+
+		const isNew = await births.isNew(zone, member => membership.memberOf(member) !== undefined, token);
+		const vouchFrom = isNew ? 0 : clock.wallTime();
+		this.registrar.enter(vouchFrom);
+		while (!this.registrar.isActive) {
+			await this.#wait(listPollMilliseconds);
+		}
+
+		if (this.registrar.isFounder && !isNew) {
+			journal.record('vouchingLimited', {zone, forMilliseconds: settings.registry.retentionMilliseconds, detail: 'no entry of the zone was left to inherit from'});
+		}
+
+		await births.announce(zone, membership.self.id, token);
+	}
+
+	async #wait(milliseconds: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.parts.clock.schedule(milliseconds, resolve);
+		});
+	}
+
+	#send(to: MemberId, message: RegistryMessage): void {
+		const {membership, network} = this.parts;
+		if (to === membership.self.id) {
+			queueMicrotask(() => {
+				this.#deliver(to, message);
+			});
+			return;
+		}
+
+		const member = membership.memberOf(to);
+		if (member !== undefined) {
+			network.send(member, {channel, body: message});
+		}
+	}
+
+	#receive(from: Member, body: unknown): void {
+		const checked = registryMessageSchema.safeParse(body);
+		if (!checked.success) {
+			this.parts.journal.record('peerMessageUnreadable', {peer: from.id, channel});
+			return;
+		}
+
+		this.#deliver(from.id, checked.data);
+	}
+
+	#deliver(from: MemberId, message: RegistryMessage): void {
+		match(message)
+			.with({kind: P.union('granted', 'waiting', 'concluded', 'redirect', 'settled', 'cancelRequested')}, reply => {
+				this.desk.receive(from, reply);
+			})
+			.otherwise(request => {
+				this.registrar.receive(from, request);
+			});
+	}
+}
+
+function surroundingsOf(membership: Membership): RegistrarSurroundings {
+	return {
+		get listedAt() {
+			return membership.listedAt;
+		},
+		get neighbours() {
+			return membership.inZone(membership.self.zone).filter(member => member.id !== membership.self.id);
+		},
+		get hasUnresolved() {
+			return membership.isUnresolved(membership.self.zone);
+		},
+		isSilent: member => membership.isSilent(member),
+		memberOf: member => membership.memberOf(member),
+	};
+}
--- a/src/features/submissions/submissions.contribution.ts
+++ b/src/features/submissions/submissions.contribution.ts
@@ -3,14 +3,33 @@
 import {Contribution} from '../../platform/kernel/contribution.js';
 import {contributions} from '../../platform/kernel/contributions.js';
 import type {ServiceContainer} from '../../platform/kernel/service-container.js';
+import {platformKeys} from '../../platform/platform-keys.js';
+import {membershipKey} from '../membership/membership-key.js';
 import {OpenSubmissionDesk} from './open-submission-desk.js';
 import {submissionDeskKey} from './submission-desk-key.js';
+import {SubmissionRegistry} from './submission-registry.js';
+import {submissionRegistryKey} from './submission-registry-key.js';
+import {ZoneBirths} from './zone-births.js';
+
+const birthsStreamName = 'births';
 
 contributions.register(new class extends Contribution {
 	override readonly name = 'submissions';
 	override readonly requires = ['membership'];
 
-	override activate(services: ServiceContainer, _store: DisposableStore): void {
-		services.provide(submissionDeskKey, new OpenSubmissionDesk());
+	override activate(services: ServiceContainer, store: DisposableStore): void {
+		const settings = services.get(platformKeys.settings);
+		const clock = services.get(platformKeys.clock);
+		const registry = store.add(new SubmissionRegistry({
+			settings,
+			network: services.get(platformKeys.peerNetwork),
+			membership: services.get(membershipKey),
+			births: new ZoneBirths(services.get(platformKeys.streams).open(birthsStreamName), clock),
+			clock,
+			journal: services.get(platformKeys.journal),
+		}));
+		services.provide(submissionRegistryKey, registry);
+		services.provide(submissionDeskKey, settings.registry.enabled ? registry.desk : new OpenSubmissionDesk());
+		registry.start();
 	}
 }());
--- /dev/null
+++ b/src/features/submissions/zone-births.ts
@@ -0,0 +1,61 @@
+/** Whether a zone had entries before. */
+import {z} from 'zod';
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {CancellationToken} from '../../base/cancellation-token.js';
+import type {Clock} from '../../base/clock.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {StreamOffset} from '../../base/stream-offset.js';
+import type {LogStream} from '../../platform/stream/log-stream.js';
+
+const appendAgainMilliseconds = 2000;
+
+const birthSchema = z.looseObject({kind: z.literal('birth'), zone: z.string(), member: z.string()});
+
+/**
+ * Each entry appends its birth to a stream of the log. An entry that finds nobody in its zone to inherit records from
+ * reads there whether somebody may have been: with no earlier birth of its zone, and no record trimmed, the zone is new.
+ */
+export class ZoneBirths {
+	constructor(private readonly stream: LogStream, private readonly clock: Clock) {}
+
+	/** False where it can't be ruled out that entries lived in the zone which aren't there any more. */
+	async isNew(zone: AvailabilityZone, isAlive: (member: MemberId) => boolean, token: CancellationToken): Promise<boolean> {
+		let from = 0 as StreamOffset;
+		for (;;) {
+			const reading = await this.stream.read(from, 0, token);
+			if (reading.kind === 'unavailable' || reading.page.firstOffset > 0) {
+				return false;
+			}
+
+			const {records, nextOffset} = reading.page;
+			const births = records.flatMap(record => {
+				const checked = birthSchema.safeParse(record.body);
+				return checked.success ? [checked.data] : [];
+			});
+			if (births.some(birth => birth.zone === zone && !isAlive(birth.member as MemberId))) {
+				return false;
+			}
+
+			from = ((records.at(-1)?.offset ?? nextOffset - 1) + 1) as StreamOffset;
+			if (from >= nextOffset) {
+				return true;
+			}
+		}
+	}
+
+	/** Appends this entry's birth, trying until it's certain to be there. */
+	async announce(zone: AvailabilityZone, member: MemberId, token: CancellationToken): Promise<void> {
+		while (!token.isCancellationRequested) {
+			const appended = await this.stream.append({
+				kind: 'birth', zone, member, at: this.clock.wallTime(),
+			}, token);
+			if (appended.kind === 'appended') {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				this.clock.schedule(appendAgainMilliseconds, resolve);
+			});
+		}
+	}
+}
--- a/test/features/jobs/running-job.test.ts
+++ b/test/features/jobs/running-job.test.ts
@@ -26,7 +26,9 @@
 		tasks: Array.from({length: tasks}, () => ({payload: 'work'})),
 		deadlineAt: clock.now() + 5000,
 	}, tools);
-	return {clock, slots, driver, tools, source, verdict: job.run(source.token)};
+	return {
+		clock, slots, driver, tools, source, verdict: job.run(source.token),
+	};
 }
 
 test('a complete job has one result for each task, in the order of submission', async () => {
--- a/test/platform/kernel/kernel.test.ts
+++ b/test/platform/kernel/kernel.test.ts
@@ -14,9 +14,11 @@
 
 	override activate(_services: ServiceContainer, store: {add(owned: {dispose(): void}): unknown}): void {
 		this.order.push(`+${this.name}`);
-		store.add({dispose: () => {
-			this.order.push(`-${this.name}`);
-		}});
+		store.add({
+			dispose: () => {
+				this.order.push(`-${this.name}`);
+			},
+		});
 	}
 }
 
--- a/test/platform/targets/http-target-driver.test.ts
+++ b/test/platform/targets/http-target-driver.test.ts
@@ -28,7 +28,9 @@
 }
 
 function orderOf(payload: Record<string, unknown>, limitMilliseconds = 2000, id = 'job/0') {
-	return {taskId: id as TaskId, profile: 'flight-desk' as ProfileName, payload: payload as never, limitMilliseconds};
+	return {
+		taskId: id as TaskId, profile: 'flight-desk' as ProfileName, payload: payload as never, limitMilliseconds,
+	};
 }
 
 /** Run times and ports differ from run to run. */
--- a/test/support/fake-clock.ts
+++ b/test/support/fake-clock.ts
@@ -22,9 +22,11 @@
 		this.#order += 1;
 		const timer = {at: this.#now + delayMilliseconds, order: this.#order, callback};
 		this.#timers.add(timer);
-		return {dispose: () => {
-			this.#timers.delete(timer);
-		}};
+		return {
+			dispose: () => {
+				this.#timers.delete(timer);
+			},
+		};
 	}
 
 	/** Lets time pass, with every timer that falls due. */
--- a/test/support/snapshots.ts
+++ b/test/support/snapshots.ts
@@ -12,12 +12,12 @@
 export function snapshotsOf(testUrl: string): (name: string, value: unknown) => void {
 	const file = fileURLToPath(testUrl).replace('/dist/', '/').replace(/\.js$/v, '.snap');
 	const path = file.replace(/([^\/]+)$/v, '__snapshots__/$1');
-	const isCi = process.env['CI'] !== undefined;
-	const isUpdate = process.env['UPDATE_SNAPSHOTS'] !== undefined;
+	const isCi = process.env.CI !== undefined;
+	const isUpdate = process.env.UPDATE_SNAPSHOTS !== undefined;
 	const state = new SnapshotState(path, {
 		expand: true,
 		rootDir: process.cwd(),
-		prettierPath: null, // eslint-disable-line @typescript-eslint/no-restricted-types
+		prettierPath: null,
 		snapshotFormat: {escapeString: false, printBasicPrototype: false},
 		updateSnapshot: isCi ? 'none' : (isUpdate ? 'all' : 'new'),
 	});
