Registry: nine histories that started a submission twice, found and mended

Cause: a property test over the registrars' own handlers (deaths, pauses, cuts, delistings, arrivals, departures) drew histories in which a second entry granted an id: a fence not counted as a loss; entrants that didn't inherit the knowledge of losses; a third in rank passing over the first; a leaving entry that took copies after its handover; waiting claims granted without a copy, or replacing granted ones; a holder that had acted while out of touch and died. Ruled out: the network fake itself (each history was replayed with its messages printed and the cause read off them). Change: see docs/design/0001; pings carry a stamp, so that an entry knows when a peer last heard of it.

--- a/src/features/membership/listed-membership.ts
+++ b/src/features/membership/listed-membership.ts
@@ -122,6 +122,11 @@
 		return ago !== undefined && ago < meaningfulMilliseconds ? ago : undefined;
 	}
 
+	override isOutOfTouch(member: MemberId): boolean {
+		const reachedAt = this.network.lastReached(member) ?? this.#metAt.get(member);
+		return reachedAt === undefined || this.clock.now() - reachedAt >= silenceMilliseconds;
+	}
+
 	override announceLeft(): void {
 		for (const member of this.#members.values()) {
 			this.network.send(member, {channel, body: {kind: 'left'}});
@@ -152,12 +157,12 @@
 		}
 
 		this.#members.delete(id);
-		this.#metAt.delete(id);
 		this.#delistedAt.delete(id);
 		this.#left.add(id);
 		this.journal.record(manner === 'left' ? 'memberLeft' : 'memberDead', {member: id, zone: member.zone});
 		this.#watch();
 		this.#lose.fire({member, manner});
+		this.#metAt.delete(id);
 	}
 
 	#read(snapshot: InstanceSnapshot): void {
--- a/src/features/membership/membership.ts
+++ b/src/features/membership/membership.ts
@@ -33,6 +33,12 @@
 	/** Milliseconds since the last sign of life; none where there never was one, or it's too old to tell anything. */
 	abstract heardAgo(member: MemberId): number | undefined;
 
+	/**
+	 * True where a member may have taken this entry for silent: it answered no ping that was sent in the time after which
+	 * a member counts as silent.
+	 */
+	abstract isOutOfTouch(member: MemberId): boolean;
+
 	/** Tells all peers that this entry is going and has handed over what it knew. */
 	abstract announceLeft(): void;
 }
--- a/src/features/submissions/circle-entry.ts
+++ b/src/features/submissions/circle-entry.ts
@@ -91,7 +91,7 @@
 
 	receive(from: MemberId, message: Message<'join'> | Message<'welcome'> | Message<'state'>): void {
 		if (message.kind === 'join') {
-			this.parts.send(from, {kind: 'welcome', era: message.era, circle: [...this.parts.view.members]});
+			this.parts.send(from, {kind: 'welcome', era: message.era, isActive: this.isActive});
 			return;
 		}
 
@@ -100,7 +100,7 @@
 		}
 
 		if (message.kind === 'welcome') {
-			this.#welcomedBy.add(from);
+			this.#welcome(from, message.isActive);
 		} else {
 			this.#takeState(from, message);
 		}
@@ -143,13 +143,25 @@
 		}
 	}
 
-	/** Two entries that started without seeing each other on the list would otherwise both decide on the same ids. */
+	#welcome(from: MemberId, isOtherActive: boolean): void {
+		// Two entries that started without seeing each other on the list would otherwise both decide on the same ids.
+		if (this.isActive && isOtherActive && !this.parts.view.has(from)) {
+			this.begin();
+			return;
+		}
+
+		this.#welcomedBy.add(from);
+	}
+
+	/** Asks a neighbour that has not entered for a while whether it's active in a circle of its own. */
 	#watchStrangers(now: number): void {
-		const hasStranger = this.parts.surroundings.neighbours.some(({id}) => !this.parts.view.has(id));
-		this.#strangerSince = hasStranger ? this.#strangerSince ?? now : undefined;
+		const strangers = this.parts.surroundings.neighbours.filter(({id}) => !this.parts.view.has(id));
+		this.#strangerSince = strangers.length > 0 ? this.#strangerSince ?? now : undefined;
 		if (this.#strangerSince !== undefined && now - this.#strangerSince > strangerMilliseconds) {
-			this.#strangerSince = undefined;
-			this.begin();
+			this.#strangerSince = now;
+			for (const {id} of strangers) {
+				this.parts.send(id, {kind: 'join', era: this.#era});
+			}
 		}
 	}
 
--- a/src/features/submissions/registrar-surroundings.ts
+++ b/src/features/submissions/registrar-surroundings.ts
@@ -10,6 +10,8 @@
 	readonly neighbours: readonly Member[];
 	/** Whether a listed entry of the zone neither answered nor refused yet. */
 	readonly hasUnresolved: boolean;
+	/** Whether a member may have taken this one for silent. */
+	isOutOfTouch(member: MemberId): boolean;
 	isSilent(member: MemberId): boolean;
 	memberOf(member: MemberId): Member | undefined;
 };
--- a/src/features/submissions/registrar.ts
+++ b/src/features/submissions/registrar.ts
@@ -65,6 +65,7 @@
 	readonly #waiters = new Map<SubmissionId, Waiter[]>();
 	#tickedAt: number;
 	#isLeaving = false;
+	#handoverSequence = 0;
 
 	constructor(private readonly parts: RegistrarParts) {
 		this.#view = new CircleView(parts.self);
@@ -250,16 +251,22 @@
 				kind: 'concluded', id, nonce, verdict: record.verdict,
 			});
 		} else if (record.nonce === nonce && record.executor === from) {
-			// The reply was lost, or the copy is still under way: the same claim gets the same grant.
-			if (!this.#pending.has(keyOf(record, 0))) {
-				this.parts.send(from, {kind: 'granted', id, nonce});
-			}
+			this.#claimAgain(record);
 		} else {
 			this.#addWaiter(id, {member: from, nonce});
 			this.parts.send(from, {kind: 'waiting', id, nonce});
 		}
 	}
 
+	/** The reply was lost, or the copy never arrived: the same claim gets the same grant, but none without a copy. */
+	#claimAgain(record: SubmissionRecord): void {
+		if (record.isGranted) {
+			this.parts.send(record.executor, {kind: 'granted', id: record.id, nonce: record.nonce});
+		} else if (!this.#pending.has(keyOf(record, 0))) {
+			this.#replicateGrant(record);
+		}
+	}
+
 	#addWaiter(id: SubmissionId, waiter: Waiter): void {
 		const waiters = this.#waiters.get(id) ?? [];
 		if (!waiters.some(({nonce}) => nonce === waiter.nonce)) {
@@ -269,6 +276,17 @@
 
 	/** Why an id without a record isn't granted: nobody can tell that it was never granted, or there's no room. */
 	#refusalOf(id: SubmissionId): Verdict<JobAnswer> | undefined {
+		const doubt = this.#doubtOf(id);
+		if (doubt !== undefined || this.#store.hasRoom) {
+			return doubt;
+		}
+
+		return {
+			kind: 'notRun', cause: 'registryUnavailable', detail: 'there is no room for another record', retryAfterMilliseconds: 5000,
+		};
+	}
+
+	#doubtOf(id: SubmissionId): Verdict<JobAnswer> | undefined {
 		const createdAt = creationTimeOf(id) ?? Number.NEGATIVE_INFINITY;
 		const unknownBefore = Math.max(this.#entry.vouchFrom, this.#view.lostAt(id) ?? 0);
 		const oldest = this.parts.clock.wallTime() - this.parts.retentionMilliseconds;
@@ -281,22 +299,20 @@
 			return {kind: 'mayHaveRun', cause: 'cannotVouch', detail: 'the id is older than what is remembered'};
 		}
 
-		if (!this.#store.hasRoom) {
-			return {
-				kind: 'notRun', cause: 'registryUnavailable', detail: 'there is no room for another record', retryAfterMilliseconds: 5000,
-			};
-		}
-
 		return undefined;
 	}
 
 	#grant(from: MemberId, {id, nonce, fingerprint, remainingMilliseconds}: Message<'claim'>): void {
 		const expiresAt = this.parts.clock.now() + remainingMilliseconds + graceMilliseconds;
-		const record = this.#store.put({
-			id, fingerprint, executor: from, nonce, verdict: undefined, expiresAt,
-		});
+		this.#replicateGrant(this.#store.put({
+			id, fingerprint, executor: from, nonce, isGranted: false, verdict: undefined, expiresAt,
+		}));
+	}
+
+	#replicateGrant(record: SubmissionRecord): void {
 		this.#replicate(record, 0, () => {
-			this.parts.send(from, {kind: 'granted', id, nonce});
+			record.isGranted = true;
+			this.parts.send(record.executor, {kind: 'granted', id: record.id, nonce: record.nonce});
 		});
 	}
 
@@ -318,7 +334,7 @@
 
 		const expiresAt = this.parts.clock.now() + this.parts.retentionMilliseconds;
 		const record = this.#store.put({
-			id, fingerprint, executor: from, nonce, verdict, expiresAt,
+			id, fingerprint, executor: from, nonce, isGranted: true, verdict, expiresAt,
 		});
 		const version = verdict.kind === 'notRun' ? 2 : 1;
 		this.#conclude(id, verdict);
@@ -338,8 +354,11 @@
 	}
 
 	#giveUp(record: SubmissionRecord, detail: string): void {
-		const verdict: Verdict<JobAnswer> = {kind: 'mayHaveRun', cause: 'executorLost', detail};
 		this.parts.journal.record('submissionGivenUp', {submission: record.id, executor: record.executor, detail});
+		this.#settleRecord(record, {kind: 'mayHaveRun', cause: 'executorLost', detail});
+	}
+
+	#settleRecord(record: SubmissionRecord, verdict: Verdict<JobAnswer>): void {
 		this.#store.put({...record, verdict, expiresAt: this.parts.clock.now() + this.parts.retentionMilliseconds});
 		this.#conclude(record.id, verdict);
 	}
@@ -371,6 +390,15 @@
 			return;
 		}
 
+		// Since the claim came, the copy's holder may have been lost, which may have granted the id itself.
+		const doubt = version === 0 && !record.isGranted ? this.#doubtOf(record.id) : undefined;
+		if (doubt !== undefined) {
+			this.#pending.delete(keyOf(record, version));
+			this.#addWaiter(record.id, {member: record.executor, nonce: record.nonce});
+			this.#settleRecord(record, doubt);
+			return;
+		}
+
 		if (authority.backup === undefined) {
 			this.#finish(pending);
 			return;
@@ -452,14 +480,24 @@
 		}
 
 		this.#keepCopy(record);
+		this.#passOn(record);
 		this.parts.send(from, {
 			kind: 'copied', id, nonce, version,
 		});
 	}
 
+	/** What a leaving registrar still accepts goes to those who stay, before it says farewell. */
+	#passOn(record: Message<'copy'>['record']): void {
+		if (this.#isLeaving) {
+			for (const member of this.#view.rankOfOthers(record.id).slice(0, 2)) {
+				this.#sendHandover(member.id, [record]);
+			}
+		}
+	}
+
 	/** Whether the sender is the one that decides on the id, in this registrar's view too. */
 	#ranksBefore(id: SubmissionId, sender: MemberId, fenced: readonly MemberId[]): boolean {
-		const first = this.#view.rank(id).find(member => !fenced.includes(member.id) && !(this.#view.isFenced(member.id)));
+		const first = this.#view.rank(id).find(member => !fenced.includes(member.id));
 		return first?.id === sender;
 	}
 
@@ -474,9 +512,15 @@
 			return;
 		}
 
+		// A claim that waits here for its copy loses to one that was granted elsewhere.
+		const pending = known === undefined || known.nonce === record.nonce ? undefined : this.#pending.get(keyOf(known, 0));
+		if (pending !== undefined) {
+			this.#abandon(pending);
+		}
+
 		const {id, fingerprint, executor, nonce, verdict} = record;
 		this.#store.put({
-			id, fingerprint, executor, nonce, verdict, expiresAt: this.parts.clock.now() + record.remainingMilliseconds,
+			id, fingerprint, executor, nonce, isGranted: true, verdict, expiresAt: this.parts.clock.now() + record.remainingMilliseconds,
 		});
 	}
 
@@ -486,7 +530,7 @@
 			return record.verdict === undefined;
 		}
 
-		return known.nonce !== record.nonce && record.verdict === undefined && known.expiresAt > this.parts.clock.now() + record.remainingMilliseconds;
+		return known.isGranted && known.nonce !== record.nonce && record.verdict === undefined && known.expiresAt > this.parts.clock.now() + record.remainingMilliseconds;
 	}
 
 	#adopt(records: ReadonlyArray<Message<'copy'>['record']>): void {
@@ -533,7 +577,7 @@
 		}
 
 		this.#view.add(member, era);
-		const records = [...this.#store.all()].map(record => this.#wireOf(record, record.verdict === undefined ? 0 : 1));
+		const records = this.#grantedRecords().map(record => this.#wireOf(record, record.verdict === undefined ? 0 : 1));
 		const batches = batchesOf(records);
 		for (const [index, batch] of batches.entries()) {
 			this.parts.send(from, {
@@ -542,7 +586,7 @@
 				records: batch,
 				isLast: index === batches.length - 1,
 				isActive: this.#entry.isActive,
-				vouchFrom: this.#entry.vouchFrom,
+				vouchFrom: Math.max(this.#entry.vouchFrom, this.#view.latestDoubleLoss),
 				ownEra: this.#entry.era,
 			});
 		}
@@ -550,6 +594,11 @@
 		this.#reconsider();
 	}
 
+	/** What others must know of; a claim that still waits for its copy isn't granted by anyone. */
+	#grantedRecords(): readonly SubmissionRecord[] {
+		return [...this.#store.all()].filter(record => record.isGranted);
+	}
+
 	#lost(id: MemberId, wasHandedOver: boolean): void {
 		this.#entry.memberLost(id);
 		if (!this.#view.has(id)) {
@@ -557,7 +606,8 @@
 		}
 
 		const before = new Map([...this.#store.all()].map(record => [record.id, this.#backupOf(record.id)]));
-		this.#view.remove(id, wasHandedOver, this.parts.clock.wallTime());
+		const loss = wasHandedOver ? 'handedOver' : (this.parts.surroundings.isOutOfTouch(id) ? 'outOfTouch' : 'inTouch');
+		this.#view.remove(id, loss, this.parts.clock.wallTime());
 		this.#reconsider();
 		this.#restoreCopies(id, before);
 	}
@@ -597,9 +647,9 @@
 	}
 
 	/**
-	 * This registrar decides where all that rank before it are fenced. It fences the one before it when that one is
-	 * silent and it's itself on the instance list: a registrar that the list has dropped may have been dropped by the
-	 * others too.
+	 * This registrar decides where it ranks first, or second behind a fenced one. It fences the one before it when that
+	 * one is silent and it's itself on the instance list: a registrar that the list has dropped may have been dropped by
+	 * the others too.
 	 */
 	#authorityOf(id: SubmissionId): Authority {
 		const ranked = this.#view.rank(id);
@@ -617,7 +667,9 @@
 	}
 
 	#mayPass(member: Member, next: Member | undefined): boolean {
-		if (!this.#isListed()) {
+		// Only the holder of the copy can know that the owner grants no more: a third one, though it fenced the owner for
+		// other ids, can't exclude that the two grant this one together.
+		if (next?.id !== this.parts.self.id || !this.#isListed()) {
 			return false;
 		}
 
@@ -625,7 +677,7 @@
 			return true;
 		}
 
-		if (next?.id !== this.parts.self.id || !this.#canDecide || !this.parts.surroundings.isSilent(member.id)) {
+		if (!this.#canDecide || !this.parts.surroundings.isSilent(member.id)) {
 			return false;
 		}
 
@@ -641,7 +693,7 @@
 
 	#handOver(): void {
 		const byMember = new Map<MemberId, Array<Message<'copy'>['record']>>();
-		for (const record of this.#store.all()) {
+		for (const record of this.#grantedRecords()) {
 			for (const member of this.#view.rankOfOthers(record.id).slice(0, 2)) {
 				const list = byMember.get(member.id) ?? [];
 				byMember.set(member.id, list);
@@ -649,15 +701,18 @@
 			}
 		}
 
-		let sequence = 0;
 		for (const [to, records] of byMember) {
 			for (const batch of batchesOf(records)) {
-				sequence += 1;
-				this.#handovers.set(sequence, {to, message: {kind: 'handover', sequence, records: batch}});
+				this.#sendHandover(to, batch);
 			}
 		}
+	}
 
-		this.#resend();
+	#sendHandover(to: MemberId, records: Array<Message<'copy'>['record']>): void {
+		this.#handoverSequence += 1;
+		const message = {kind: 'handover', sequence: this.#handoverSequence, records} as const;
+		this.#handovers.set(this.#handoverSequence, {to, message});
+		this.parts.send(to, message);
 	}
 
 	#wireOf(record: SubmissionRecord, version: number): Message<'copy'>['record'] {
--- a/src/features/submissions/registry-message-schema.ts
+++ b/src/features/submissions/registry-message-schema.ts
@@ -1,7 +1,5 @@
 /** What the registry's parts tell each other. */
 import {z} from 'zod';
-import type {AvailabilityZone} from '../../base/availability-zone.js';
-import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {SubmissionId} from '../../base/submission-id.js';
 import {verdictSchema} from './verdict-schema.js';
@@ -9,12 +7,6 @@
 const id = z.string().max(256).transform(text => text as SubmissionId);
 const nonce = z.string().max(128);
 const memberId = z.string().max(256).transform(text => text as MemberId);
-const member = z.object({
-	id: memberId,
-	instance: z.string().transform(text => text as InstanceId),
-	zone: z.string().transform(text => text as AvailabilityZone),
-	peerAddress: z.string(),
-});
 /** `version` 0: granted and running; 1: settled; 2: released, which forgets the submission. */
 const record = z.object({
 	id,
@@ -66,7 +58,7 @@
 		kind: z.literal('notCopied'), id, nonce, isFenced: z.boolean(), existing: record.optional(),
 	}),
 	z.object({kind: z.literal('join'), era: z.int()}),
-	z.object({kind: z.literal('welcome'), era: z.int(), circle: z.array(member)}),
+	z.object({kind: z.literal('welcome'), era: z.int(), isActive: z.boolean()}),
 	z.object({kind: z.literal('enter'), era: z.int()}),
 	z.object({
 		kind: z.literal('state'),
--- a/src/features/submissions/submission-record.ts
+++ b/src/features/submissions/submission-record.ts
@@ -11,6 +11,8 @@
 	/** Who was granted the claim, and which of its claims. */
 	readonly executor: MemberId;
 	readonly nonce: string;
+	/** False while its owner waits for the copy's holder: nobody runs it by this record yet. */
+	isGranted: boolean;
 	verdict: Verdict<JobAnswer> | undefined;
 	/** When a running record is given up, or a settled one forgotten. */
 	expiresAt: number;
--- a/src/features/submissions/submission-registry.ts
+++ b/src/features/submissions/submission-registry.ts
@@ -177,6 +177,7 @@
 		get hasUnresolved() {
 			return membership.isUnresolved(membership.self.zone);
 		},
+		isOutOfTouch: member => membership.isOutOfTouch(member),
 		isSilent: member => membership.isSilent(member),
 		memberOf: member => membership.memberOf(member),
 	};
--- a/src/platform/peers/accepted-connection.ts
+++ b/src/platform/peers/accepted-connection.ts
@@ -91,7 +91,7 @@
 	#receiveFrom(member: Member, frame: Frame): void {
 		this.parts.listener.onHeard(member);
 		if (frame.kind === 'ping') {
-			this.#frames.send({kind: 'pong'});
+			this.#frames.send({kind: 'pong', stamp: frame.stamp});
 		} else if (frame.kind === 'message') {
 			this.parts.listener.onMessage(member, frame);
 		}
--- a/src/platform/peers/link-listener.ts
+++ b/src/platform/peers/link-listener.ts
@@ -6,6 +6,8 @@
 export type LinkListener = {
 	readonly onMet: (member: Member) => void;
 	readonly onHeard: (member: Member) => void;
+	/** The peer answered a ping that was sent at the given monotonic time. */
+	readonly onReached: (member: Member, sentAt: number) => void;
 	readonly onMessage: (member: Member, message: PeerMessage) => void;
 	/** The port answered that nobody listens there. */
 	readonly onRefused: (peerAddress: string) => void;
--- a/src/platform/peers/outgoing-link.ts
+++ b/src/platform/peers/outgoing-link.ts
@@ -122,6 +122,8 @@
 			this.parts.listener.onHeard(this.#peer);
 			if (frame.kind === 'message') {
 				this.parts.listener.onMessage(this.#peer, frame);
+			} else if (frame.kind === 'pong') {
+				this.parts.listener.onReached(this.#peer, frame.stamp);
 			}
 
 			return;
@@ -188,7 +190,7 @@
 		}
 
 		if (this.#peer !== undefined && this.#isWanted) {
-			this.#socket.send({kind: 'ping'});
+			this.#socket.send({kind: 'ping', stamp: this.parts.clock.now()});
 		}
 	}
 }
--- a/src/platform/peers/peer-frame.ts
+++ b/src/platform/peers/peer-frame.ts
@@ -24,6 +24,7 @@
 	}),
 	z.object({kind: z.literal('proof'), proof: z.string().max(128)}),
 	z.object({kind: z.literal('message'), channel: z.string().max(64), body: z.unknown()}),
-	z.object({kind: z.literal('ping')}),
-	z.object({kind: z.literal('pong')}),
+	/** The stamp is the pinging side's own, and comes back unread. */
+	z.object({kind: z.literal('ping'), stamp: z.number()}),
+	z.object({kind: z.literal('pong'), stamp: z.number()}),
 ]);
--- a/src/platform/peers/tcp-peer-network.ts
+++ b/src/platform/peers/tcp-peer-network.ts
@@ -36,6 +36,7 @@
 	readonly #links = new Map<string, OutgoingLink>();
 	readonly #lives = new Map<string, Member>();
 	readonly #heard = new Map<MemberId, number>();
+	readonly #reached = new Map<MemberId, number>();
 	readonly #receive = new Emitter<ReceivedMessage>();
 	readonly #meet = new Emitter<Member>();
 	readonly #proveDead = new Emitter<MemberId>();
@@ -124,6 +125,10 @@
 		return this.#heard.get(member);
 	}
 
+	override lastReached(member: MemberId): number | undefined {
+		return this.#reached.get(member);
+	}
+
 	override renew(): void {
 		this.#self = this.#newLife(this.port);
 		this.#disconnect();
@@ -182,6 +187,9 @@
 			onHeard: member => {
 				this.#heard.set(member.id, this.clock.now());
 			},
+			onReached: (member, sentAt) => {
+				this.#reached.set(member.id, sentAt);
+			},
 			onMessage: (from, message) => {
 				this.#receive.fire({from, message});
 			},
@@ -231,7 +239,9 @@
 
 	#forget(member: Member): void {
 		this.#dead.add(member.id);
-		this.#heard.delete(member.id);
+		// Whoever learns of the loss may still ask when the member was heard and reached last.
 		this.#proveDead.fire(member.id);
+		this.#heard.delete(member.id);
+		this.#reached.delete(member.id);
 	}
 }
