Less control traffic: pings carry the arbiter's lease, requests carry their stamps

Cause: announcements, acknowledgements and renewals each had their own timers, and each entry pinged one entry of every other zone. Change: the arbiter's lease rests on answered pings; announcements only on news and every 2 s; every request to an arbiter carries the sender's stamp, so that renewals go out only without other requests; connections to other zones are pinged only when quiet; quiet gossip goes to one peer.

--- a/src/features/membership/listed-membership.ts
+++ b/src/features/membership/listed-membership.ts
@@ -17,14 +17,14 @@
 import {Membership} from './membership.js';
 
 const channel = 'membership';
-/** A member that was watched and not heard of for so long is silent: three pings and a redial went unanswered. */
+/** A member that was not heard of for so long is silent: two pings and a redial went unanswered. */
 const silenceMilliseconds = 2000;
 /**
  * A silent member is given up when the list hasn't named it for so long. A member that acts in another's place must have
  * seen itself on the list more recently than this, so that it never does so after it was given up.
  */
 const delistedMilliseconds = 5000;
-/** Peers of the own zone that are pinged; with the one in each other zone, this bounds the traffic of an entry. */
+/** Peers of the own zone that are pinged; this bounds the traffic of an entry. */
 const watchedInZone = 8;
 /** Beyond this an entry that doesn't hear of a member most likely isn't connected to it. */
 const meaningfulMilliseconds = 20_000;
@@ -127,6 +127,10 @@
 		return reachedAt === undefined || this.clock.now() - reachedAt >= silenceMilliseconds;
 	}
 
+	override reachedAt(member: MemberId): number | undefined {
+		return this.network.lastReached(member);
+	}
+
 	override announceLeft(): void {
 		for (const member of this.#members.values()) {
 			this.network.send(member, {channel, body: {kind: 'left'}});
@@ -195,13 +199,10 @@
 		}
 	}
 
-	/** Watches a few neighbours of the own zone and one entry of each other zone: the same number in any fleet. */
+	/** Watches neighbours of the own zone, a bounded number in any fleet; connections to other zones live by their use. */
 	#watch(): void {
 		const inZone = this.all.filter(member => member.zone === this.self.zone);
 		const watched = rankByKey(this.self.instance, inZone, member => member.instance).slice(0, watchedInZone);
-		const zones = new Set(this.all.map(member => member.zone));
-		zones.delete(this.self.zone);
-		const others = [...zones].flatMap(zone => rankByKey(this.self.instance, this.inZone(zone), member => member.instance).slice(0, 1));
-		this.network.watch(new Set([...watched, ...others].map(member => member.peerAddress)));
+		this.network.watch(new Set(watched.map(member => member.peerAddress)));
 	}
 }
--- a/src/features/membership/membership.ts
+++ b/src/features/membership/membership.ts
@@ -39,6 +39,9 @@
 	 */
 	abstract isOutOfTouch(member: MemberId): boolean;
 
+	/** When a member answered a ping last, counted from the ping's sending; monotonic. */
+	abstract reachedAt(member: MemberId): number | undefined;
+
 	/** Tells all peers that this entry is going and has handed over what it knew. */
 	abstract announceLeft(): void;
 }
--- a/src/features/placement/arbiter.ts
+++ b/src/features/placement/arbiter.ts
@@ -75,16 +75,6 @@
 		return this.#waiting.size;
 	}
 
-	/** How long a task would wait that came now, in milliseconds. */
-	get waitMilliseconds(): number {
-		let work = 0;
-		for (const ticket of this.#waiting.values()) {
-			work += ticket.expectedMilliseconds;
-		}
-
-		return work / Math.max(1, this.#ledger.openSlots);
-	}
-
 	/** All slots that are lent, for a successor. */
 	get lentSlots(): readonly HeldSlot[] {
 		return this.#ledger.held;
@@ -98,8 +88,9 @@
 		}
 	}
 
-	receive(from: MemberId, request: PlacementRequest): void {
-		this.#heard(from);
+	/** Takes a request with the time that its sender's own clock showed when it was sent. */
+	receive(from: MemberId, stamp: number, request: PlacementRequest): void {
+		this.#heard(from, stamp);
 		match(request)
 			.with({kind: 'want'}, want => {
 				this.#want(from, want);
@@ -110,8 +101,8 @@
 			.with({kind: 'withdraw'}, ({tickets}) => {
 				this.#withdraw(from, tickets);
 			})
-			.with({kind: 'renew'}, renewal => {
-				this.#renew(from, renewal);
+			.with({kind: 'renew'}, ({held, waiting}) => {
+				this.#compareCounts(from, held, waiting);
 			})
 			.with({kind: 'inventory'}, inventory => {
 				this.#takeInventory(from, inventory);
@@ -201,11 +192,11 @@
 		this.#place();
 	}
 
-	#heard(from: MemberId): void {
-		const requester = this.#requesters.get(from);
-		if (requester !== undefined) {
-			requester.heardAt = this.parts.clock.now();
-		}
+	#heard(from: MemberId, stamp: number): void {
+		const requester = this.#requesters.get(from) ?? {stamp, heardAt: 0, mismatches: 0};
+		this.#requesters.set(from, requester);
+		requester.stamp = Math.max(requester.stamp, stamp);
+		requester.heardAt = this.parts.clock.now();
 	}
 
 	#want(from: MemberId, want: Want): void {
@@ -299,26 +290,16 @@
 		ticket.isGone = true;
 	}
 
-	#renew(from: MemberId, renewal: Extract<PlacementRequest, {kind: 'renew'}>): void {
-		const requester = this.#requesters.get(from) ?? {stamp: 0, heardAt: 0, mismatches: 0};
-		this.#requesters.set(from, requester);
-		requester.stamp = renewal.stamp;
-		requester.heardAt = this.parts.clock.now();
-		this.parts.outbox(from, {
-			kind: 'renewed', zone: this.parts.zone, freeSlots: this.freeSlots, waitMilliseconds: this.waitMilliseconds,
-		});
-		this.#compareCounts(from, requester, renewal.held, renewal.waiting);
-	}
-
 	/**
 	 * A grant or a release that was lost on the way leaves the two sides with different counts. Counts that differ
 	 * because a message is under way agree again soon; those that stay different are settled by an inventory.
 	 */
-	#compareCounts(from: MemberId, requester: Requester, held: number, waiting: number): void {
+	#compareCounts(from: MemberId, held: number, waiting: number): void {
+		const requester = this.#requesters.get(from)!;
 		const ownHeld = this.#ledger.held.filter(slot => slot.requester === from && !slot.isOrphaned).length;
 		const ownWaiting = [...this.#waiting.values()].filter(ticket => ticket.requester === from).length;
 		requester.mismatches = ownHeld === held && ownWaiting === waiting ? 0 : requester.mismatches + 1;
-		if (requester.mismatches >= 3) {
+		if (requester.mismatches >= 2) {
 			requester.mismatches = 0;
 			this.parts.outbox(from, {kind: 'recount', zone: this.parts.zone});
 		}
--- a/src/features/placement/network-slot-desk.ts
+++ b/src/features/placement/network-slot-desk.ts
@@ -14,11 +14,13 @@
 import type {PlacementRequest} from './placement-request.js';
 import {SlotDesk} from './slot-desk.js';
 import type {SlotListener} from './slot-listener.js';
-import type {ZoneLoad} from './zone-load.js';
 
 /** The owner calls `tick` this often. */
 const tickMilliseconds = 100;
+/** Every request shows that this entry is awake; without one for so long, a renewal does. */
 const renewMilliseconds = 250;
+/** Counts are compared this often in any case. */
+const compareMilliseconds = 2000;
 /**
  * A grant whose echo of this entry's clock is older than this isn't used: the entry was paused since, or the grant was
  * held up, and the arbiter may have lent the slot to somebody else.
@@ -36,16 +38,16 @@
 	readonly deadlineAt: number;
 	readonly askedAt: number;
 	readonly listener: SlotListener;
-	isAdmitted: boolean;
 };
 type Held = {readonly target: TargetAddress; readonly profile: Want['profile']; readonly endsAt: number};
 type ZoneState = {
 	readonly zone: AvailabilityZone;
 	arbiter: MemberId | undefined;
+	/** When the arbiter was sent something last, and when a renewal. */
+	askedAt: number;
 	renewedAt: number;
 	readonly wishes: Map<TicketId, Wish>;
 	readonly held: Map<TicketId, Held>;
-	load: ZoneLoad | undefined;
 };
 
 /** How the desk reaches arbiters; a message to this entry itself is delivered too. */
@@ -71,10 +73,6 @@
 		super();
 	}
 
-	override get loads(): readonly ZoneLoad[] {
-		return [...this.#zones.values()].flatMap(state => state.load ?? []);
-	}
-
 	/** Slots that this entry holds now. */
 	get held(): number {
 		return [...this.#zones.values()].reduce((sum, state) => sum + state.held.size, 0);
@@ -84,7 +82,7 @@
 		const state = this.#stateOf(zone);
 		for (const task of want.tasks) {
 			state.wishes.set(task.ticket, {
-				want, task, deadlineAt, askedAt: this.clock.now(), listener, isAdmitted: want.isAdmitted,
+				want, task, deadlineAt, askedAt: this.clock.now(), listener,
 			});
 			this.#zoneOf.set(task.ticket, state);
 		}
@@ -94,8 +92,7 @@
 			return;
 		}
 
-		this.#renewIfDue(state, state.arbiter);
-		this.post.request(state.arbiter, {...want, remainingMilliseconds: deadlineAt - this.clock.now()});
+		this.#request(state, state.arbiter, {...want, remainingMilliseconds: deadlineAt - this.clock.now()});
 	}
 
 	override release(ticket: TicketId, outcome: Extract<PlacementRequest, {kind: 'release'}>['outcome'], runMilliseconds: number): void {
@@ -175,11 +172,6 @@
 					this.#refused(ticket, refusal);
 				}
 			})
-			.with({kind: 'renewed'}, ({zone, freeSlots, waitMilliseconds}) => {
-				this.#stateOf(zone).load = {
-					zone, freeSlots, waitMilliseconds, toldAt: this.clock.now(),
-				};
-			})
 			.with({kind: 'recount'}, ({zone}) => {
 				this.#sendInventory(this.#stateOf(zone), from);
 			})
@@ -207,7 +199,6 @@
 			this.post.request(from, {
 				kind: 'release', ticket, outcome: 'unused', runMilliseconds: 0,
 			});
-			wish.isAdmitted = true;
 			this.#wantAgain(from, [ticket]);
 			return;
 		}
@@ -277,16 +268,15 @@
 	}
 
 	#renewIfDue(state: ZoneState, arbiter: MemberId): void {
-		if (this.clock.now() - state.renewedAt >= renewMilliseconds) {
+		const now = this.clock.now();
+		if (now - state.askedAt >= renewMilliseconds || now - state.renewedAt >= compareMilliseconds) {
 			this.#renew(state, arbiter);
 		}
 	}
 
 	#renew(state: ZoneState, arbiter: MemberId): void {
 		state.renewedAt = this.clock.now();
-		this.post.request(arbiter, {
-			kind: 'renew', stamp: state.renewedAt, held: state.held.size, waiting: state.wishes.size,
-		});
+		this.#request(state, arbiter, {kind: 'renew', held: state.held.size, waiting: state.wishes.size});
 	}
 
 	#sendInventory(state: ZoneState, arbiter: MemberId): void {
@@ -299,10 +289,15 @@
 
 	#tell(state: ZoneState, request: PlacementRequest): void {
 		if (state.arbiter !== undefined) {
-			this.post.request(state.arbiter, request);
+			this.#request(state, state.arbiter, request);
 		}
 	}
 
+	#request(state: ZoneState, arbiter: MemberId, request: PlacementRequest): void {
+		state.askedAt = this.clock.now();
+		this.post.request(arbiter, request);
+	}
+
 	#stateOf(zone: AvailabilityZone): ZoneState {
 		const known = this.#zones.get(zone);
 		if (known !== undefined) {
@@ -310,7 +305,7 @@
 		}
 
 		const state: ZoneState = {
-			zone, arbiter: undefined, renewedAt: Number.NEGATIVE_INFINITY, wishes: new Map(), held: new Map(), load: undefined,
+			zone, arbiter: undefined, askedAt: Number.NEGATIVE_INFINITY, renewedAt: Number.NEGATIVE_INFINITY, wishes: new Map(), held: new Map(),
 		};
 		this.#zones.set(zone, state);
 		return state;
--- a/src/features/placement/placement-reply-schema.ts
+++ b/src/features/placement/placement-reply-schema.ts
@@ -9,7 +9,7 @@
 
 /**
  * `granted` lends slots, with the requester's own clock time as the arbiter last heard it; `refused` ends wishes;
- * `renewed` answers a renewal and tells how busy the zones are; `recount` asks for an inventory; `unknown` names
+ * `recount` asks for an inventory; `unknown` names
  * wishes that the arbiter doesn't have; `elsewhere` says that the sender isn't the arbiter.
  */
 export const placementReplySchema = z.discriminatedUnion('kind', [
@@ -28,13 +28,6 @@
 		detail: z.string(),
 		retryAfterMilliseconds: z.number().optional(),
 	}),
-	z.object({
-		kind: z.literal('renewed'),
-		zone,
-		freeSlots: z.number(),
-		/** How long a new task would wait. */
-		waitMilliseconds: z.number(),
-	}),
 	z.object({kind: z.literal('recount'), zone}),
 	z.object({kind: z.literal('unknown'), tickets: z.array(ticket)}),
 	z.object({kind: z.literal('elsewhere'), zone}),
--- a/src/features/placement/placement-request-schema.ts
+++ b/src/features/placement/placement-request-schema.ts
@@ -12,8 +12,7 @@
 
 /**
  * `want` asks for slots for tasks of one job, all or none of which are admitted; `release` gives a slot back with what
- * became of the task; `withdraw` takes wishes back; `renew` shows that the requester is awake, with its own clock's
- * time, and how many slots and wishes it has; `inventory` names them after the arbiter asked to count again.
+ * became of the task; `withdraw` takes wishes back; `renew` tells how many slots and wishes the requester has; `inventory` names them after the arbiter asked to count again.
  */
 export const placementRequestSchema = z.discriminatedUnion('kind', [
 	z.object({
@@ -42,9 +41,7 @@
 		runMilliseconds: z.number().min(0),
 	}),
 	z.object({kind: z.literal('withdraw'), tickets: z.array(ticket)}),
-	z.object({
-		kind: z.literal('renew'), stamp: z.number(), held: z.number(), waiting: z.number(),
-	}),
+	z.object({kind: z.literal('renew'), held: z.number(), waiting: z.number()}),
 	z.object({
 		kind: z.literal('inventory'),
 		held: z.array(z.object({
--- a/src/features/placement/slot-desk.ts
+++ b/src/features/placement/slot-desk.ts
@@ -3,13 +3,9 @@
 import type {TicketId} from '../../base/ticket-id.js';
 import type {PlacementRequest} from './placement-request.js';
 import type {SlotListener} from './slot-listener.js';
-import type {ZoneLoad} from './zone-load.js';
 
 /** The slots of all zones, each lent by its own arbiter. */
 export abstract class SlotDesk {
-	/** What the arbiters last told of their zones, this entry's own included. */
-	abstract readonly loads: readonly ZoneLoad[];
-
 	/** Asks for slots of a zone for tasks of one job; the deadline is monotonic. */
 	abstract want(zone: AvailabilityZone, want: Extract<PlacementRequest, {kind: 'want'}>, deadlineAt: number, listener: SlotListener): void;
 
--- a/src/features/placement/tenure.ts
+++ b/src/features/placement/tenure.ts
@@ -15,12 +15,15 @@
 
 /** The owner calls `tick` this often. */
 const tickMilliseconds = 100;
-const announceMilliseconds = 400;
-/** A holder grants for so long after the sending of an announcement that was acknowledged. */
-const leaseMilliseconds = 1000;
+/** News are told at once; this only repairs a lost message. */
+const announceMilliseconds = 2000;
+/** How often peers of other zones are asked for a sign of life when none of the own zone gives one. */
+const witnessMilliseconds = 400;
+/** A holder grants for so long after the sending of a ping, or an announcement, that some peer answered. */
+const leaseMilliseconds = 1600;
 /** A holder that was paused for so long finds out on its first tick, and gives the office up. */
 const pauseLimitMilliseconds = 1000;
-/** A holder that wasn't heard for so long has certainly stopped granting, whatever it still believes. */
+/** A holder that nobody heard for so long has certainly stopped granting, whatever it still believes. */
 const holderSilenceMilliseconds = 2500;
 /** A witness that heard of the holder more recently than this contradicts its silence. */
 const witnessedSilenceMilliseconds = 1500;
@@ -33,7 +36,7 @@
 type Inquiry = {readonly about: MemberId; readonly startedAt: number; denials: number; confirmations: number};
 
 /**
- * One entry of a zone is its arbiter, for as long as some peer acknowledges its announcements. Another one takes over on
+ * One entry of a zone is its arbiter, for as long as some peer answers it. Another one takes over on
  * proof that it's gone, or when neither it nor any peer that it can reach has heard of the holder for longer than the
  * holder's lease. Should two entries hold the office all the same (a cut that runs between them and leaves each a
  * peer), targets refuse what exceeds their slots, and the later epoch wins when they hear of each other.
@@ -45,6 +48,7 @@
 	#heardAt: number;
 	#acknowledgedAt = Number.NEGATIVE_INFINITY;
 	#announcedAt = Number.NEGATIVE_INFINITY;
+	#askedWitnessesAt = Number.NEGATIVE_INFINITY;
 	#tickedAt: number;
 	#askingSince: number;
 	#highestEpoch = 0;
@@ -95,7 +99,7 @@
 			return false;
 		}
 
-		return !this.#hasRivals() || now - this.#acknowledgedAt < leaseMilliseconds;
+		return !this.#hasRivals() || now - this.#reachedAt() < leaseMilliseconds;
 	}
 
 	tick(): void {
@@ -188,16 +192,27 @@
 		}
 
 		if (now - this.#announcedAt >= announceMilliseconds) {
-			this.#announce(now);
+			this.#announce(now, this.#others());
 		}
+
+		if (this.#hasRivals() && now - this.#reachedAt() > leaseMilliseconds / 2 && now - this.#askedWitnessesAt >= witnessMilliseconds) {
+			this.#askedWitnessesAt = now;
+			this.#announce(now, this.#witnesses());
+		}
+	}
+
+	/** When the holder last sent something that a peer answered. */
+	#reachedAt(): number {
+		const inZone = this.#others().map(member => this.membership.reachedAt(member.id) ?? Number.NEGATIVE_INFINITY);
+		return Math.max(this.#acknowledgedAt, ...inZone);
 	}
 
-	#announce(now: number): void {
+	#announce(now: number, to: readonly Member[]): void {
 		this.#announcedAt = now;
 		const announcement: TenureMessage = {
 			kind: 'holds', zone: this.membership.self.zone, holder: this.membership.self.id, epoch: this.#holder!.epoch, stamp: now,
 		};
-		for (const member of [...this.#others(), ...this.#witnesses()]) {
+		for (const member of to) {
 			this.send(member, announcement);
 		}
 	}
@@ -261,7 +276,8 @@
 			return;
 		}
 
-		if (now - this.#heardAt > holderSilenceMilliseconds) {
+		const heardAgo = this.membership.heardAgo(this.#holder.member) ?? Number.POSITIVE_INFINITY;
+		if (Math.min(heardAgo, now - this.#heardAt) > holderSilenceMilliseconds) {
 			this.#inquire(now, this.#holder.member);
 		}
 	}
@@ -333,7 +349,7 @@
 		this.#setHolder({member: this.membership.self.id, epoch: this.#highestEpoch});
 		this.journal.record('tenureTaken', {epoch: this.#highestEpoch, zone: this.membership.self.zone, manner: succession.kind});
 		this.#gain.fire(succession);
-		this.#announce(now);
+		this.#announce(now, this.#others());
 	}
 
 	#stepDown(): void {
--- a/src/features/placement/zone-placement.ts
+++ b/src/features/placement/zone-placement.ts
@@ -33,7 +33,8 @@
 const settlingMilliseconds = 300;
 
 const messageSchema = z.discriminatedUnion('to', [
-	z.object({to: z.literal('arbiter'), request: placementRequestSchema}),
+	/** The stamp is the time on the sender's own clock, which grants bring back. */
+	z.object({to: z.literal('arbiter'), stamp: z.number(), request: placementRequestSchema}),
 	z.object({to: z.literal('desk'), reply: placementReplySchema}),
 	z.object({to: z.literal('tenure'), message: tenureMessageSchema}),
 ]);
@@ -147,7 +148,7 @@
 		if (message.to === 'tenure') {
 			this.#receiveTenure(from, message.message);
 		} else if (message.to === 'arbiter') {
-			this.#receiveRequest(from.id, message.request);
+			this.#receiveRequest(from.id, message.stamp, message.request);
 		} else {
 			this.#desk.receive(from.id, message.reply);
 		}
@@ -162,26 +163,27 @@
 		this.#tenure.receive(from, message);
 	}
 
-	#receiveRequest(from: MemberId, request: PlacementRequest): void {
+	#receiveRequest(from: MemberId, stamp: number, request: PlacementRequest): void {
 		if (this.#arbiter === undefined) {
 			this.#sendReply(from, {kind: 'elsewhere', zone: this.parts.membership.self.zone});
 			return;
 		}
 
-		this.#arbiter.receive(from, request);
+		this.#arbiter.receive(from, stamp, request);
 	}
 
 	#sendRequest(to: MemberId, request: PlacementRequest): void {
+		const stamp = this.parts.clock.now();
 		if (to === this.parts.membership.self.id) {
 			queueMicrotask(() => {
-				this.#receiveRequest(to, request);
+				this.#receiveRequest(to, stamp, request);
 			});
 			return;
 		}
 
 		const member = this.parts.membership.memberOf(to);
 		if (member !== undefined) {
-			this.parts.network.send(member, {channel, body: {to: 'arbiter', request}});
+			this.parts.network.send(member, {channel, body: {to: 'arbiter', stamp, request}});
 		}
 	}
 
--- a/src/features/profiles/log-profile-book.ts
+++ b/src/features/profiles/log-profile-book.ts
@@ -29,8 +29,10 @@
 const failedReadPauseMilliseconds = 500;
 /** How often an entry tells some peers what it has, changed or not. */
 const gossipPeriodMilliseconds = 2000;
-/** Each entry tells so many others: news reach a fleet in a number of rounds that grows with its logarithm. */
-const gossipFanout = 3;
+/** Of news each entry tells so many others at once: they reach a fleet in rounds that grow with its logarithm. */
+const newsFanout = 3;
+/** Without news one other is told, in case a message was lost. */
+const quietFanout = 1;
 
 type Message = z.output<typeof configurationMessageSchema>;
 
@@ -84,7 +86,7 @@
 			}
 		}));
 		this.#store.add(repeat(this.parts.clock, gossipPeriodMilliseconds, () => {
-			this.#gossip();
+			this.#gossip(quietFanout);
 		}));
 		void this.#follow();
 	}
@@ -132,7 +134,7 @@
 
 		this.parts.journal.record('configurationAdvanced', {nextOffset: this.configuration.nextOffset, source});
 		this.#advance.fire(this.configuration);
-		this.#gossip();
+		this.#gossip(newsFanout);
 	}
 
 	#describe(step: Acceptance['steps'][number]): void {
@@ -167,17 +169,17 @@
 		}
 	}
 
-	#gossip(): void {
+	#gossip(fanout: number): void {
 		if (!this.isLoaded) {
-			this.#tell({kind: 'need', from: this.configuration.nextOffset});
+			this.#tell({kind: 'need', from: this.configuration.nextOffset}, newsFanout);
 			return;
 		}
 
-		this.#tell({kind: 'have', nextOffset: this.configuration.nextOffset, digest: this.configuration.digest});
+		this.#tell({kind: 'have', nextOffset: this.configuration.nextOffset, digest: this.configuration.digest}, fanout);
 	}
 
-	#tell(message: Message): void {
-		for (const peer of this.parts.random.sample(this.parts.membership.all, gossipFanout)) {
+	#tell(message: Message, fanout: number): void {
+		for (const peer of this.parts.random.sample(this.parts.membership.all, fanout)) {
 			this.#send(peer, message);
 		}
 	}
--- a/src/platform/peers/frame-socket.ts
+++ b/src/platform/peers/frame-socket.ts
@@ -44,7 +44,7 @@
 		}
 
 		const bytes = encodeFrame(frame);
-		this.counter.sent(bytes.length);
+		this.counter.sent(bytes.length, labelOf(frame));
 		this.socket.write(bytes);
 	}
 
@@ -84,3 +84,15 @@
 		this.onClose(reason);
 	}
 }
+
+/** What a frame is, for the counts: a message's own kind stands in its body, or one level deeper. */
+function labelOf(frame: Frame): string {
+	if (frame.kind !== 'message') {
+		return frame.kind;
+	}
+
+	const body = frame.body as Readonly<Record<string, unknown>>;
+	const inner = Object.values(body).find(value => typeof value === 'object' && value !== null && 'kind' in value);
+	const kind = body['kind'] ?? (inner as {readonly kind: unknown} | undefined)?.kind;
+	return `${frame.channel}/${String(kind)}`;
+}
--- a/src/platform/peers/outgoing-link.ts
+++ b/src/platform/peers/outgoing-link.ts
@@ -13,13 +13,16 @@
 import type {PeerMessage} from './peer-message.js';
 import type {TrafficCounter} from './traffic-counter.js';
 
-/** How often a watched or recently used connection is asked for a sign of life. */
-const pingPeriodMilliseconds = 500;
+/**
+ * How often a watched connection is asked for a sign of life; one that's only used is asked when nothing came for so
+ * long, since its traffic is a sign of life itself.
+ */
+const pingPeriodMilliseconds = 700;
 /**
  * A connection without a sign of life for so long is given up and dialled anew: a network that lost track of it lets
  * a new one through. Whoever waits for an answer sends again on the new one.
  */
-const silenceLimitMilliseconds = 1500;
+const silenceLimitMilliseconds = 1600;
 /** A connection that nobody watches is pinged for so long after its last use. */
 const useMilliseconds = 10_000;
 const redialMilliseconds = 250;
@@ -189,7 +192,8 @@
 			return;
 		}
 
-		if (this.#peer !== undefined && this.#isWanted) {
+		const isQuiet = this.parts.clock.now() - this.#heardAt >= pingPeriodMilliseconds;
+		if (this.#peer !== undefined && (this.isWatched || (this.#isWanted && isQuiet))) {
 			this.#socket.send({kind: 'ping', stamp: this.parts.clock.now()});
 		}
 	}
--- a/src/platform/peers/traffic-counter.ts
+++ b/src/platform/peers/traffic-counter.ts
@@ -3,6 +3,7 @@
 
 /** One counter for all connections of an entry. */
 export class TrafficCounter {
+	readonly #sentByKind = new Map<string, number>();
 	#sentFrames = 0;
 	#sentBytes = 0;
 	#receivedFrames = 0;
@@ -11,14 +12,16 @@
 	get total(): PeerTraffic {
 		return {
 			sentFrames: this.#sentFrames,
+			sentByKind: Object.fromEntries(this.#sentByKind),
 			sentBytes: this.#sentBytes,
 			receivedFrames: this.#receivedFrames,
 			receivedBytes: this.#receivedBytes,
 		};
 	}
 
-	sent(bytes: number): void {
+	sent(bytes: number, kind: string): void {
 		this.#sentFrames += 1;
+		this.#sentByKind.set(kind, (this.#sentByKind.get(kind) ?? 0) + 1);
 		this.#sentBytes += bytes;
 	}
 
--- a/test/support/fake-slot-desk.ts
+++ b/test/support/fake-slot-desk.ts
@@ -12,7 +12,6 @@
 
 /** Records what's asked; with `isGenerous` it grants everything at once. */
 export class FakeSlotDesk extends SlotDesk {
-	override readonly loads = [];
 	readonly wishes = new Map<TicketId, Wish>();
 	readonly asked: Wish[] = [];
 	readonly released: Array<{readonly ticket: TicketId; readonly outcome: string}> = [];
