--- a/src/features/profiles/log-profile-book.ts
+++ b/src/features/profiles/log-profile-book.ts
@@ -25,7 +25,7 @@
 
 const channel = 'configuration';
 /** The longest wait of one read; the log answers as soon as there is a record. */
-const readWaitMilliseconds = 2000;
+const readWaitMilliseconds = 10_000;
 const failedReadPauseMilliseconds = 500;
 /** How often an entry tells some peers what it has, changed or not. */
 const gossipPeriodMilliseconds = 2000;
--- a/src/platform/instances/http-instance-list.ts
+++ b/src/platform/instances/http-instance-list.ts
@@ -13,7 +13,7 @@
 import {InstanceList} from './instance-list.js';
 import type {InstanceSnapshot} from './instance-snapshot.js';
 
-const periodMilliseconds = 1000;
+const periodMilliseconds = 2000;
 const timeoutMilliseconds = 2000;
 
 const instanceSchema = z.object({
@@ -31,7 +31,7 @@
 });
 const listSchema = z.object({instances: z.array(z.unknown())});
 
-/** Reads `URL/instances` every second; one unreadable row doesn't hide the others. */
+/** Reads `URL/instances` every two seconds; one unreadable row doesn't hide the others. */
 export class HttpInstanceList extends InstanceList implements Disposable {
 	readonly #emitter = new Emitter<InstanceSnapshot>();
 	readonly #cancellation = new CancellationSource();
--- a/standins/target/target-server.ts
+++ b/standins/target/target-server.ts
@@ -4,6 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {match, P} from 'ts-pattern';
 import type {z} from 'zod';
 import {behaviourSchema} from './behaviour.js';
 import type {Truth} from './truth.js';
@@ -17,7 +18,8 @@
 /** Listens on a port of the system's choice. */
 export class TargetServer {
 	readonly truth: Truth = {
-		starts: 0, doubleStarts: 0, finished: 0, failed: 0, overSlots: 0, overConnections: 0, refused: 0, stopped: 0, unwanted: 0, usageAsked: 0, peakSlots: 0, peakConnections: 0, busyMilliseconds: 0,
+		starts: 0, doubleStarts: 0, finished: 0, failed: 0, overSlots: 0, overConnections: 0, refused: 0, stopped: 0,
+		stopsAsked: 0, unwanted: 0, usageAsked: 0, peakSlots: 0, peakConnections: 0, busyMilliseconds: 0,
 	};
 
 	readonly #server: Server;
@@ -67,37 +69,30 @@
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = request.url ?? '';
 		const body = await textOf(request);
-		if (request.method === 'POST' && url === '/v1/tasks') {
-			this.#run(request, response, JSON.parse(body) as Payload);
-		} else if (request.method === 'DELETE' && url.startsWith('/v1/tasks/')) {
-			this.#stop(decodeURIComponent(url.slice('/v1/tasks/'.length)), response);
-		} else {
-			switch (url) {
-				case '/v1/usage': {
-					this.truth.usageAsked += 1;
-					reply(response, 200, {running: [...this.#running.keys()], lagMilliseconds: 0});
-
-					break;
-				}
-
-				case '/truth': {
-					reply(response, 200, this.truth);
-
-					break;
-				}
-
-				case '/behaviour': {
-					this.behave(JSON.parse(body) as Partial<Behaviour>);
-					reply(response, 200, {status: 'done'});
-
-					break;
-				}
-
-				default: {
-					reply(response, 404, {failure: 'no such resource'});
-				}
-			}
-		}
+		match({method: request.method, url})
+			.with({method: 'POST', url: '/v1/tasks'}, () => {
+				this.#run(request, response, JSON.parse(body) as Payload);
+			})
+			.with({method: 'DELETE', url: P.string.startsWith('/v1/tasks/')}, () => {
+				this.#stop(decodeURIComponent(url.slice('/v1/tasks/'.length)), response);
+			})
+			.with({url: '/v1/usage'}, () => {
+				this.truth.usageAsked += 1;
+				reply(response, 200, {running: [...this.#running.keys()], lagMilliseconds: 0});
+			})
+			.with({url: '/truth'}, () => {
+				reply(response, 200, this.truth);
+			})
+			.with({url: '/begun'}, () => {
+				reply(response, 200, [...this.begun]);
+			})
+			.with({url: '/behaviour'}, () => {
+				this.behave(JSON.parse(body) as Partial<Behaviour>);
+				reply(response, 200, {status: 'done'});
+			})
+			.otherwise(() => {
+				reply(response, 404, {failure: 'no such resource'});
+			});
 	}
 
 	#run(request: IncomingMessage, response: ServerResponse, payload: Payload): void {
@@ -167,6 +162,7 @@
 	}
 
 	#stop(taskId: string, response: ServerResponse): void {
+		this.truth.stopsAsked += 1;
 		this.#running.get(taskId)?.end(true);
 		reply(response, 200, {status: 'not running'});
 	}
--- a/standins/target/truth.ts
+++ b/standins/target/truth.ts
@@ -14,6 +14,7 @@
 	overConnections: number;
 	refused: number;
 	stopped: number;
+	stopsAsked: number;
 	/** Answers whose connection was gone when they were ready. */
 	unwanted: number;
 	usageAsked: number;
