Jobs with fewer slots so far go first; traffic takes the pings' place

Cause: at 90% load small jobs waited behind jobs of up to 200 tasks (the ideal of one queue in order of arrival does the same), and control frames were 4% of all messages. Change: within a profile, the job that got the fewest slots so far is next; messages carry stamps and echoes, so that pings go out only on quiet links.

--- a/src/features/placement/fair-queue.ts
+++ b/src/features/placement/fair-queue.ts
@@ -1,12 +1,12 @@
 /** The waiting tasks of a zone. */
+import {JobLevels} from './job-levels.js';
 import type {WaitingTicket} from './waiting-ticket.js';
 
-/** Tasks of one profile that the same targets can take; the lane is served in the order of arrival. */
+/** Tasks of one profile that the same targets can take. */
 type Lane = {
 	readonly profile: string;
 	readonly weight: number;
-	readonly tickets: WaitingTicket[];
-	head: number;
+	readonly jobs: JobLevels;
 	/** Work that the lane was given, divided by its weight: the lane with the least is next. */
 	servedTime: number;
 	/** Work that waits, in milliseconds. */
@@ -14,8 +14,6 @@
 	waiting: number;
 };
 
-const compactAfter = 256;
-
 /**
  * Weighted fair queueing over lanes: under load each profile gets slots by its weight, whatever another one sends.
  * A lane that was empty starts level with the busy ones, so that silence saves nothing up.
@@ -34,7 +32,7 @@
 			lane.servedTime = Math.max(lane.servedTime, this.#leastServedTime());
 		}
 
-		lane.tickets.push(ticket);
+		lane.jobs.push(ticket);
 		lane.waiting += 1;
 		lane.backlogMilliseconds += ticket.expectedMilliseconds;
 		this.#waiting += 1;
@@ -52,19 +50,18 @@
 
 	/**
 	 * Takes the next ticket that the visitor accepts. It's asked once for each lane, in the order of fairness: a lane
-	 * whose first task has no target waits without holding up the others.
+	 * whose next task has no target waits without holding up the others.
 	 */
 	takeNext(accepts: (ticket: WaitingTicket) => boolean): WaitingTicket | undefined {
 		const busy = [...this.#lanes.values()].filter(lane => lane.waiting > 0);
 		busy.sort((left, right) => left.servedTime - right.servedTime);
 		for (const lane of busy) {
-			const ticket = headOf(lane);
+			const ticket = lane.jobs.first();
 			if (ticket !== undefined && accepts(ticket)) {
-				lane.head += 1;
+				lane.jobs.takeFirst();
 				ticket.isGone = true;
 				this.#discount(lane, ticket);
 				lane.servedTime += ticket.expectedMilliseconds / lane.weight;
-				compact(lane);
 				return ticket;
 			}
 		}
@@ -105,11 +102,6 @@
 		return own + others;
 	}
 
-	/** All waiting tickets, in no particular order. */
-	all(): readonly WaitingTicket[] {
-		return [...this.#lanes.values()].flatMap(lane => lane.tickets.slice(lane.head).filter(ticket => !ticket.isGone));
-	}
-
 	#discount(lane: Lane, ticket: WaitingTicket): void {
 		lane.waiting -= 1;
 		lane.backlogMilliseconds = lane.waiting === 0 ? 0 : lane.backlogMilliseconds - ticket.expectedMilliseconds;
@@ -125,7 +117,7 @@
 		}
 
 		const lane: Lane = {
-			profile: request.profile, weight: request.weight, tickets: [], head: 0, servedTime: 0, backlogMilliseconds: 0, waiting: 0,
+			profile: request.profile, weight: request.weight, jobs: new JobLevels(), servedTime: 0, backlogMilliseconds: 0, waiting: 0,
 		};
 		this.#lanes.set(key, lane);
 		return lane;
@@ -142,19 +134,3 @@
 		return Number.isFinite(least) ? least : 0;
 	}
 }
-
-function headOf(lane: Lane): WaitingTicket | undefined {
-	while (lane.tickets[lane.head]?.isGone === true) {
-		lane.head += 1;
-	}
-
-	compact(lane);
-	return lane.tickets[lane.head];
-}
-
-function compact(lane: Lane): void {
-	if (lane.head >= compactAfter) {
-		lane.tickets.splice(0, lane.head);
-		lane.head = 0;
-	}
-}
--- a/src/features/placement/tenure.ts
+++ b/src/features/placement/tenure.ts
@@ -16,7 +16,7 @@
 /** The owner calls `tick` this often. */
 const tickMilliseconds = 100;
 /** News are told at once; this only repairs a lost message. */
-const announceMilliseconds = 2000;
+const announceMilliseconds = 5000;
 /** How often peers of other zones are asked for a sign of life when none of the own zone gives one. */
 const witnessMilliseconds = 400;
 /** A holder grants for so long after the sending of a ping, or an announcement, that some peer answered. */
@@ -226,8 +226,9 @@
 	}
 
 	#hearHolder(from: Member, announcement: Extract<TenureMessage, {kind: 'holds'}>): void {
-		this.send(from, {kind: 'heard', stamp: announcement.stamp});
+		// Within a zone pings tell who is there; a holder that asks another zone has nobody else to ask.
 		if (announcement.zone !== this.membership.self.zone) {
+			this.send(from, {kind: 'heard', stamp: announcement.stamp});
 			return;
 		}
 
--- a/src/features/profiles/log-profile-book.ts
+++ b/src/features/profiles/log-profile-book.ts
@@ -28,7 +28,7 @@
 const readWaitMilliseconds = 10_000;
 const failedReadPauseMilliseconds = 500;
 /** How often an entry tells some peers what it has, changed or not. */
-const gossipPeriodMilliseconds = 2000;
+const gossipPeriodMilliseconds = 3000;
 /** Of news each entry tells so many others at once: they reach a fleet in rounds that grow with its logarithm. */
 const newsFanout = 3;
 /** Without news one other is told, in case a message was lost. */
--- a/src/features/submissions/registry-submission-desk.ts
+++ b/src/features/submissions/registry-submission-desk.ts
@@ -24,6 +24,8 @@
 const answerMilliseconds = 300;
 /** After an answer that decides nothing. */
 const pauseMilliseconds = 100;
+/** A home zone of whom nobody gives a sign of life is tried for so long: by then a lost connection was dialled anew. */
+const silentMilliseconds = 2000;
 /** How long a home zone is tried before the caller gets its answer. */
 const askingMilliseconds = 3000;
 /** A claim that waits for another copy's verdict asks again, since the one that knows it waits may be gone. */
@@ -223,7 +225,7 @@
 			open.unanswered.add(open.askedMember);
 		}
 
-		if (!open.isWaiting && (now - open.startedAt > askingMilliseconds || !this.#hasReachable(open))) {
+		if (!open.isWaiting && now - open.startedAt > this.#patienceFor(open)) {
 			this.#doubt(open, 'homeUnreachable', undecided(open));
 			return;
 		}
@@ -231,9 +233,15 @@
 		this.#ask(open);
 	}
 
-	/** False where nobody of the home zone is known, or all have fallen silent: waiting longer wouldn't help the caller. */
-	#hasReachable(open: Open): boolean {
-		return this.parts.membersOf(open.home).some(member => member.id === this.parts.self || !this.parts.isSilent(member.id));
+	/** Where nobody of the home zone is known, or all have fallen silent, waiting longer wouldn't help the caller. */
+	#patienceFor(open: Open): number {
+		const members = this.parts.membersOf(open.home);
+		if (members.length === 0) {
+			return 0;
+		}
+
+		const isReachable = members.some(member => member.id === this.parts.self || !this.parts.isSilent(member.id));
+		return isReachable ? askingMilliseconds : silentMilliseconds;
 	}
 
 	#ask(open: Open): void {
--- a/src/platform/peers/link-listener.ts
+++ b/src/platform/peers/link-listener.ts
@@ -2,13 +2,18 @@
 import type {Member} from './member.js';
 import type {PeerMessage} from './peer-message.js';
 
-/** Called by links and accepted connections; `onHeard` comes with every frame of a proved peer. */
+/** The owner of links and accepted connections, as they see it; `onHeard` comes with every frame of a proved peer. */
 export type LinkListener = {
 	readonly onMet: (member: Member) => void;
 	readonly onHeard: (member: Member) => void;
-	/** The peer answered a ping that was sent at the given monotonic time. */
+	/** The latest time on a peer's own clock that came from it; 0 before the first. */
+	readonly stampOf: (member: Member) => number;
+	/** When a peer was heard of last, and when something was sent that it answered; 0 for never. */
+	readonly heardAt: (member: Member) => number;
+	readonly reachedAt: (member: Member) => number;
+	/** The peer answered something that was sent at the given monotonic time. */
 	readonly onReached: (member: Member, sentAt: number) => void;
-	readonly onMessage: (member: Member, message: PeerMessage) => void;
+	readonly onMessage: (member: Member, message: PeerMessage & {readonly stamp: number; readonly echo: number}) => void;
 	/** The port answered that nobody listens there. */
 	readonly onRefused: (peerAddress: string) => void;
 	/** Someone who doesn't hold the key, or doesn't speak the protocol. */
--- a/src/platform/peers/outgoing-link.ts
+++ b/src/platform/peers/outgoing-link.ts
@@ -14,17 +14,18 @@
 import type {TrafficCounter} from './traffic-counter.js';
 
 /**
- * How often a watched connection is asked for a sign of life; one that's only used is asked when nothing came for so
- * long, since its traffic is a sign of life itself.
+ * A watched peer that answered nothing for so long is asked for a sign of life; one that's only used, when nothing came
+ * from it for so long. Traffic takes the place of pings.
  */
-const pingPeriodMilliseconds = 700;
+const pingPeriodMilliseconds = 600;
+const checkPeriodMilliseconds = 200;
 /**
  * A connection without a sign of life for so long is given up and dialled anew: a network that lost track of it lets
  * a new one through. Whoever waits for an answer sends again on the new one.
  */
 const silenceLimitMilliseconds = 1600;
 /** A connection that nobody watches is pinged for so long after its last use. */
-const useMilliseconds = 10_000;
+const useMilliseconds = 1000;
 const redialMilliseconds = 250;
 const connectLimitMilliseconds = 1000;
 /** Messages that wait for the connection; older ones are dropped, since their senders send again. */
@@ -50,6 +51,7 @@
 	#nonce = '';
 	#queue: QueuedMessage[] = [];
 	#heardAt = 0;
+	#pingedAt = 0;
 	#usedAt: number;
 	#isDisposed = false;
 	#redial: Disposable | undefined;
@@ -58,7 +60,7 @@
 	constructor(private readonly parts: OutgoingLinkParts, public isWatched: boolean) {
 		const {clock} = parts;
 		this.#usedAt = clock.now();
-		this.#pings = repeat(clock, pingPeriodMilliseconds, () => {
+		this.#pings = repeat(clock, checkPeriodMilliseconds, () => {
 			this.#check();
 		});
 		this.#dial();
@@ -92,6 +94,12 @@
 		return this.isWatched || this.parts.clock.now() - this.#usedAt < useMilliseconds;
 	}
 
+	#isQuiet(peer: Member): boolean {
+		const now = this.parts.clock.now();
+		const aliveAt = this.isWatched ? this.parts.listener.reachedAt(peer) : this.parts.listener.heardAt(peer);
+		return now - aliveAt >= pingPeriodMilliseconds;
+	}
+
 	#dial(): void {
 		this.#redial = undefined;
 		if (this.#isDisposed) {
@@ -156,7 +164,8 @@
 	/** A message to an earlier life is dropped: the present one doesn't know what the earlier one was told. */
 	#deliver(entry: QueuedMessage): void {
 		if (entry.to === this.#peer?.id) {
-			this.#socket?.send({kind: 'message', ...entry.message});
+			const stamp = Math.floor(this.parts.clock.now());
+			this.#socket?.send({kind: 'message', ...entry.message, stamp, echo: this.parts.listener.stampOf(this.#peer)});
 		}
 	}
 
@@ -187,14 +196,15 @@
 			return;
 		}
 
-		if (this.parts.clock.now() - this.#heardAt > silenceLimitMilliseconds) {
+		const aliveAt = this.#peer === undefined ? this.#heardAt : Math.max(this.#heardAt, this.parts.listener.reachedAt(this.#peer));
+		if (this.parts.clock.now() - aliveAt > silenceLimitMilliseconds && this.#pingedAt > aliveAt) {
 			this.#socket.dispose();
 			return;
 		}
 
-		const isQuiet = this.parts.clock.now() - this.#heardAt >= pingPeriodMilliseconds;
-		if (this.#peer !== undefined && (this.isWatched || (this.#isWanted && isQuiet))) {
-			this.#socket.send({kind: 'ping', stamp: this.parts.clock.now()});
+		if (this.#peer !== undefined && this.#isWanted && this.#isQuiet(this.#peer)) {
+			this.#pingedAt = this.parts.clock.now();
+			this.#socket.send({kind: 'ping', stamp: this.#pingedAt});
 		}
 	}
 }
--- a/src/platform/peers/peer-frame.ts
+++ b/src/platform/peers/peer-frame.ts
@@ -23,7 +23,14 @@
 		kind: z.literal('welcome'), version: z.literal(1), nonce: z.string().max(64), proof: z.string().max(128), member: memberSchema,
 	}),
 	z.object({kind: z.literal('proof'), proof: z.string().max(128)}),
-	z.object({kind: z.literal('message'), channel: z.string().max(64), body: z.unknown()}),
+	z.object({
+		kind: z.literal('message'),
+		channel: z.string().max(64),
+		body: z.unknown(),
+		/** The sender's own time, and the latest such time that it had from the receiver: traffic takes the pings' place. */
+		stamp: z.number(),
+		echo: z.number(),
+	}),
 	/** The stamp is the pinging side's own, and comes back unread. */
 	z.object({kind: z.literal('ping'), stamp: z.number()}),
 	z.object({kind: z.literal('pong'), stamp: z.number()}),
--- a/src/platform/peers/peer-network.ts
+++ b/src/platform/peers/peer-network.ts
@@ -38,7 +38,7 @@
 	/** Monotonic time of the last sign of life from a member; none if it never gave one. */
 	abstract lastHeard(member: MemberId): number | undefined;
 
-	/** When the latest ping was sent that a member answered: it heard of this entry then, or later. Monotonic. */
+	/** When something was sent last that a member answered: it heard of this entry then, or later. Monotonic. */
 	abstract lastReached(member: MemberId): number | undefined;
 
 	/** Takes a new life: peers see the present one as gone. */
--- a/src/platform/peers/tcp-peer-network.ts
+++ b/src/platform/peers/tcp-peer-network.ts
@@ -36,6 +36,7 @@
 	readonly #links = new Map<string, OutgoingLink>();
 	readonly #lives = new Map<string, Member>();
 	readonly #heard = new Map<MemberId, number>();
+	readonly #stamps = new Map<MemberId, number>();
 	readonly #reached = new Map<MemberId, number>();
 	readonly #receive = new Emitter<ReceivedMessage>();
 	readonly #meet = new Emitter<Member>();
@@ -188,9 +189,14 @@
 				this.#heard.set(member.id, this.clock.now());
 			},
 			onReached: (member, sentAt) => {
-				this.#reached.set(member.id, sentAt);
+				this.#reached.set(member.id, Math.max(sentAt, this.#reached.get(member.id) ?? 0));
 			},
+			stampOf: member => this.#stamps.get(member.id) ?? 0,
+			heardAt: member => this.#heard.get(member.id) ?? 0,
+			reachedAt: member => this.#reached.get(member.id) ?? 0,
 			onMessage: (from, message) => {
+				this.#stamps.set(from.id, message.stamp);
+				this.#reached.set(from.id, Math.max(message.echo, this.#reached.get(from.id) ?? 0));
 				this.#receive.fire({from, message});
 			},
 			onRefused: address => {
@@ -243,5 +249,6 @@
 		this.#proveDead.fire(member.id);
 		this.#heard.delete(member.id);
 		this.#reached.delete(member.id);
+		this.#stamps.delete(member.id);
 	}
 }
