--- a/bench/bench-result.ts
+++ b/bench/bench-result.ts
@@ -44,6 +44,7 @@
 	readonly doubts: Readonly<Record<string, number>>;
 	/** The longest time that a refused caller waited for its refusal. */
 	readonly slowestRefusal: number;
+	readonly elapsedSeconds: number;
 	/** Mean processor share and memory of an entry. */
 	readonly entryCpuShare: number;
 	readonly entryMegabytes: number;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,10 @@
 import './cases/load-cases.js';
 import './cases/target-cases.js';
 import {benchCases} from './bench-cases.js';
+import type {BenchOptions} from './bench-options.js';
+import type {BenchResult} from './bench-result.js';
+import {checkBounds} from './check-bounds.js';
+import {registryCost} from './registry-cost.js';
 import {runCase} from './run-case.js';
 
 const options = yargs(hideBin(process.argv))
@@ -22,12 +26,14 @@
 	.option('entries', {type: 'number', default: 2, describe: 'entries of a zone'})
 	.option('targets', {type: 'number', default: 8, describe: 'targets of a zone'})
 	.option('tasks-per-job', {type: 'number', default: 200, describe: 'the most tasks of a job'})
+	.option('check', {type: 'boolean', default: false, describe: 'run the short set against bench/bounds.json; exit code 1 where a bound is broken'})
+	.option('registry-cost', {type: 'boolean', default: false, describe: 'compare steady without and with the registry'})
 	.option('json', {type: 'boolean', default: false, describe: 'end with one line of JSON'})
 	.strict()
 	.parseSync();
 
 const benchCase = benchCases.named(options.case)!;
-const result = await runCase(benchCase, {
+const benchOptions: BenchOptions = {
 	policy: options.policy,
 	load: options.load ?? benchCase.load,
 	seed: options.seed,
@@ -37,13 +43,29 @@
 	entriesPerZone: options.entries,
 	targetsPerZone: options.targets,
 	tasksPerJob: options.tasksPerJob,
-});
-if (options.json) {
-	process.stdout.write(`${JSON.stringify(result)}\n`);
+};
+if (options.check) {
+	const isGood = await checkBounds(benchOptions, print);
+	process.exit(isGood ? 0 : 1);
+} else if (options.registryCost) {
+	await registryCost(benchOptions, print);
 } else {
+	show(await runCase(benchCase, benchOptions));
+}
+
+process.exit(0);
+
+function show(result: BenchResult): void {
+	if (options.json) {
+		print(JSON.stringify(result));
+		return;
+	}
+
 	for (const [name, value] of Object.entries(result)) {
-		process.stdout.write(`${name.padEnd(20)}${typeof value === 'object' ? JSON.stringify(value) : value}\n`);
+		print(`${name.padEnd(20)}${typeof value === 'object' ? JSON.stringify(value) : value}`);
 	}
 }
 
-process.exit(0);
+function print(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
--- a/bench/measure-run.ts
+++ b/bench/measure-run.ts
@@ -81,6 +81,7 @@
 		profileP99: profileP99(jobs, done, longest),
 		responseP50: rounded(quantile(done.map(({outcome}) => outcome.milliseconds), 0.5)),
 		responseP99: rounded(quantile(done.map(({outcome}) => outcome.milliseconds), 0.99)),
+		elapsedSeconds: rounded(run.elapsedMilliseconds / 1000),
 		doubts: doubtsOf(all),
 		slowestRefusal: rounded(Math.max(0, ...all.filter(outcome => outcome.verdict === 'notRun' && outcome.copies === 1).map(outcome => outcome.milliseconds))),
 	};
--- a/src/entries/daemon/wiring.ts
+++ b/src/entries/daemon/wiring.ts
@@ -5,6 +5,7 @@
 import '../../features/placement/placement.contribution.js';
 import '../../features/profiles/profiles.contribution.js';
 import '../../features/submissions/submissions.contribution.js';
+import {readFileSync} from 'node:fs';
 import type {Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {hashText} from '../../base/hash-text.js';
@@ -20,7 +21,10 @@
 import {ServiceContainer} from '../../platform/kernel/service-container.js';
 import {SilentMetrics} from '../../platform/metrics/silent-metrics.js';
 import {StatsdMetrics} from '../../platform/metrics/statsd-metrics.js';
+import type {PeerTransport} from '../../platform/peers/peer-transport.js';
 import {TcpPeerNetwork} from '../../platform/peers/tcp-peer-network.js';
+import {TcpTransport} from '../../platform/peers/tcp-transport.js';
+import {TlsTransport} from '../../platform/peers/tls-transport.js';
 import {platformKeys} from '../../platform/platform-keys.js';
 import type {Settings} from '../../platform/settings/settings.js';
 import {HttpStreamSource} from '../../platform/stream/http-stream-source.js';
@@ -38,7 +42,7 @@
 	const {entry, platform, peers, limits} = settings;
 
 	const network = store.add(new TcpPeerNetwork({
-		instance: entry.instance, zone: entry.zone, address: entry.address, port: entry.peerPort, key: peers.key, advertised: entry.advertisedPeerAddress,
+		instance: entry.instance, zone: entry.zone, address: entry.address, port: entry.peerPort, key: peers.key, transport: transportOf(settings), advertised: entry.advertisedPeerAddress,
 	}, clock, journal));
 	await network.listen();
 	const list = store.add(new HttpInstanceList(platform.instanceListUrl, clock, journal));
@@ -65,6 +69,19 @@
 	};
 }
 
+function transportOf({peers}: Settings): PeerTransport {
+	const {certificateFile, privateKeyFile, authorityFile} = peers;
+	if (certificateFile === undefined || privateKeyFile === undefined || authorityFile === undefined) {
+		return new TcpTransport();
+	}
+
+	return new TlsTransport({
+		certificate: readFileSync(certificateFile, 'utf8'),
+		privateKey: readFileSync(privateKeyFile, 'utf8'),
+		authority: readFileSync(authorityFile, 'utf8'),
+	});
+}
+
 function metricsOf(settings: Settings, store: DisposableStore) {
 	const {statsdHost, statsdPort} = settings.platform;
 	return statsdHost === undefined ? new SilentMetrics() : store.add(new StatsdMetrics(statsdHost, statsdPort, settings.entry.zone));
--- a/src/features/placement/admission.ts
+++ b/src/features/placement/admission.ts
@@ -8,7 +8,7 @@
 import {TokenBucket} from './token-bucket.js';
 
 /** Of the tasks of a job, so many in total may be expected to run longer than what the estimate reckons with. */
-const lateTasksOfJob = 0.05;
+const lateTasksOfJob = 0.01;
 /** The queue isn't served strictly in the order of arrival, and what's learned lags: waits turn out this much longer. */
 const waitMargin = 1.25;
 const longestRetryAfterMilliseconds = 10_000;
--- a/src/features/placement/arbiter.ts
+++ b/src/features/placement/arbiter.ts
@@ -32,7 +32,7 @@
 
 type Want = Extract<PlacementRequest, {kind: 'want'}>;
 type Inventory = Extract<PlacementRequest, {kind: 'inventory'}>;
-type Requester = {stamp: number; heardAt: number; mismatches: number};
+type Requester = {stamp: number; heardAt: number; mismatches: number; isAsleep: boolean};
 
 /** Sends a reply to a requester, which may be this entry itself. */
 type Outbox = (to: MemberId, reply: PlacementReply) => void;
@@ -169,11 +169,7 @@
 	/** A requester is gone for good: what it waits for is dropped, what it held stays taken until it has surely ended. */
 	forget(requester: MemberId): void {
 		this.#requesters.delete(requester);
-		for (const ticket of this.#waiting.values()) {
-			if (ticket.requester === requester) {
-				this.#drop(ticket);
-			}
-		}
+		this.#dropAll(requester);
 
 		this.#ledger.orphan(requester);
 		this.#place();
@@ -190,6 +186,7 @@
 			}
 		}
 
+		this.#setAsideSilent(now);
 		for (const ticket of this.#waiting.values()) {
 			if (now >= ticket.deadlineAt) {
 				this.#refuseLate(ticket);
@@ -200,10 +197,37 @@
 	}
 
 	#heard(from: MemberId, stamp: number): void {
-		const requester = this.#requesters.get(from) ?? {stamp, heardAt: 0, mismatches: 0};
+		const requester = this.#requesters.get(from) ?? {
+			stamp, heardAt: 0, mismatches: 0, isAsleep: false,
+		};
 		this.#requesters.set(from, requester);
 		requester.stamp = Math.max(requester.stamp, stamp);
 		requester.heardAt = this.parts.clock.now();
+		if (requester.isAsleep) {
+			requester.isAsleep = false;
+			this.parts.outbox(from, {kind: 'recount', zone: this.parts.zone});
+		}
+	}
+
+	/**
+	 * The wishes of a requester that fell silent would stand before those of others and get nothing. They are dropped, and
+	 * asked for again when it's heard: the requester keeps them.
+	 */
+	#setAsideSilent(now: number): void {
+		for (const [member, requester] of this.#requesters) {
+			if (!requester.isAsleep && now - requester.heardAt >= requesterSilenceMilliseconds) {
+				requester.isAsleep = true;
+				this.#dropAll(member);
+			}
+		}
+	}
+
+	#dropAll(requester: MemberId): void {
+		for (const ticket of this.#waiting.values()) {
+			if (ticket.requester === requester) {
+				this.#drop(ticket);
+			}
+		}
 	}
 
 	#want(from: MemberId, want: Want): void {
--- a/src/features/placement/job-levels.ts
+++ b/src/features/placement/job-levels.ts
@@ -12,12 +12,12 @@
 };
 
 /** A job that has waited for this share of its time goes first, whatever it got already. */
-const urgentShare = 0.7;
+const urgentShare = 0.5;
 
 /**
  * The job that has got the fewest slots so far is next, among equals the one that came first. A job of one task doesn't
  * wait behind two hundred tasks of another; the large job hardly notices the few small ones that pass it. A job that has
- * used up most of its time goes before all others, so that under overload what was begun is finished.
+ * used up half of its time goes before all others, so that under overload what was begun is finished.
  */
 export class JobLevels {
 	/** Jobs by the number of slots that they got. */
--- a/src/features/placement/target-health.ts
+++ b/src/features/placement/target-health.ts
@@ -38,7 +38,7 @@
 	slowness: number;
 	samples: number;
 	/** Moving failure share of each profile on this target. */
-	readonly failureShares: Map<ProfileName, number>;
+	readonly failureShares: Map<ProfileName, {share: number; samples: number}>;
 };
 
 /**
@@ -88,8 +88,7 @@
 	report({target, profile, outcome, runMilliseconds, expectedMilliseconds}: TaskEnd, now: number): void {
 		const state = this.#stateOf(target);
 		const isGood = outcome === 'result';
-		const share = state.failureShares.get(profile) ?? 0;
-		state.failureShares.set(profile, share + (smoothing * ((isGood ? 0 : 1) - share)));
+		noteOutcome(state, profile, isGood);
 		if (isGood) {
 			this.#good(target, state, runMilliseconds / Math.max(1, expectedMilliseconds));
 			return;
@@ -138,9 +137,9 @@
 	#failsElsewhere(target: InstanceId, profile: ProfileName): boolean {
 		const shares: number[] = [];
 		for (const [id, state] of this.#states) {
-			const share = state.failureShares.get(profile);
-			if (id !== target && share !== undefined && !state.isOut) {
-				shares.push(share);
+			const known = state.failureShares.get(profile);
+			if (id !== target && known !== undefined && !state.isOut) {
+				shares.push(known.share);
 			}
 		}
 
@@ -161,3 +160,12 @@
 		return state;
 	}
 }
+
+/** The first samples weigh more: a profile that fails everywhere is known for it after a task on each target. */
+function noteOutcome(state: State, profile: ProfileName, isGood: boolean): void {
+	const known = state.failureShares.get(profile) ?? {share: 0, samples: 0};
+	state.failureShares.set(profile, known);
+	const weight = Math.max(smoothing, 1 / (known.samples + 1));
+	known.samples += 1;
+	known.share += weight * ((isGood ? 0 : 1) - known.share);
+}
--- a/src/features/profiles/configuration-ledger.ts
+++ b/src/features/profiles/configuration-ledger.ts
@@ -26,6 +26,7 @@
 export class ConfigurationLedger {
 	#configuration = emptyConfiguration;
 	#isLoaded = false;
+	#latestSnapshot: StreamOffset | undefined;
 	#tail: StreamRecord[] = [];
 	#tailDigest = '';
 	#gap: StreamRecord[] = [];
@@ -39,6 +40,11 @@
 		return this.#isLoaded;
 	}
 
+	/** The offset of the latest snapshot that was folded or loaded. */
+	get latestSnapshot(): StreamOffset | undefined {
+		return this.#latestSnapshot;
+	}
+
 	/** Where to read from: the last folded record is read again, since a changed one tells of a replaced log. */
 	get readFrom(): StreamOffset {
 		const last = this.#gap.at(-1);
@@ -142,6 +148,7 @@
 	#fold(record: StreamRecord): Folded {
 		const folded = foldRecord(this.#configuration, record);
 		this.#configuration = folded.configuration;
+		this.#latestSnapshot = folded.isSnapshot === true ? record.offset : this.#latestSnapshot;
 		this.#tail.push(record);
 		if (this.#tail.length > tailRecords) {
 			const dropped = this.#tail.shift()!;
--- a/src/features/profiles/fold-record.ts
+++ b/src/features/profiles/fold-record.ts
@@ -37,7 +37,7 @@
 
 	// A reader that folds record by record knows all that a snapshot could tell it.
 	if (checked.data.kind === 'snapshot') {
-		return {configuration: passed};
+		return {configuration: passed, isSnapshot: true};
 	}
 
 	return foldChange(passed, checked.data, record.offset);
--- a/src/features/profiles/folded.ts
+++ b/src/features/profiles/folded.ts
@@ -8,4 +8,5 @@
 	readonly configuration: Configuration;
 	readonly outcome?: ChangeOutcome;
 	readonly skipped?: SkippedRecord;
+	readonly isSnapshot?: boolean;
 };
--- a/src/features/profiles/log-profile-book.ts
+++ b/src/features/profiles/log-profile-book.ts
@@ -70,6 +70,11 @@
 		return this.#advance.event;
 	}
 
+	/** See the ledger. */
+	get latestSnapshot(): number | undefined {
+		return this.#ledger.latestSnapshot;
+	}
+
 	/** What is wrong with the log at present, for the status. */
 	get problem(): string | undefined {
 		return this.#problem;
--- a/src/features/profiles/profiles.contribution.ts
+++ b/src/features/profiles/profiles.contribution.ts
@@ -6,6 +6,7 @@
 import {platformKeys} from '../../platform/platform-keys.js';
 import {membershipKey} from '../membership/membership-key.js';
 import {LogProfileBook} from './log-profile-book.js';
+import {SnapshotKeeper} from './snapshot-keeper.js';
 import {profileBookKey} from './profile-book-key.js';
 
 const streamName = 'configuration';
@@ -24,6 +25,15 @@
 			journal: services.get(platformKeys.journal),
 		}));
 		services.provide(profileBookKey, book);
+		const keeper = store.add(new SnapshotKeeper({
+			book,
+			stream: services.get(platformKeys.streams).open(streamName),
+			clock: services.get(platformKeys.clock),
+			random: services.get(platformKeys.random),
+			journal: services.get(platformKeys.journal),
+			latestSnapshot: () => book.latestSnapshot,
+		}));
+		keeper.start();
 		book.start();
 	}
 }());
--- a/src/platform/peers/outgoing-link.ts
+++ b/src/platform/peers/outgoing-link.ts
@@ -1,5 +1,4 @@
 /** The dialing end of a peer connection. */
-import {connect} from 'node:net';
 import type {z} from 'zod';
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
@@ -11,6 +10,7 @@
 import type {Member} from './member.js';
 import type {peerFrameSchema} from './peer-frame.js';
 import type {PeerMessage} from './peer-message.js';
+import type {PeerTransport} from './peer-transport.js';
 import type {TrafficCounter} from './traffic-counter.js';
 
 /**
@@ -42,6 +42,7 @@
 	readonly clock: Clock;
 	readonly counter: TrafficCounter;
 	readonly listener: LinkListener;
+	readonly transport: PeerTransport;
 };
 
 /** Owns the connection to one peer address, and keeps it alive while it's watched or used. */
@@ -106,7 +107,13 @@
 		}
 
 		const [host = '', port = ''] = this.parts.peerAddress.split(':');
-		const socket = connect({host, port: Number(port), timeout: connectLimitMilliseconds});
+		const socket = this.parts.transport.dial(host, Number(port), () => {
+			socket.setTimeout(0);
+			frames.send({
+				kind: 'hello', version: 1, nonce: this.#nonce, member: this.parts.self,
+			});
+		});
+		socket.setTimeout(connectLimitMilliseconds);
 		this.#heardAt = this.parts.clock.now();
 		this.#nonce = handshake.nonce();
 		const frames = new FrameSocket(socket, this.parts.counter, frame => {
@@ -115,12 +122,6 @@
 			this.#closed(frames, reason);
 		});
 		this.#socket = frames;
-		socket.on('connect', () => {
-			socket.setTimeout(0);
-			frames.send({
-				kind: 'hello', version: 1, nonce: this.#nonce, member: this.parts.self,
-			});
-		});
 		socket.on('timeout', () => {
 			frames.dispose();
 		});
--- a/src/platform/peers/tcp-peer-network.ts
+++ b/src/platform/peers/tcp-peer-network.ts
@@ -1,5 +1,5 @@
 /** The peer network over TCP. */
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
@@ -14,6 +14,7 @@
 import type {PeerMessage} from './peer-message.js';
 import {PeerNetwork} from './peer-network.js';
 import type {PeerTraffic} from './peer-traffic.js';
+import type {PeerTransport} from './peer-transport.js';
 import type {ReceivedMessage} from './received-message.js';
 import {TrafficCounter} from './traffic-counter.js';
 
@@ -24,6 +25,7 @@
 	readonly address: string;
 	readonly port: number;
 	readonly key: string;
+	readonly transport: PeerTransport;
 	/** Where peers reach this entry, if not at its own address. */
 	readonly advertised?: string;
 };
@@ -53,7 +55,7 @@
 		super();
 		this.#self = this.#newLife(identity.port);
 		this.#listener = this.#createListener();
-		this.#server = createServer(socket => {
+		this.#server = identity.transport.createServer(socket => {
 			const connection = new AcceptedConnection({
 				...this.#linkParts(),
 				socket,
@@ -190,7 +192,7 @@
 
 	#linkParts() {
 		return {
-			self: this.#self, key: this.identity.key, clock: this.clock, counter: this.#counter, listener: this.#listener,
+			self: this.#self, key: this.identity.key, clock: this.clock, counter: this.#counter, listener: this.#listener, transport: this.identity.transport,
 		};
 	}
 
--- a/src/platform/settings/entry-settings.ts
+++ b/src/platform/settings/entry-settings.ts
@@ -31,6 +31,12 @@
 	peers: z.strictObject({
 		/** Shared secret of all entries of an installation. */
 		key: z.string().min(16).max(256),
+		/** PEM files; with all three, entries talk over TLS and show each other certificates of the authority. */
+		certificateFile: z.string().optional(),
+		privateKeyFile: z.string().optional(),
+		authorityFile: z.string().optional(),
+	}).refine(({certificateFile, privateKeyFile, authorityFile}) => [certificateFile, privateKeyFile, authorityFile].filter(file => file !== undefined).length % 3 === 0, {
+		error: 'certificateFile, privateKeyFile and authorityFile come together or not at all',
 	}),
 	limits: z.strictObject({
 		bodyBytes: z.int().min(1024).max(67_108_864).default(1_048_576),
--- /dev/null
+++ b/test/features/placement/target-health.test.ts
@@ -0,0 +1,81 @@
+/** Bad targets are found, and come back. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {InstanceId} from '../../../src/base/instance-id.js';
+import type {ProfileName} from '../../../src/base/profile-name.js';
+import {TargetHealth} from '../../../src/features/placement/target-health.js';
+import {RecordingJournal} from '../../support/recording-journal.js';
+
+const ids = ['target-1', 'target-2', 'target-3', 'target-4'] as InstanceId[];
+
+function healthOf() {
+	const journal = new RecordingJournal();
+	const health = new TargetHealth(journal);
+	health.retain(new Set(ids));
+	const report = (target: InstanceId, outcome: 'result' | 'failure' | 'lost', times = 1, runMilliseconds = 100, now = 0) => {
+		for (let index = 0; index < times; index++) {
+			health.report({
+				target, profile: 'flight-desk' as ProfileName, outcome, runMilliseconds, expectedMilliseconds: 100,
+			}, now);
+		}
+	};
+
+	return {health, journal, report};
+}
+
+test('a target that fails every task is out after three, and back over one probe', () => {
+	// A worker whose disk is full fails every task in a millisecond; always free, it would draw all the load.
+	const {health, report} = healthOf();
+	report(ids[1]!, 'result', 5);
+	report(ids[0]!, 'failure', 3);
+	assert.equal(health.condition(ids[0]!, 100), 'out');
+	assert.equal(health.condition(ids[0]!, 2000), 'probe');
+	health.beginProbe(ids[0]!);
+	assert.equal(health.condition(ids[0]!, 2000), 'out');
+	report(ids[0]!, 'result', 1, 100, 2100);
+	assert.equal(health.condition(ids[0]!, 2100), 'fit');
+});
+
+test('a failed probe doubles the time outside', () => {
+	const {health, report} = healthOf();
+	report(ids[0]!, 'lost', 3);
+	health.beginProbe(ids[0]!);
+	report(ids[0]!, 'lost', 1, 100, 2000);
+	assert.deepEqual([health.condition(ids[0]!, 5900), health.condition(ids[0]!, 6000)], ['out', 'probe']);
+});
+
+test('a probe that ended without telling anything can be made again', () => {
+	const {health, report} = healthOf();
+	report(ids[0]!, 'lost', 3);
+	health.beginProbe(ids[0]!);
+	health.cancelProbe(ids[0]!);
+	assert.equal(health.condition(ids[0]!, 2000), 'probe');
+});
+
+test('no more than half of a zone is out', () => {
+	const {health, journal, report} = healthOf();
+	for (const id of ids) {
+		report(id, 'lost', 3);
+	}
+
+	assert.deepEqual(ids.map(id => health.condition(id, 100)), ['out', 'out', 'fit', 'fit']);
+	assert.equal(journal.named('ejectionCapped').length, 2);
+});
+
+test('a profile whose tasks fail everywhere doesn\'t cost a target its place', () => {
+	// A release of the callers sends requests that every target rejects.
+	const {health, report} = healthOf();
+	for (let round = 0; round < 10; round++) {
+		for (const id of ids) {
+			report(id, 'failure');
+		}
+	}
+
+	assert.ok(ids.filter(id => health.condition(id, 100) === 'out').length <= 1);
+});
+
+test('a straggler is slow, not out', () => {
+	const {health, report} = healthOf();
+	report(ids[0]!, 'result', 20, 500);
+	assert.equal(health.condition(ids[0]!, 100), 'slow');
+});
