A refusal by the arbiter is told as not run

The arbiter's reply was spread into the verdict, and its own kind 'refused' replaced 'notRun', so that every refusal by an arbiter looked like a failed task. The fakes in the jobs' tests refuse without that tag, and the compiler doesn't mind a spread. Change: the desk hands on the reason alone; the verdict's kind stands last.

--- a/src/features/jobs/running-job.ts
+++ b/src/features/jobs/running-job.ts
@@ -196,7 +196,7 @@
 		}
 
 		if (this.#tasks.some(other => other.hasStarted)) {
-			this.#ended(task, {kind: 'notRun', ...refusal});
+			this.#ended(task, {...refusal, kind: 'notRun'});
 			return;
 		}
 
@@ -214,7 +214,7 @@
 		this.tools.zones.noteRefusal(this.#zone);
 		const next = zoneCauses.has(refusal.cause) ? this.tools.zones.next(this.#triedZones) : undefined;
 		if (next === undefined) {
-			this.#ended(task, {kind: 'notRun', ...refusal});
+			this.#ended(task, {...refusal, kind: 'notRun'});
 			return;
 		}
 
--- a/src/features/placement/network-slot-desk.ts
+++ b/src/features/placement/network-slot-desk.ts
@@ -10,6 +10,7 @@
 import type {Loss} from '../membership/loss.js';
 import type {Membership} from '../membership/membership.js';
 import type {Holder} from './holder.js';
+import type {JobRefusal} from './job-refusal.js';
 import type {PlacementReply} from './placement-reply.js';
 import type {PlacementRequest} from './placement-request.js';
 import {SlotDesk} from './slot-desk.js';
@@ -176,9 +177,9 @@
 					this.#granted(from, echo, grant.ticket, grant.target);
 				}
 			})
-			.with({kind: 'refused'}, ({tickets, ...refusal}) => {
+			.with({kind: 'refused'}, ({tickets, cause, detail, retryAfterMilliseconds}) => {
 				for (const ticket of tickets) {
-					this.#refused(ticket, refusal);
+					this.#refused(ticket, {cause, detail, retryAfterMilliseconds});
 				}
 			})
 			.with({kind: 'recount'}, ({zone}) => {
@@ -217,7 +218,7 @@
 		wish.listener.onDidGrant({ticket, target});
 	}
 
-	#refused(ticket: TicketId, refusal: Omit<Extract<PlacementReply, {kind: 'refused'}>, 'kind' | 'tickets'>): void {
+	#refused(ticket: TicketId, refusal: JobRefusal): void {
 		const state = this.#zoneOf.get(ticket);
 		const wish = state?.wishes.get(ticket);
 		if (state === undefined || wish === undefined) {
@@ -263,7 +264,7 @@
 		}
 	}
 
-	#giveUp(state: ZoneState, ticket: TicketId, refusal: Omit<Extract<PlacementReply, {kind: 'refused'}>, 'kind' | 'tickets'>): void {
+	#giveUp(state: ZoneState, ticket: TicketId, refusal: JobRefusal): void {
 		this.#tell(state, {kind: 'withdraw', tickets: [ticket]});
 		this.#refused(ticket, refusal);
 	}
--- a/test/features/placement/network-slot-desk.test.ts
+++ b/test/features/placement/network-slot-desk.test.ts
@@ -28,12 +28,14 @@
 		},
 	});
 	const heard: string[] = [];
+	const refusals: unknown[] = [];
 	const listener = {
 		onDidGrant(slot: {readonly ticket: TicketId}) {
 			heard.push(`granted ${slot.ticket}`);
 		},
 		onDidRefuse(ticket: TicketId, refusal: {readonly cause: string}) {
 			heard.push(`refused ${ticket} ${refusal.cause}`);
+			refusals.push(refusal);
 		},
 	};
 	const want = () => {
@@ -45,7 +47,7 @@
 	};
 
 	return {
-		clock, desk, sent, heard, want, grant,
+		clock, desk, sent, heard, refusals, want, grant,
 	};
 }
 
@@ -81,6 +83,18 @@
 	assert.ok(last.kind === 'want' && last.isAdmitted);
 });
 
+test('a refusal reaches the job as a reason and nothing else', () => {
+	// An entry without targets refuses a job. The reply's own tag came along with the reason and replaced the verdict's:
+	// the caller read that a task had failed, although nothing had run.
+	const {desk, refusals, want} = deskOf();
+	desk.setArbiter(zone, {member: arbiter, epoch: 1});
+	want();
+	desk.receive(arbiter, {
+		kind: 'refused', tickets: ['a/0:0' as TicketId], cause: 'noTarget', detail: 'none', retryAfterMilliseconds: 1000,
+	});
+	assert.deepEqual(refusals, [{cause: 'noTarget', detail: 'none', retryAfterMilliseconds: 1000}]);
+});
+
 test('a grant for a withdrawn task goes straight back', () => {
 	const {clock, desk, sent, heard, want, grant} = deskOf();
 	desk.setArbiter(zone, {member: arbiter, epoch: 1});
