Newcomers dial until they are answered; run times without walking histograms

A profile of an arbiter under load put 15% of its time down to the histogram's mean. Change: an address that never answered is dialled until it answers or refuses; the mean is kept running, quantiles are worked out every 50 samples. The command has history and diff.

--- a/src/entries/command/main.ts
+++ b/src/entries/command/main.ts
@@ -9,6 +9,7 @@
 import {HttpLogStream} from '../../platform/stream/http-log-stream.js';
 import {version} from '../version.js';
 import type {ChangeResult} from './change-result.js';
+import {describeHistory} from './describe-history.js';
 import {describeResult} from './describe-result.js';
 import {exitCode} from './exit-code.js';
 import {FleetView} from './fleet-view.js';
@@ -62,6 +63,18 @@
 
 		print(JSON.stringify(found, undefined, options.json ? 0 : 2));
 	})
+	.command('history <name>', 'list the changes of a profile, and what became of them', command => command.positional('name', {type: 'string', demandOption: true}), async options => {
+		for (const entry of await commandsOf(options).history(options.name)) {
+			print(options.json ? JSON.stringify(entry) : describeHistory(entry));
+		}
+	})
+	.command('diff <name> <left> <right>', 'show what differs between two revisions of a profile', command => command
+		.positional('name', {type: 'string', demandOption: true})
+		.positional('left', {type: 'number', demandOption: true})
+		.positional('right', {type: 'number', demandOption: true}), async options => {
+		const lines = await commandsOf(options).differenceBetween(options.name, options.left, options.right);
+		print(lines.length === 0 ? 'no difference' : lines.join('\n'));
+	})
 	.command('submit [file]', 'submit jobs, one JSON object a line, from a file or standard input', command => command
 		.positional('file', {type: 'string', describe: 'file of JSON lines, - or nothing for standard input'})
 		.option('entry', {type: 'string', demandOption: true, describe: 'URL of an entry or of the balancer'}), async options => {
--- a/src/entries/command/operator-commands.ts
+++ b/src/entries/command/operator-commands.ts
@@ -9,9 +9,11 @@
 import {appendChange} from './append-change.js';
 import type {ChangeResult} from './change-result.js';
 import {findOutcome} from './find-outcome.js';
+import type {HistoryEntry} from './history-entry.js';
 import type {OperatorContext} from './operator-context.js';
 import {profileDifference} from './profile-difference.js';
 import {readConfiguration} from './read-configuration.js';
+import {readHistory} from './read-history.js';
 import {settleOutcome} from './settle-outcome.js';
 
 type Change = Exclude<ConfigurationRecord, {kind: 'snapshot'}>;
@@ -58,6 +60,26 @@
 		return [...ledger.configuration.profiles.values()];
 	}
 
+	/** The changes of a profile that the log still holds, and what became of them. */
+	async history(name: string): Promise<readonly HistoryEntry[]> {
+		return readHistory(this.context.stream, name);
+	}
+
+	/** What differs between two revisions of a profile that the log still holds. */
+	async differenceBetween(name: string, left: number, right: number): Promise<readonly string[]> {
+		const history = await readHistory(this.context.stream, name);
+		const profileAt = (revision: number) => {
+			const entry = history.find(({offset}) => offset === revision);
+			if (entry === undefined || entry.change.kind === 'retire') {
+				throw new Error(`the log holds no revision ${revision} of ${name}`);
+			}
+
+			return entry.change.profile;
+		};
+
+		return profileDifference(profileAt(left), profileAt(right));
+	}
+
 	/** What a change would alter, against the log's present state. */
 	async difference(profile: Profile): Promise<readonly string[]> {
 		const ledger = await readConfiguration(this.context.stream);
--- a/src/features/placement/run-times.ts
+++ b/src/features/placement/run-times.ts
@@ -1,30 +1,28 @@
 /** Learned run times. */
-import {build, type Histogram} from 'hdr-histogram-js';
 import type {ProfileName} from '../../base/profile-name.js';
+import {RunTimeSample} from './run-time-sample.js';
 
-const highestMilliseconds = 600_000;
-const significantDigits = 2;
-/** A histogram that is this full becomes the older one of two, so that old behaviour is forgotten. */
-const samplesPerHistogram = 2000;
-/** Below so many samples the declared time counts. */
-const trustedSamples = 10;
+/** A sample that is this full becomes the older one of two, so that old behaviour is forgotten. */
+const tasksPerSample = 2000;
+/** Below so many tasks the declared time counts. */
+const trustedTasks = 10;
 /** For a task that nobody said or learned anything of. */
 const unknownMilliseconds = 250;
 
-/** Two histograms that take turns. */
-type Learned = {current: Histogram; previous: Histogram | undefined};
+/** Two samples that take turns. */
+type Learned = {current: RunTimeSample; previous: RunTimeSample | undefined};
 
 /** Run times by profile; declared ones serve only until there are enough measured ones. */
 export class RunTimes {
 	readonly #learned = new Map<ProfileName, Learned>();
 
 	record(profile: ProfileName, milliseconds: number): void {
-		const learned = this.#learned.get(profile) ?? {current: emptyHistogram(), previous: undefined};
+		const learned = this.#learned.get(profile) ?? {current: new RunTimeSample(), previous: undefined};
 		this.#learned.set(profile, learned);
-		learned.current.recordValue(Math.min(highestMilliseconds, Math.max(1, Math.round(milliseconds))));
-		if (learned.current.totalCount >= samplesPerHistogram) {
+		learned.current.record(milliseconds);
+		if (learned.current.count >= tasksPerSample) {
 			learned.previous = learned.current;
-			learned.current = emptyHistogram();
+			learned.current = new RunTimeSample();
 		}
 	}
 
@@ -35,29 +33,19 @@
 
 	/** The time in milliseconds that a share of the tasks stays under. */
 	quantile(profile: ProfileName, share: number, declaredMilliseconds?: number): number {
-		const percent = Math.min(100, share * 100);
-		return this.#trusted(profile)?.getValueAtPercentile(percent) ?? declaredMilliseconds ?? unknownMilliseconds;
+		return this.#trusted(profile)?.quantile(share) ?? declaredMilliseconds ?? unknownMilliseconds;
 	}
 
-	#trusted(profile: ProfileName): Histogram | undefined {
+	#trusted(profile: ProfileName): RunTimeSample | undefined {
 		const learned = this.#learned.get(profile);
 		if (learned === undefined) {
 			return undefined;
 		}
 
-		if (learned.previous !== undefined && learned.current.totalCount < samplesPerHistogram / 2) {
+		if (learned.previous !== undefined && learned.current.count < tasksPerSample / 2) {
 			return learned.previous;
 		}
 
-		return learned.current.totalCount >= trustedSamples ? learned.current : undefined;
+		return learned.current.count >= trustedTasks ? learned.current : undefined;
 	}
 }
-
-function emptyHistogram(): Histogram {
-	return build({
-		lowestDiscernibleValue: 1,
-		highestTrackableValue: highestMilliseconds,
-		numberOfSignificantValueDigits: significantDigits,
-		bitBucketSize: 32,
-	});
-}
--- a/src/platform/peers/outgoing-link.ts
+++ b/src/platform/peers/outgoing-link.ts
@@ -55,6 +55,7 @@
 	#pingedAt = 0;
 	#usedAt: number;
 	#isDisposed = false;
+	#hasMet = false;
 	#redial: Disposable | undefined;
 	readonly #pings: Disposable;
 
@@ -92,7 +93,9 @@
 	}
 
 	get #isWanted(): boolean {
-		return this.isWatched || this.parts.clock.now() - this.#usedAt < useMilliseconds;
+		// An address that never answered is dialled until it does or refuses: as long as it does neither, nobody can tell
+		// whether an entry is there, and its zone's newcomers wait.
+		return !this.#hasMet || this.isWatched || this.parts.clock.now() - this.#usedAt < useMilliseconds;
 	}
 
 	#isQuiet(peer: Member): boolean {
@@ -152,6 +155,7 @@
 
 		this.#socket?.send({kind: 'proof', proof: handshake.proof(this.parts.key, 'dialer', frame.nonce, this.parts.self.id)});
 		this.#peer = frame.member;
+		this.#hasMet = true;
 		this.parts.listener.onMet(frame.member);
 		this.parts.listener.onHeard(frame.member);
 		const queued = this.#queue;
--- a/test/platform/peers/tcp-peer-network.test.ts
+++ b/test/platform/peers/tcp-peer-network.test.ts
@@ -1,7 +1,7 @@
 /** The entries' network on real sockets: who is let in, and what the others learn. */
 import assert from 'node:assert/strict';
 import {readFileSync} from 'node:fs';
-import {connect} from 'node:net';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {after, test} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
@@ -127,6 +127,37 @@
 	assert.deepEqual(left.received, ['sealed']);
 });
 
+test('an address that first breaks connections is dialled until somebody answers there', async () => {
+	// An entry is listed a moment before it can serve: whoever dials then finds a port that breaks the connection.
+	// A newcomer that gave up would wait forever for an entry that it never meets.
+	const server = createServer(socket => {
+		socket.destroy();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const left = await networkOf('entry-1');
+	const met: string[] = [];
+	left.network.onDidMeet(member => {
+		met.push(member.instance);
+	});
+	left.network.meet(new Set([`127.0.0.1:${port}`]));
+	await wait(1500);
+	server.removeAllListeners('connection');
+	const right = await networkOf('entry-2');
+	server.on('connection', near => {
+		const far = connect(right.network.port, '127.0.0.1');
+		near.pipe(far).pipe(near);
+		near.on('error', () => undefined);
+		far.on('error', () => undefined);
+		near.on('close', () => far.destroy());
+	});
+	await until(() => met.length > 0);
+	assert.deepEqual(met, ['entry-2']);
+	server.close();
+});
+
 test('frames are cut out of the stream however it\'s split', () => {
 	const reader = new FrameReader(100);
 	const bytes = [...encodeFrame('one'), ...encodeFrame('two')];
