A newcomer finds its zone's arbiter: asked whatever its rank, announced whatever else is asked

Cause: one of about fifteen starts of a fleet of 8 wasn't ready in 20 s. A loop of starts with the logs kept showed an entry that knew no arbiter: only the first in rank asked, and every question to a witness put the holder's next announcement to its own zone off. Change: whoever knows no holder asks every 200 ms; announcements to the zone have their own clock.

--- a/src/features/placement/tenure.ts
+++ b/src/features/placement/tenure.ts
@@ -29,6 +29,8 @@
 const witnessedSilenceMilliseconds = 1500;
 /** How long witnesses have for their answers. */
 const witnessWaitMilliseconds = 500;
+/** How often an entry that knows of no holder asks for one. */
+const askMilliseconds = 200;
 /** How long an entry that knows of no holder asks before it may take the office. */
 const askingMilliseconds = 300;
 
@@ -49,6 +51,7 @@
 	#acknowledgedAt = Number.NEGATIVE_INFINITY;
 	#announcedAt = Number.NEGATIVE_INFINITY;
 	#askedWitnessesAt = Number.NEGATIVE_INFINITY;
+	#askedAt = Number.NEGATIVE_INFINITY;
 	#tickedAt: number;
 	#askingSince: number;
 	#highestEpoch = 0;
@@ -192,6 +195,7 @@
 		}
 
 		if (now - this.#announcedAt >= announceMilliseconds) {
+			this.#announcedAt = now;
 			this.#announce(now, this.#others());
 		}
 
@@ -208,7 +212,6 @@
 	}
 
 	#announce(now: number, to: readonly Member[]): void {
-		this.#announcedAt = now;
 		const announcement: TenureMessage = {
 			kind: 'holds', zone: this.membership.self.zone, holder: this.membership.self.id, epoch: this.#holder!.epoch, stamp: now,
 		};
@@ -283,16 +286,20 @@
 		}
 	}
 
+	/** Whoever knows of no holder asks; only the first in rank may take the office, when nobody told of one. */
 	#seekVacant(now: number): void {
+		if (now - this.#askedAt >= askMilliseconds) {
+			this.#askedAt = now;
+			for (const member of this.#others()) {
+				this.send(member, {kind: 'who', zone: this.membership.self.zone});
+			}
+		}
+
 		if (this.membership.isUnresolved(this.membership.self.zone) || !this.#isFirst()) {
 			this.#askingSince = Number.isFinite(this.#askingSince) ? now : this.#askingSince;
 			return;
 		}
 
-		for (const member of this.#others()) {
-			this.send(member, {kind: 'who', zone: this.membership.self.zone});
-		}
-
 		if (now - this.#askingSince >= askingMilliseconds) {
 			this.#take({kind: 'takeover'});
 		}
--- a/test/features/placement/tenure.test.ts
+++ b/test/features/placement/tenure.test.ts
@@ -46,6 +46,20 @@
 	assert.deepEqual([tenure.isHolder, tenure.mayGrant()], [true, true]);
 });
 
+test('a newcomer asks for the holder, whatever its rank, and a holder that asks witnesses still tells its zone', () => {
+	// A fleet of eight was not ready in one of fifteen starts: an entry met its zone's arbiter after the first announcement,
+	// didn't ask since it wasn't first in rank, and each question to a witness put the next announcement off.
+	const {sent, run} = tenureOf([peer]);
+	run(300);
+	assert.ok(sent.some(({to, message}) => to === peer && message.kind === 'who'));
+	const holder = tenureOf([witness]);
+	holder.run(500);
+	holder.membership.add(peer);
+	holder.membership.silence(peer);
+	holder.run(6000);
+	assert.ok(holder.sent.some(({to, message}) => to === peer && message.kind === 'holds'));
+});
+
 test('on proof of the holder\'s end the next one takes over', () => {
 	const {membership, tenure, run, hearHolder} = tenureOf();
 	hearHolder(peer);
