--- a/bench/entry-counts.ts
+++ b/bench/entry-counts.ts
@@ -8,7 +8,8 @@
 		sentFrames: z.number(), sentBytes: z.number(), sentByKind: z.record(z.string(), z.number()),
 	}),
 	process: z.object({
-		residentBytes: z.number(), heapBytes: z.number(), cpu: z.object({user: z.number(), system: z.number()}), uptimeSeconds: z.number()}),
+		residentBytes: z.number(), heapBytes: z.number(), cpu: z.object({user: z.number(), system: z.number()}), uptimeSeconds: z.number(),
+	}),
 });
 type Status = z.output<typeof statusSchema>;
 
--- a/src/entries/daemon/daemon.ts
+++ b/src/entries/daemon/daemon.ts
@@ -96,7 +96,9 @@
 		}));
 		status.add('jobs', () => ({inFlight: services.get(jobServiceKey).inFlight}));
 		status.add('peers', () => network.traffic);
-		status.add('process', () => ({residentBytes: process.memoryUsage.rss(), heapBytes: process.memoryUsage().heapUsed, cpu: process.cpuUsage(), uptimeSeconds: process.uptime()}));
+		status.add('process', () => ({
+			residentBytes: process.memoryUsage.rss(), heapBytes: process.memoryUsage().heapUsed, cpu: process.cpuUsage(), uptimeSeconds: process.uptime(),
+		}));
 		const readiness = services.get(readinessKey);
 		readiness.add('not stopping', () => !this.#isStopping);
 		readiness.add('configuration', () => book.isLoaded);
--- a/src/entries/daemon/wiring.ts
+++ b/src/entries/daemon/wiring.ts
@@ -1,11 +1,11 @@
 /** Builds an entry daemon: the one module that knows which class stands behind each contract. */
+import {readFileSync} from 'node:fs';
 import '../../features/intake/intake.contribution.js';
 import '../../features/jobs/jobs.contribution.js';
 import '../../features/membership/membership.contribution.js';
 import '../../features/placement/placement.contribution.js';
 import '../../features/profiles/profiles.contribution.js';
 import '../../features/submissions/submissions.contribution.js';
-import {readFileSync} from 'node:fs';
 import type {Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {hashText} from '../../base/hash-text.js';
--- a/src/features/profiles/snapshot-keeper.ts
+++ b/src/features/profiles/snapshot-keeper.ts
@@ -83,7 +83,7 @@
 		}
 
 		const snapshot = snapshotOf(book.configuration);
-		const appended = await stream.append(snapshot as unknown as JsonValue, this.#cancellation.token);
+		const appended = await stream.append(snapshot, this.#cancellation.token);
 		if (appended.kind === 'appended') {
 			journal.record('snapshotAppended', {offset: appended.offset, upTo: snapshot.upTo});
 		}
--- a/src/platform/peers/tcp-transport.ts
+++ b/src/platform/peers/tcp-transport.ts
@@ -1,5 +1,7 @@
 /** Plain TCP between entries. */
-import {connect, createServer, type Server, type Socket} from 'node:net';
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
 import {PeerTransport} from './peer-transport.js';
 
 /** For networks that are trusted; the shared key still keeps strangers out. */
--- a/test/features/placement/arbiter.test.ts
+++ b/test/features/placement/arbiter.test.ts
@@ -79,7 +79,9 @@
 test('slots that a survivor names to a new arbiter stay its own', () => {
 	const world = new PlacementWorld([targetOf('target-1', {slots: 1})]);
 	world.request({
-		kind: 'inventory', held: [{ticket: 'a/0:0' as TicketId, target: 'target-1' as InstanceId, profile: 'flight-desk' as ProfileName, endsInMilliseconds: 3000}], waiting: [],
+		kind: 'inventory', held: [{
+			ticket: 'a/0:0' as TicketId, target: 'target-1' as InstanceId, profile: 'flight-desk' as ProfileName, endsInMilliseconds: 3000,
+		}], waiting: [],
 	});
 	world.want('b', 1);
 	assert.equal(world.granted.length, 0);
--- a/test/features/placement/target-health.test.ts
+++ b/test/features/placement/target-health.test.ts
@@ -12,7 +12,7 @@
 	const journal = new RecordingJournal();
 	const health = new TargetHealth(journal);
 	health.retain(new Set(ids));
-	const report = (target: InstanceId, outcome: 'result' | 'failure' | 'lost', times = 1, runMilliseconds = 100, now = 0) => {
+	const report = (target: InstanceId, outcome: 'result' | 'failure' | 'lost', times = 1, {runMilliseconds = 100, now = 0} = {}) => {
 		for (let index = 0; index < times; index++) {
 			health.report({
 				target, profile: 'flight-desk' as ProfileName, outcome, runMilliseconds, expectedMilliseconds: 100,
@@ -32,7 +32,7 @@
 	assert.equal(health.condition(ids[0]!, 2000), 'probe');
 	health.beginProbe(ids[0]!);
 	assert.equal(health.condition(ids[0]!, 2000), 'out');
-	report(ids[0]!, 'result', 1, 100, 2100);
+	report(ids[0]!, 'result', 1, {now: 2100});
 	assert.equal(health.condition(ids[0]!, 2100), 'fit');
 });
 
@@ -40,7 +40,7 @@
 	const {health, report} = healthOf();
 	report(ids[0]!, 'lost', 3);
 	health.beginProbe(ids[0]!);
-	report(ids[0]!, 'lost', 1, 100, 2000);
+	report(ids[0]!, 'lost', 1, {now: 2000});
 	assert.deepEqual([health.condition(ids[0]!, 5900), health.condition(ids[0]!, 6000)], ['out', 'probe']);
 });
 
@@ -76,6 +76,6 @@
 
 test('a straggler is slow, not out', () => {
 	const {health, report} = healthOf();
-	report(ids[0]!, 'result', 20, 500);
+	report(ids[0]!, 'result', 20, {runMilliseconds: 500});
 	assert.equal(health.condition(ids[0]!, 100), 'slow');
 });
--- a/test/features/profiles/configuration-ledger.test.ts
+++ b/test/features/profiles/configuration-ledger.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import type {JsonValue} from '../../../src/base/json-value.js';
 import type {StreamOffset} from '../../../src/base/stream-offset.js';
+import type {Configuration} from '../../../src/features/profiles/configuration.js';
 import {ConfigurationLedger} from '../../../src/features/profiles/configuration-ledger.js';
 import {emptyConfiguration} from '../../../src/features/profiles/empty-configuration.js';
 import {foldRecord} from '../../../src/features/profiles/fold-record.js';
@@ -13,6 +14,12 @@
 
 const seed = 20_261_202;
 
+/** A snapshot as the log's JSON carries it. */
+function snapshotBody(configuration: Configuration): JsonValue {
+	const text = JSON.stringify(snapshotOf(configuration));
+	return JSON.parse(text) as JsonValue;
+}
+
 function publish(name: string, index: number): JsonValue {
 	return {
 		kind: 'publish', version: 1, changeId: `change-${index}`, profile: {name},
@@ -53,8 +60,9 @@
 test('records that were trimmed under a reader are made good by a snapshot', () => {
 	// A new entry starts after the log has forgotten its first records.
 	// It finds a snapshot among the rest and goes on from there; without one it says that it can't know.
-	const upTo = three.slice(0, 2).reduce((configuration, record) => foldRecord(configuration, record).configuration, emptyConfiguration);
-	const all = [...three, ...recordsOf([snapshotOf(upTo) as unknown as JsonValue, publish('d', 4)], 3)];
+	const afterFirst = foldRecord(emptyConfiguration, three[0]!).configuration;
+	const upTo = foldRecord(afterFirst, three[1]!).configuration;
+	const all = [...three, ...recordsOf([snapshotBody(upTo), publish('d', 4)], 3)];
 	const ledger = new ConfigurationLedger();
 	assert.equal(ledger.acceptPage(pageOf(all, 0, 2)).problem, undefined);
 	assert.deepEqual([...ledger.configuration.profiles.keys()], ['a', 'b', 'c', 'd']);
@@ -80,8 +88,12 @@
 /** Operators' changes that race, repeat and retire, with bad records and snapshots among them. */
 const bodies = fc.array(fc.oneof(
 	fc.record({kind: fc.constant('publish'), name: fc.constantFrom('a', 'b'), id: fc.nat({max: 9})}),
-	fc.record({kind: fc.constant('revise'), name: fc.constantFrom('a', 'b'), id: fc.nat({max: 9}), base: fc.nat({max: 12})}),
-	fc.record({kind: fc.constant('retire'), name: fc.constantFrom('a', 'b'), id: fc.nat({max: 9}), base: fc.nat({max: 12})}),
+	fc.record({
+		kind: fc.constant('revise'), name: fc.constantFrom('a', 'b'), id: fc.nat({max: 9}), base: fc.nat({max: 12}),
+	}),
+	fc.record({
+		kind: fc.constant('retire'), name: fc.constantFrom('a', 'b'), id: fc.nat({max: 9}), base: fc.nat({max: 12}),
+	}),
 	fc.record({kind: fc.constant('bad')}),
 	fc.record({kind: fc.constant('snapshot')}),
 ), {minLength: 1, maxLength: 30});
@@ -93,7 +105,8 @@
 	const states = [configuration];
 	const records: StreamRecord[] = [];
 	for (const [index, item] of drawn.entries()) {
-		const record = {offset: index as StreamOffset, body: bodyOf(item, () => snapshotOf(configuration) as unknown as JsonValue)};
+		const body = item.kind === 'snapshot' ? snapshotBody(configuration) : bodyOf(item);
+		const record = {offset: index as StreamOffset, body};
 		configuration = foldRecord(configuration, record).configuration;
 		records.push(record);
 		states.push(configuration);
@@ -102,15 +115,11 @@
 	return {records, states};
 }
 
-function bodyOf(item: Drawn, snapshot: () => JsonValue): JsonValue {
+function bodyOf(item: Drawn): JsonValue {
 	if (item.kind === 'bad') {
 		return {kind: 'revise', version: 1};
 	}
 
-	if (item.kind === 'snapshot') {
-		return snapshot();
-	}
-
 	const {kind, name, id, ...rest} = item as {kind: string; name: string; id: number};
 	const common = {
 		kind, version: 1, changeId: `change-${id}`, ...rest,
@@ -128,7 +137,7 @@
 		for (const {kind, first, end} of steps) {
 			const before = ledger.configuration.nextOffset;
 			const last = Math.min(end, records.length - 1);
-			offer(ledger, {records, states}, kind, Math.min(first, last), last);
+			offer(ledger, {records, states}, {kind, first: Math.min(first, last), last});
 			const {nextOffset, digest} = ledger.configuration;
 			assert.ok(nextOffset >= before, 'went back');
 			assert.equal(digest, states[nextOffset]!.digest);
@@ -138,7 +147,11 @@
 	}), {seed, numRuns: 1000});
 });
 
-function offer(ledger: ConfigurationLedger, {records, states}: ReturnType<typeof history>, kind: string, first: number, last: number): void {
+function offer(
+	ledger: ConfigurationLedger,
+	{records, states}: ReturnType<typeof history>,
+	{kind, first, last}: {readonly kind: string; readonly first: number; readonly last: number},
+): void {
 	if (kind === 'state') {
 		ledger.acceptState(snapshotOf(states[last + 1]!));
 	} else if (kind === 'tail') {
--- a/test/features/profiles/fold.test.ts
+++ b/test/features/profiles/fold.test.ts
@@ -22,7 +22,9 @@
 }
 
 function change(kind: string, changeId: string, keys: Record<string, JsonValue>): JsonValue {
-	return {kind, version: 1, changeId: `change-${changeId}`, ...keys};
+	return {
+		kind, version: 1, changeId: `change-${changeId}`, ...keys,
+	};
 }
 
 const profile = {name: 'flight-desk'};
@@ -50,6 +52,8 @@
 });
 
 test('bad records, and those of a later version, are passed over by everyone alike', () => {
-	const outcomes = outcomesOf(['garbage', {kind: 'publish', version: 1}, {kind: 'publish', version: 2, changeId: 'later-change', profile}, change('publish', 'a', {profile: {name: 'X'}})]);
+	const outcomes = outcomesOf(['garbage', {kind: 'publish', version: 1}, {
+		kind: 'publish', version: 2, changeId: 'later-change', profile,
+	}, change('publish', 'a', {profile: {name: 'X'}})]);
 	assert.deepEqual((outcomes as Array<{kind: string}>).map(({kind}) => kind), ['invalid', 'invalid', 'newer', 'invalid']);
 });
--- a/test/support/fake-membership.ts
+++ b/test/support/fake-membership.ts
@@ -10,6 +10,12 @@
 
 /** Members are alive and answer at once unless a test says otherwise. */
 export class FakeMembership extends Membership {
+	static memberOf(instance: string, zone = 'zone-1'): Member {
+		return {
+			id: `${instance}#1` as MemberId, instance: instance as InstanceId, zone: zone as AvailabilityZone, peerAddress: '127.0.0.1:1',
+		};
+	}
+
 	override listedAt: number | undefined = 0;
 	override readonly onDidJoin = new Emitter<Member>().event;
 	override readonly onDidLose = new Emitter<Loss>().event;
@@ -20,12 +26,6 @@
 		super();
 	}
 
-	static memberOf(instance: string, zone = 'zone-1'): Member {
-		return {
-			id: `${instance}#1` as MemberId, instance: instance as InstanceId, zone: zone as AvailabilityZone, peerAddress: '127.0.0.1:1',
-		};
-	}
-
 	override get all(): readonly Member[] {
 		return this.#others;
 	}
