One wait, one message alias, one rounding; an unused method goes

Cause: reading the whole change again: six places waited on a clock by hand, the registry's message alias stood three times, the benchmark's rounding twice, and the variant guard had a method that nobody calls. Change: src/base/wait.ts, registry-message-of.ts, bench/rounded.ts; the method is gone. No behaviour changes.

--- a/bench/measure-run.ts
+++ b/bench/measure-run.ts
@@ -8,6 +8,7 @@
 import type {JobOutcome} from './job-outcome.js';
 import type {PlannedJob} from './planned-job.js';
 import {quantile} from './quantile.js';
+import {rounded} from './rounded.js';
 import {trafficOf} from './traffic-of.js';
 
 /** Counts at one moment. */
@@ -138,7 +139,3 @@
 function sumOf(truth: readonly Truth[], key: keyof Truth): number {
 	return truth.reduce((sum, each) => sum + each[key], 0);
 }
-
-function rounded(value: number): number {
-	return Math.round(value * 1000) / 1000;
-}
--- a/bench/traffic-of.ts
+++ b/bench/traffic-of.ts
@@ -3,6 +3,7 @@
 import type {BenchResult} from './bench-result.js';
 import type {entryCounts} from './entry-counts.js';
 import type {JobOutcome} from './job-outcome.js';
+import {rounded} from './rounded.js';
 
 type Counts = Awaited<ReturnType<typeof entryCounts>>;
 type Traffic = Pick<BenchResult, 'messagesPerTask' | 'bytesPerTask' | 'wastedShare' | 'wastedByKind' | 'entryCpuShare' | 'entryMegabytes' | 'peerFrames'>;
@@ -88,7 +89,3 @@
 		entryMegabytes: Math.round(residentBytes / Math.max(1, after.size) / 1_048_576),
 	};
 }
-
-function rounded(value: number): number {
-	return Math.round(value * 1000) / 1000;
-}
--- a/src/entries/command/await-in-force.ts
+++ b/src/entries/command/await-in-force.ts
@@ -1,5 +1,6 @@
 /** Waits until a change is in force. */
 import type {Revision} from '../../base/revision.js';
+import {wait} from '../../base/wait.js';
 import type {ChangeResult} from './change-result.js';
 import type {OperatorContext} from './operator-context.js';
 
@@ -26,8 +27,6 @@
 			};
 		}
 
-		await new Promise<void>(resolve => {
-			clock.schedule(periodMilliseconds, resolve);
-		});
+		await wait(clock, periodMilliseconds);
 	}
 }
--- a/src/entries/daemon/daemon.ts
+++ b/src/entries/daemon/daemon.ts
@@ -1,5 +1,6 @@
 /** The life of an entry daemon. */
 import process from 'node:process';
+import {wait} from '../../base/wait.js';
 import {intakeKey} from '../../features/intake/intake-key.js';
 import {readinessKey} from '../../features/intake/readiness-key.js';
 import {statusReportKey} from '../../features/intake/status-report-key.js';
@@ -110,9 +111,3 @@
 		readiness.add('arbiter', () => placement.tenure.holder !== undefined);
 	}
 }
-
-async function wait(clock: {schedule(delay: number, callback: () => void): unknown}, milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		clock.schedule(milliseconds, resolve);
-	});
-}
--- a/src/features/jobs/variant-guard.ts
+++ b/src/features/jobs/variant-guard.ts
@@ -30,11 +30,6 @@
 		return hashText(`${name}|${id}`) / hashRange < variant.share ? variant.label : undefined;
 	}
 
-	/** True where a trial of the revision was stopped. */
-	isStopped(revision: ProfileRevision): boolean {
-		return this.#trials.get(keyOf(revision))?.isStopped ?? false;
-	}
-
 	/** Takes the end of a task of a profile that has a variant. */
 	report(revision: ProfileRevision, isVariant: boolean, isGood: boolean, runMilliseconds: number): void {
 		if (revision.profile.variant === undefined) {
--- a/src/features/profiles/log-profile-book.ts
+++ b/src/features/profiles/log-profile-book.ts
@@ -10,6 +10,7 @@
 import type {Random} from '../../base/random.js';
 import {repeat} from '../../base/repeat.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
+import {wait} from '../../base/wait.js';
 import type {Journal} from '../../platform/journal/journal.js';
 import type {Member} from '../../platform/peers/member.js';
 import type {PeerNetwork} from '../../platform/peers/peer-network.js';
@@ -106,9 +107,7 @@
 		while (!this.#cancellation.token.isCancellationRequested) {
 			const hasProgress = await this.#readOnce();
 			if (!hasProgress) {
-				await new Promise<void>(resolve => {
-					this.parts.clock.schedule(failedReadPauseMilliseconds, resolve);
-				});
+				await wait(this.parts.clock, failedReadPauseMilliseconds);
 			}
 		}
 	}
--- a/src/features/submissions/circle-entry.ts
+++ b/src/features/submissions/circle-entry.ts
@@ -6,13 +6,12 @@
 import type {CircleView} from './circle-view.js';
 import type {RegistrarSurroundings} from './registrar-surroundings.js';
 import type {RegistryMessage} from './registry-message.js';
+import type {RegistryMessageOf} from './registry-message-of.js';
 
 const askAgainMilliseconds = 200;
 /** A neighbour that isn't in the circle for so long hasn't entered it: it believes that it has a circle of its own. */
 const strangerMilliseconds = 2000;
 
-type Message<Kind extends RegistryMessage['kind']> = Extract<RegistryMessage, {kind: Kind}>;
-
 /** What the entry into the circle works with. */
 type CircleEntryParts = {
 	readonly self: Member;
@@ -21,7 +20,7 @@
 	readonly surroundings: RegistrarSurroundings;
 	readonly send: (to: MemberId, message: RegistryMessage) => void;
 	readonly view: CircleView;
-	readonly onState: (records: Message<'state'>['records']) => void;
+	readonly onState: (records: RegistryMessageOf<'state'>['records']) => void;
 };
 
 /**
@@ -89,7 +88,7 @@
 		this.#advance();
 	}
 
-	receive(from: MemberId, message: Message<'join'> | Message<'welcome'> | Message<'state'>): void {
+	receive(from: MemberId, message: RegistryMessageOf<'join'> | RegistryMessageOf<'welcome'> | RegistryMessageOf<'state'>): void {
 		if (message.kind === 'join') {
 			this.parts.send(from, {kind: 'welcome', era: message.era, isActive: this.isActive});
 			return;
@@ -124,7 +123,7 @@
 		}
 	}
 
-	#takeState(from: MemberId, message: Message<'state'>): void {
+	#takeState(from: MemberId, message: RegistryMessageOf<'state'>): void {
 		this.parts.onState(message.records);
 		if (!message.isLast) {
 			return;
--- a/src/features/submissions/handover.ts
+++ b/src/features/submissions/handover.ts
@@ -1,8 +1,8 @@
 /** Records on their way to those who stay. */
 import type {MemberId} from '../../base/member-id.js';
-import type {RegistryMessage} from './registry-message.js';
+import type {RegistryMessageOf} from './registry-message-of.js';
 
-type Message = Extract<RegistryMessage, {kind: 'handover'}>;
+type Message = RegistryMessageOf<'handover'>;
 
 /** Sends each batch until it's taken. */
 export class Handover {
--- a/src/features/submissions/registrar.ts
+++ b/src/features/submissions/registrar.ts
@@ -14,6 +14,7 @@
 import {RecordStore} from './record-store.js';
 import type {RegistrarSurroundings} from './registrar-surroundings.js';
 import type {RegistryMessage} from './registry-message.js';
+import type {RegistryMessageOf} from './registry-message-of.js';
 import type {SubmissionRecord} from './submission-record.js';
 import {Vouching} from './vouching.js';
 
@@ -29,7 +30,6 @@
 const graceMilliseconds = 5000;
 const recordsPerBatch = 200;
 
-type Message<Kind extends RegistryMessage['kind']> = Extract<RegistryMessage, {kind: Kind}>;
 type Waiter = {readonly member: MemberId; readonly nonce: string};
 /** A copy under way, and whom to tell when it has arrived. */
 type Pending = {readonly record: SubmissionRecord; readonly version: number; sentTo: MemberId | undefined; sentAt: number; readonly done: () => void};
@@ -210,7 +210,7 @@
 		}
 	}
 
-	#claim(from: MemberId, claim: Message<'claim'>): void {
+	#claim(from: MemberId, claim: RegistryMessageOf<'claim'>): void {
 		const {id, nonce} = claim;
 		const record = this.#store.get(id);
 		const authority = this.#authority.authorityOf(id);
@@ -241,7 +241,7 @@
 		return this.#entry.isActive && !this.#isLeaving;
 	}
 
-	#claimKnown(from: MemberId, {id, nonce, fingerprint}: Message<'claim'>, record: SubmissionRecord): void {
+	#claimKnown(from: MemberId, {id, nonce, fingerprint}: RegistryMessageOf<'claim'>, record: SubmissionRecord): void {
 		if (record.fingerprint !== fingerprint) {
 			const verdict = {kind: 'notRun', cause: 'conflictingReuse', detail: 'the id was used before with another profile or other tasks'} as const;
 			this.parts.send(from, {
@@ -287,7 +287,7 @@
 		};
 	}
 
-	#grant(from: MemberId, {id, nonce, fingerprint, remainingMilliseconds}: Message<'claim'>): void {
+	#grant(from: MemberId, {id, nonce, fingerprint, remainingMilliseconds}: RegistryMessageOf<'claim'>): void {
 		const expiresAt = this.parts.clock.now() + remainingMilliseconds + graceMilliseconds;
 		this.#replicateGrant(this.#store.put({
 			id, fingerprint, executor: from, nonce, isGranted: false, verdict: undefined, expiresAt,
@@ -301,7 +301,7 @@
 		});
 	}
 
-	#settle(from: MemberId, {id, nonce, fingerprint, verdict}: Message<'settle'>): void {
+	#settle(from: MemberId, {id, nonce, fingerprint, verdict}: RegistryMessageOf<'settle'>): void {
 		const authority = this.#authority.authorityOf(id);
 		if (authority.kind === 'other' || !this.#canDecide) {
 			this.parts.send(from, {
@@ -433,7 +433,7 @@
 		}
 	}
 
-	#takeCopy(from: MemberId, {era, record, fenced}: Message<'copy'>): void {
+	#takeCopy(from: MemberId, {era, record, fenced}: RegistryMessageOf<'copy'>): void {
 		const {id, nonce, version} = record;
 		if (!this.#entry.isActive) {
 			return;
@@ -470,7 +470,7 @@
 	}
 
 	/** What a leaving registrar still accepts goes to those who stay, before it says farewell. */
-	#passOn(record: Message<'copy'>['record']): void {
+	#passOn(record: RegistryMessageOf<'copy'>['record']): void {
 		if (this.#isLeaving) {
 			for (const member of this.#view.rankOfOthers(record.id).slice(0, 2)) {
 				this.#handover.add(member.id, [record]);
@@ -484,7 +484,7 @@
 		return first?.id === sender;
 	}
 
-	#keepCopy(record: Message<'copy'>['record']): void {
+	#keepCopy(record: RegistryMessageOf<'copy'>['record']): void {
 		if (record.version === 2) {
 			this.#store.delete(record.id);
 			return;
@@ -508,7 +508,7 @@
 	}
 
 	/** A copy that was under way for longer never puts a settled record back to running, nor a later claim to an earlier. */
-	#isNewer(known: SubmissionRecord, record: Message<'copy'>['record']): boolean {
+	#isNewer(known: SubmissionRecord, record: RegistryMessageOf<'copy'>['record']): boolean {
 		if (known.verdict !== undefined) {
 			return record.verdict === undefined;
 		}
@@ -516,20 +516,20 @@
 		return known.isGranted && known.nonce !== record.nonce && record.verdict === undefined && known.expiresAt > this.parts.clock.now() + record.remainingMilliseconds;
 	}
 
-	#adopt(records: ReadonlyArray<Message<'copy'>['record']>): void {
+	#adopt(records: ReadonlyArray<RegistryMessageOf<'copy'>['record']>): void {
 		for (const record of records) {
 			this.#keepCopy(record);
 		}
 	}
 
-	#copied(from: MemberId, {id, nonce, version}: Message<'copied'>): void {
+	#copied(from: MemberId, {id, nonce, version}: RegistryMessageOf<'copied'>): void {
 		const pending = this.#pending.get(`${id}|${nonce}|${version}`);
 		if (pending?.sentTo === from) {
 			this.#finish(pending);
 		}
 	}
 
-	#notCopied(from: MemberId, {id, nonce, era, isFenced, existing}: Message<'notCopied'>): void {
+	#notCopied(from: MemberId, {id, nonce, era, isFenced, existing}: RegistryMessageOf<'notCopied'>): void {
 		if (isFenced && era !== this.#entry.era) {
 			// It's about copies of an earlier era, which this registrar has left behind already.
 			return;
@@ -635,7 +635,7 @@
 	}
 
 	#handOver(): void {
-		const byMember = new Map<MemberId, Array<Message<'copy'>['record']>>();
+		const byMember = new Map<MemberId, Array<RegistryMessageOf<'copy'>['record']>>();
 		for (const record of this.#grantedRecords()) {
 			for (const member of this.#view.rankOfOthers(record.id).slice(0, 2)) {
 				const list = byMember.get(member.id) ?? [];
@@ -651,7 +651,7 @@
 		}
 	}
 
-	#wireOf(record: SubmissionRecord, version: number): Message<'copy'>['record'] {
+	#wireOf(record: SubmissionRecord, version: number): RegistryMessageOf<'copy'>['record'] {
 		const {id, fingerprint, executor, nonce, verdict, expiresAt} = record;
 		return {
 			id, fingerprint, executor, nonce, verdict, version, remainingMilliseconds: expiresAt - this.parts.clock.now(),
--- a/src/features/submissions/submission-registry.ts
+++ b/src/features/submissions/submission-registry.ts
@@ -6,6 +6,7 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
+import {wait} from '../../base/wait.js';
 import type {Journal} from '../../platform/journal/journal.js';
 import type {Member} from '../../platform/peers/member.js';
 import type {PeerNetwork} from '../../platform/peers/peer-network.js';
@@ -90,7 +91,7 @@
 	async leave(): Promise<void> {
 		this.registrar.leave();
 		while (!(this.registrar.hasHandedOver && this.desk.isSettled)) {
-			await this.#wait(handoverPollMilliseconds);
+			await wait(this.parts.clock, handoverPollMilliseconds);
 		}
 
 		this.registrar.farewell();
@@ -107,14 +108,14 @@
 		const {zone} = membership.self;
 		const {token} = this.#cancellation;
 		while (membership.listedAt === undefined) {
-			await this.#wait(listPollMilliseconds);
+			await wait(this.parts.clock, listPollMilliseconds);
 		}
 
 		const isNew = await births.isNew(zone, member => membership.memberOf(member) !== undefined, token);
 		const vouchFrom = isNew ? 0 : clock.wallTime();
 		this.registrar.enter(vouchFrom);
 		while (!this.registrar.isActive) {
-			await this.#wait(listPollMilliseconds);
+			await wait(this.parts.clock, listPollMilliseconds);
 		}
 
 		if (this.registrar.isFounder && !isNew) {
@@ -124,12 +125,6 @@
 		await births.announce(zone, membership.self.id, token);
 	}
 
-	async #wait(milliseconds: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.parts.clock.schedule(milliseconds, resolve);
-		});
-	}
-
 	#send(to: MemberId, message: RegistryMessage): void {
 		const {membership, network} = this.parts;
 		if (to === membership.self.id) {
--- a/src/features/submissions/zone-births.ts
+++ b/src/features/submissions/zone-births.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '../../base/clock.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
+import {wait} from '../../base/wait.js';
 import type {LogStream} from '../../platform/stream/log-stream.js';
 
 const appendAgainMilliseconds = 2000;
@@ -53,9 +54,7 @@
 				return;
 			}
 
-			await new Promise<void>(resolve => {
-				this.clock.schedule(appendAgainMilliseconds, resolve);
-			});
+			await wait(this.clock, appendAgainMilliseconds);
 		}
 	}
 }
--- a/src/platform/instances/http-instance-list.ts
+++ b/src/platform/instances/http-instance-list.ts
@@ -8,6 +8,7 @@
 import type {Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
 import type {InstanceId} from '../../base/instance-id.js';
+import {wait} from '../../base/wait.js';
 import type {Journal} from '../journal/journal.js';
 import type {Instance} from './instance.js';
 import {InstanceList} from './instance-list.js';
@@ -62,9 +63,7 @@
 	async #loop(): Promise<void> {
 		while (!this.#cancellation.token.isCancellationRequested) {
 			await this.#readOnce();
-			await new Promise<void>(resolve => {
-				this.clock.schedule(periodMilliseconds, resolve);
-			});
+			await wait(this.clock, periodMilliseconds);
 		}
 	}
 
