--- a/fleet/relay.ts
+++ b/fleet/relay.ts
@@ -2,8 +2,8 @@
 import {
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
-import {FrameReader} from '../src/platform/peers/frame-reader.js';
-import {readFrame} from '../src/platform/peers/read-frame.js';
+import {FrameReader} from '../src/runtime/peers/frame-reader.js';
+import {readFrame} from '../src/runtime/peers/read-frame.js';
 
 const frameLimitBytes = 8_388_608;
 
--- a/scripts/write-events.mjs
+++ b/scripts/write-events.mjs
@@ -1,6 +1,6 @@
 /** Writes docs/EVENTS.md from the compiled event catalogue; `npm run build` comes first. */
 import {writeFileSync} from 'node:fs';
-import {eventCatalogue} from '../dist/src/platform/journal/event-catalogue.js';
+import {eventCatalogue} from '../dist/src/runtime/journal/event-catalogue.js';
 
 /* eslint-disable @stylistic/max-len -- a paragraph of Markdown is one line */
 const introduction = `# Events
--- a/src/entries/command/find-outcome.ts
+++ b/src/entries/command/find-outcome.ts
@@ -1,6 +1,6 @@
 /** Looks a change up in the log. */
 import type {ChangeOutcome} from '../../features/profiles/change-outcome.js';
-import type {LogStream} from '../../platform/stream/log-stream.js';
+import type {LogStream} from '../../runtime/stream/log-stream.js';
 import {readConfiguration} from './read-configuration.js';
 
 /** What the log says of a change by its id; nothing where it can't be read, or has no such change. */
--- a/src/entries/command/main.ts
+++ b/src/entries/command/main.ts
@@ -6,7 +6,7 @@
 import {hideBin} from 'yargs/helpers';
 import type {ProfileName} from '../../base/profile-name.js';
 import {SystemClock} from '../../base/system-clock.js';
-import {HttpLogStream} from '../../platform/stream/http-log-stream.js';
+import {HttpLogStream} from '../../runtime/stream/http-log-stream.js';
 import {version} from '../version.js';
 import type {ChangeResult} from './change-result.js';
 import {describeHistory} from './describe-history.js';
--- a/src/entries/command/operator-context.ts
+++ b/src/entries/command/operator-context.ts
@@ -1,6 +1,6 @@
 /** What the operators' commands work with. */
 import type {Clock} from '../../base/clock.js';
-import type {LogStream} from '../../platform/stream/log-stream.js';
+import type {LogStream} from '../../runtime/stream/log-stream.js';
 import type {FleetView} from './fleet-view.js';
 
 /** Built by the main module from the command line. */
--- a/src/entries/command/read-configuration.ts
+++ b/src/entries/command/read-configuration.ts
@@ -1,7 +1,7 @@
 /** Reads the configuration from the log. */
 import {CancellationSource} from '../../base/cancellation-source.js';
 import {ConfigurationLedger} from '../../features/profiles/configuration-ledger.js';
-import type {LogStream} from '../../platform/stream/log-stream.js';
+import type {LogStream} from '../../runtime/stream/log-stream.js';
 
 /** Folds the whole log; rejects where it can't be read, or doesn't tell the whole configuration any more. */
 export async function readConfiguration(stream: LogStream): Promise<ConfigurationLedger> {
--- a/src/entries/command/read-history.ts
+++ b/src/entries/command/read-history.ts
@@ -2,8 +2,8 @@
 import {CancellationSource} from '../../base/cancellation-source.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
 import {configurationRecordSchema} from '../../features/profiles/configuration-record-schema.js';
-import type {LogStream} from '../../platform/stream/log-stream.js';
-import type {StreamRecord} from '../../platform/stream/stream-record.js';
+import type {LogStream} from '../../runtime/stream/log-stream.js';
+import type {StreamRecord} from '../../runtime/stream/stream-record.js';
 import type {HistoryEntry} from './history-entry.js';
 import {readConfiguration} from './read-configuration.js';
 
--- a/src/entries/command/read-profile.ts
+++ b/src/entries/command/read-profile.ts
@@ -2,8 +2,8 @@
 import {readFileSync} from 'node:fs';
 import type {Profile} from '../../features/profiles/profile.js';
 import {profileSchema} from '../../features/profiles/profile-schema.js';
-import {describeProblem} from '../../platform/settings/describe-problem.js';
-import {readDocument} from '../../platform/settings/read-document.js';
+import {describeProblem} from '../../runtime/settings/describe-problem.js';
+import {readDocument} from '../../runtime/settings/read-document.js';
 
 /** Rejects with a line for each mistake. */
 export function readProfile(file: string): Profile {
--- a/src/entries/daemon/daemon.ts
+++ b/src/entries/daemon/daemon.ts
@@ -9,8 +9,8 @@
 import {zonePlacementKey} from '../../features/placement/zone-placement-key.js';
 import {submissionRegistryKey} from '../../features/submissions/submission-registry-key.js';
 import {profileBookKey} from '../../features/profiles/profile-book-key.js';
-import {platformKeys} from '../../platform/platform-keys.js';
-import type {Settings} from '../../platform/settings/settings.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
+import type {Settings} from '../../runtime/settings/settings.js';
 import {wireDaemon} from './wiring.js';
 
 /** How long the balancer has to see that the entry isn't ready, before it takes no new connections. */
@@ -29,7 +29,7 @@
 		const httpPort = await services.get(intakeKey).listen();
 		const daemon = new Daemon(settings, wired, httpPort);
 		daemon.#report();
-		services.get(platformKeys.journal).record('started', {
+		services.get(runtimeKeys.journal).record('started', {
 			instance: settings.entry.instance, zone: settings.entry.zone, httpPort, peerPort: network.port,
 		});
 		return daemon;
@@ -51,8 +51,8 @@
 		this.#isStopping = true;
 		const {services} = this.wired;
 		const jobs = services.get(jobServiceKey);
-		const journal = services.get(platformKeys.journal);
-		const clock = services.get(platformKeys.clock);
+		const journal = services.get(runtimeKeys.journal);
+		const clock = services.get(runtimeKeys.clock);
 		journal.record('draining', {inFlight: jobs.inFlight});
 		await wait(clock, readinessLeadMilliseconds);
 		services.get(zonePlacementKey).resign();
--- a/src/entries/daemon/main.ts
+++ b/src/entries/daemon/main.ts
@@ -4,9 +4,9 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {describeProblem} from '../../platform/settings/describe-problem.js';
-import {entrySettingsSchema} from '../../platform/settings/entry-settings.js';
-import {readDocument} from '../../platform/settings/read-document.js';
+import {describeProblem} from '../../runtime/settings/describe-problem.js';
+import {entrySettingsSchema} from '../../runtime/settings/entry-settings.js';
+import {readDocument} from '../../runtime/settings/read-document.js';
 import {version} from '../version.js';
 import {Daemon} from './daemon.js';
 
--- /dev/null
+++ b/src/entries/edge/main.ts
@@ -0,0 +1,54 @@
+#!/usr/bin/env node
+/** The edge daemon, `savorylock-edge`. Exit codes: 0 stopped, 2 bad settings. */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {bootSettings, type BootSettings} from '../../../platform/boot-settings.js';
+import {SystemClock} from '../../base/system-clock.js';
+import {LineJournal} from '../../runtime/journal/line-journal.js';
+import {EdgeDaemon} from './edge-daemon.js';
+
+const exitSettings = 2;
+const settingsVariable = 'SAVORYLOCK_SETTINGS';
+
+const clock = new SystemClock();
+const journal = new LineJournal(clock, true);
+const file = process.env[settingsVariable] ?? '';
+const settings = readSettings();
+const daemon = new EdgeDaemon(settings, clock, journal);
+
+// An error here is a defect of one request or task; ending the process would fail all others with it.
+process.on('uncaughtException', error => {
+	journal.record('errorUnhandled', {detail: error.stack ?? error.message});
+});
+process.on('unhandledRejection', error => {
+	journal.record('errorUnhandled', {detail: error instanceof Error ? error.stack : String(error)});
+});
+// Without a handler SIGHUP ends the process.
+process.on('SIGHUP', () => {
+	reload();
+});
+process.once('SIGTERM', async () => {
+	await daemon.stop();
+	await journal.flush();
+	process.exit(0);
+});
+await daemon.start();
+
+function readSettings(): BootSettings {
+	try {
+		return bootSettings.parse(readFileSync(file, 'utf8'));
+	} catch (error) {
+		process.stderr.write(`savorylock-edge: ${settingsVariable}=${file}: ${(error as Error).message}\n`);
+		process.exit(exitSettings);
+	}
+}
+
+/** What a running process could take over from the file is only where it finds the others; those it finds by itself. */
+function reload(): void {
+	try {
+		bootSettings.parse(readFileSync(file, 'utf8'));
+		journal.record('settingsReloaded', {outcome: 'valid', detail: 'in force from the next start'});
+	} catch (error) {
+		journal.record('settingsReloaded', {outcome: 'invalid', detail: (error as Error).message});
+	}
+}
--- /dev/null
+++ b/src/features/dispatch/dispatcher.ts
@@ -0,0 +1,375 @@
+/** Jobs of this entry, from submission to answer. */
+import type {CancellationToken} from '../../base/cancellation-token.js';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import type {DoubtCause} from '../../base/doubt-cause.js';
+import type {JobId} from '../../base/job-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {ProfileName} from '../../base/profile-name.js';
+import type {Random} from '../../base/random.js';
+import {repeat} from '../../base/repeat.js';
+import type {Verdict} from '../../base/verdict.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Executor} from '../execution/executor.js';
+import type {RunOutcome} from '../execution/run-outcome.js';
+import type {RunRequest} from '../execution/run-request.js';
+import type {RunTimes} from '../placement/run-times.js';
+import type {Pool} from '../pool/pool.js';
+import {requestMessageOf} from '../pool/request-message-of.js';
+import type {BestEffortJob} from './best-effort-job.js';
+import {chooseMember} from './choose-member.js';
+import type {JobOutcome} from './job-outcome.js';
+import type {QueueOrder} from './queue-order.js';
+import {RunningJob} from './running-job.js';
+import type {TaskSlot} from './task-slot.js';
+
+/** How often waiting jobs are checked for having become useless. */
+const checkMilliseconds = 20;
+/** After so many tasks that fit nowhere the rest of the queue is left for the next change of room. */
+const missesToGiveUp = 6;
+/** The next attempt after a target said that it knows a later one: above those of an earlier submission of the job. */
+const attemptStep = 16;
+
+/** What the dispatcher works with. */
+type DispatcherParts = {
+	readonly executor: Executor;
+	readonly pool: Pool;
+	readonly order: QueueOrder;
+	readonly runTimes: RunTimes;
+	readonly random: Random;
+	readonly clock: Clock;
+	readonly journal: Journal;
+};
+
+/**
+ * Places the tasks of its jobs on the targets of any entry of the pool. A task waits here until some target has room, so
+ * that the next one is chosen as late as possible.
+ */
+export class Dispatcher implements Disposable {
+	readonly #jobs = new Map<JobId, RunningJob>();
+	readonly #store = new DisposableStore();
+
+	constructor(private readonly parts: DispatcherParts) {
+		const {executor, pool, clock} = parts;
+		this.#store.add(executor.onDidReport(({requester, task, attempt, outcome}) => {
+			if (requester === pool.self) {
+				this.#take(task, attempt, outcome);
+			}
+		}));
+		this.#store.add(pool.onDidReceive(({from, message}) => {
+			if (message.kind === 'report') {
+				this.#take(message.task, message.attempt, message.outcome);
+			} else if (message.kind === 'adopted') {
+				this.#adopted(message.task, message.attempt, from.id);
+			}
+		}));
+		this.#store.add(executor.onDidAdopt(({requester, request}) => {
+			if (requester === pool.self) {
+				this.#adopted(request.task, request.attempt, pool.self);
+			}
+		}));
+		this.#store.add(pool.onDidLose(member => {
+			this.#loseOwner(member);
+		}));
+		this.#store.add(pool.onDidReconnect(member => {
+			this.#repeatRequests(member);
+		}));
+		this.#store.add(pool.onDidChangeRoom(() => {
+			this.pump();
+		}));
+		this.#store.add(executor.onDidChangeRoom(() => {
+			this.pump();
+		}));
+		this.#store.add(repeat(clock, checkMilliseconds, () => {
+			this.#check();
+		}));
+	}
+
+	get inFlight(): number {
+		return this.#jobs.size;
+	}
+
+	get waitingTasks(): number {
+		let waiting = 0;
+		for (const job of this.#jobs.values()) {
+			waiting += job.waiting.length;
+		}
+
+		return waiting;
+	}
+
+	/** Runs a job; the token is cancelled when its submitter is gone. */
+	async submit(job: BestEffortJob, token: CancellationToken): Promise<Verdict<JobOutcome>> {
+		const earlier = this.#jobs.get(job.id);
+		if (earlier !== undefined) {
+			this.#end(earlier, doubt('stopped', 'submitted again'));
+		}
+
+		return new Promise(resolve => {
+			const {clock, runTimes, journal} = this.parts;
+			const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
+			const running = new RunningJob(job, clock.now(), Math.max(expected, job.shape.declaredMilliseconds), resolve);
+			this.#jobs.set(job.id, running);
+			journal.record('jobAccepted', {
+				job: job.id, queue: job.route.queue, tasks: job.shape.count, expectedMilliseconds: Math.round(running.expectedMilliseconds), patienceMilliseconds: job.patienceMilliseconds,
+			});
+			token.onDidRequestCancellation(() => {
+				this.#end(running, doubt('stopped', 'the submitter is gone'));
+			});
+			this.pump();
+		});
+	}
+
+	/** Ends a job that is under way; false where there's none. */
+	cancel(id: JobId): boolean {
+		const running = this.#jobs.get(id);
+		if (running === undefined) {
+			return false;
+		}
+
+		this.#end(running, doubt('stopped', 'cancelled by its submitter'));
+		return true;
+	}
+
+	isRunning(id: JobId): boolean {
+		return this.#jobs.has(id);
+	}
+
+	/** Jobs of a queue of which no task was started. */
+	waitingJobsOf(queue: ProfileName): number {
+		return [...this.#jobs.values()].filter(({job, mayHaveRun}) => job.route.queue === queue && !mayHaveRun).length;
+	}
+
+	/** Places what can be placed now, in order. */
+	pump(): void {
+		const now = this.parts.clock.now();
+		const waiting = [...this.#jobs.values()].filter(job => job.waiting.length > 0);
+		const ranked = waiting.map(job => ({job, rank: this.parts.order.rank(job, now)}));
+		ranked.sort((left, right) => left.rank - right.rank);
+		let misses = 0;
+		for (const {job} of ranked) {
+			for (const slot of job.waiting) {
+				if (!this.#place(job, slot)) {
+					misses += 1;
+					break;
+				}
+			}
+
+			if (misses >= missesToGiveUp) {
+				return;
+			}
+		}
+	}
+
+	/** Answers every job as it stands; the process is about to end. */
+	giveUp(): void {
+		for (const job of this.#jobs.values()) {
+			this.#end(job, job.mayHaveRun ? doubt('stopped', 'the entry ends') : {kind: 'notRun', cause: 'draining', detail: 'the entry ends'});
+		}
+	}
+
+	dispose(): void {
+		this.#store.dispose();
+	}
+
+	#place(job: RunningJob, slot: TaskSlot): boolean {
+		const {executor, pool, clock, journal} = this.parts;
+		const request = requestOf(job, slot);
+		if (executor.start(request, pool.self) !== undefined) {
+			this.#sent(job, slot, pool.self);
+			return true;
+		}
+
+		const choice = chooseMember(pool.members, request, this.parts.random);
+		if (choice === undefined) {
+			return false;
+		}
+
+		pool.reserve(choice.member, choice.share, request.need);
+		pool.send(choice.member.member.id, {kind: 'run', request: requestMessageOf(request)});
+		journal.record('taskSent', {task: slot.id, attempt: slot.attempt, owner: choice.member.member.id, heardAgoMilliseconds: Math.round(clock.now() - choice.member.heardAt)});
+		this.#sent(job, slot, choice.member.member.id);
+		return true;
+	}
+
+	#sent(job: RunningJob, slot: TaskSlot, owner: MemberId): void {
+		job.orderedStarts += 1;
+		slot.owner = owner;
+		slot.sentAt = this.parts.clock.now();
+	}
+
+	#take(task: string, attempt: number, outcome: RunOutcome): void {
+		const found = this.#find(task);
+		if (found === undefined || found.slot.attempt !== attempt || found.slot.owner === undefined) {
+			return;
+		}
+
+		const {job, slot} = found;
+		slot.owner = undefined;
+		switch (outcome.kind) {
+			case 'done': {
+				slot.isDone = true;
+				this.parts.runTimes.record(job.job.route.queue, outcome.ranMilliseconds);
+				if (job.isComplete) {
+					this.#end(job, {kind: 'answered', answer: 'complete'});
+				}
+
+				return;
+			}
+
+			case 'failed': {
+				this.#takeFailure(job, slot, outcome);
+				return;
+			}
+
+			case 'refused': {
+				this.#takeRefusal(job, slot, outcome.cause);
+				break;
+			}
+
+			case 'gone': {
+				slot.attempt += 1;
+				slot.avoid.add(outcome.target);
+				break;
+			}
+		}
+
+		this.#retry(job, slot);
+	}
+
+	#takeRefusal(job: RunningJob, slot: TaskSlot, cause: Extract<RunOutcome, {kind: 'refused'}>['cause']): void {
+		if (cause === 'superseded') {
+			// An earlier submission of the job ran there: this one can't be told as not run.
+			slot.attempt += attemptStep;
+			return;
+		}
+
+		slot.attempt += 1;
+		job.orderedStarts -= 1;
+	}
+
+	#takeFailure(job: RunningJob, slot: TaskSlot, outcome: Extract<RunOutcome, {kind: 'failed'}>): void {
+		// A failure on a target that fails others too says nothing of the task.
+		slot.failures += outcome.isTargetSuspect ? 0 : 1;
+		slot.attempt += 1;
+		slot.avoid.add(outcome.target);
+		if (slot.failures >= job.job.route.attempts) {
+			this.#end(job, {kind: 'answered', answer: 'failed'});
+			return;
+		}
+
+		this.#retry(job, slot);
+	}
+
+	#retry(job: RunningJob, slot: TaskSlot): void {
+		if (!job.isOver) {
+			this.#place(job, slot);
+		}
+	}
+
+	#adopted(task: string, attempt: number, owner: MemberId): void {
+		const found = this.#find(task);
+		if (found?.slot.attempt === attempt && found.slot.owner !== undefined) {
+			found.slot.owner = owner;
+			return;
+		}
+
+		// The job is over, or another attempt is under way: what was adopted must end.
+		this.#stopRun(task, attempt, owner, 'nobody waits for it');
+	}
+
+	/** Its targets' runs end only when their leases do; until then nothing may start them again, so the job is given up. */
+	#loseOwner(member: MemberId): void {
+		for (const job of this.#jobs.values()) {
+			if (job.slots.some(slot => slot.owner === member)) {
+				this.#end(job, doubt('executorLost', `${member} is lost`));
+			}
+		}
+	}
+
+	#repeatRequests(member: MemberId): void {
+		for (const job of this.#jobs.values()) {
+			for (const slot of job.slots) {
+				if (slot.owner === member) {
+					this.parts.pool.send(member, {kind: 'run', request: requestMessageOf(requestOf(job, slot))});
+				}
+			}
+		}
+	}
+
+	#check(): void {
+		const now = this.parts.clock.now();
+		for (const job of this.#jobs.values()) {
+			const latest = job.waiting.length > 0 ? job.uselessAt - job.expectedMilliseconds : job.receivedAt + job.job.patienceMilliseconds;
+			if (now <= latest) {
+				continue;
+			}
+
+			this.#end(job, job.mayHaveRun
+				? doubt('waitExpired', 'not ended in time')
+				: {
+					kind: 'notRun', cause: 'deadlineUnreachable', detail: 'no room in time', retryAfterMilliseconds: Math.ceil(job.expectedMilliseconds),
+				});
+		}
+	}
+
+	#end(job: RunningJob, verdict: Verdict<JobOutcome>): void {
+		if (job.isOver) {
+			return;
+		}
+
+		job.isOver = true;
+		this.#jobs.delete(job.job.id);
+		for (const slot of job.slots) {
+			if (slot.owner !== undefined) {
+				this.#stopRun(slot.id, slot.attempt, slot.owner, 'its job is over');
+			}
+		}
+
+		this.parts.journal.record('jobEnded', {
+			job: job.job.id,
+			queue: job.job.route.queue,
+			verdict: verdict.kind,
+			detail: verdict.kind === 'answered' ? verdict.answer : `${verdict.cause}: ${verdict.detail}`,
+			tookMilliseconds: Math.round(this.parts.clock.now() - job.receivedAt),
+			expectedMilliseconds: Math.round(job.expectedMilliseconds),
+		});
+		job.settle(verdict);
+	}
+
+	#stopRun(task: string, attempt: number, owner: MemberId, cause: string): void {
+		const {executor, pool} = this.parts;
+		if (owner === pool.self) {
+			executor.stop(task, attempt, cause);
+		} else {
+			pool.send(owner, {
+				kind: 'stop', task, attempt, cause,
+			});
+		}
+	}
+
+	#find(task: string): {readonly job: RunningJob; readonly slot: TaskSlot} | undefined {
+		const job = this.#jobs.get(task.slice(0, task.indexOf('.')) as JobId);
+		const slot = job?.slots.find(candidate => candidate.id === task);
+		return job === undefined || slot === undefined ? undefined : {job, slot};
+	}
+}
+
+function requestOf({job, expectedMilliseconds}: RunningJob, slot: TaskSlot): RunRequest {
+	return {
+		task: slot.id,
+		attempt: slot.attempt,
+		payload: job.payload,
+		need: job.shape.need,
+		queue: job.route.queue,
+		service: job.route.service,
+		label: job.shape.label,
+		avoid: [...slot.avoid],
+		expectedMilliseconds,
+	};
+}
+
+function doubt(cause: DoubtCause, detail: string): Verdict<JobOutcome> {
+	return {kind: 'mayHaveRun', cause, detail};
+}
--- /dev/null
+++ b/src/features/dispatch/running-job.ts
@@ -0,0 +1,55 @@
+/** A job between its submission and its answer. */
+import type {TaskId} from '../../base/task-id.js';
+import type {Verdict} from '../../base/verdict.js';
+import type {BestEffortJob} from './best-effort-job.js';
+import type {JobOutcome} from './job-outcome.js';
+import type {TaskSlot} from './task-slot.js';
+
+/** Holds the tasks' states and the times that decide the order; the dispatcher moves it on. */
+export class RunningJob {
+	readonly slots: readonly TaskSlot[];
+	/** Starts that were ordered and not provably refused. With any of them it can't be said that the job never ran. */
+	orderedStarts = 0;
+	isOver = false;
+
+	constructor(
+		readonly job: BestEffortJob,
+		readonly receivedAt: number,
+		/** What one task is expected to take, in milliseconds. */
+		readonly expectedMilliseconds: number,
+		readonly settle: (verdict: Verdict<JobOutcome>) => void,
+	) {
+		this.slots = Array.from({length: job.shape.count}, (_, index) => ({
+			id: `${job.id}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, sentAt: 0, isDone: false, avoid: new Set<string>(),
+		}));
+	}
+
+	/** When the answer is due for the job to be of full worth. */
+	get objectiveAt(): number {
+		return this.receivedAt + this.#objectiveMilliseconds;
+	}
+
+	/** After this the submitter has no use for the answer. */
+	get uselessAt(): number {
+		return this.receivedAt + Math.min(lateFactor * this.#objectiveMilliseconds, this.job.patienceMilliseconds);
+	}
+
+	get mayHaveRun(): boolean {
+		return this.orderedStarts > 0;
+	}
+
+	get waiting(): readonly TaskSlot[] {
+		return this.slots.filter(slot => slot.owner === undefined && !slot.isDone);
+	}
+
+	get isComplete(): boolean {
+		return this.slots.every(slot => slot.isDone);
+	}
+
+	get #objectiveMilliseconds(): number {
+		return (this.job.route.stretch * this.expectedMilliseconds) + this.job.route.slackMilliseconds;
+	}
+}
+
+/** Answers up to three objectives late still have some worth to the submitters, by their own statement. */
+const lateFactor = 3;
--- /dev/null
+++ b/src/features/dispatch/task-slot.ts
@@ -0,0 +1,17 @@
+/** One task of a running job. */
+import type {MemberId} from '../../base/member-id.js';
+import type {TaskId} from '../../base/task-id.js';
+
+/**
+ * `owner` is the entry that runs the present attempt. Without one the task waits; a task that has ended well has
+ * `isDone` set.
+ */
+export type TaskSlot = {
+	readonly id: TaskId;
+	attempt: number;
+	failures: number;
+	owner: MemberId | undefined;
+	sentAt: number;
+	isDone: boolean;
+	readonly avoid: Set<string>;
+};
--- /dev/null
+++ b/src/features/execution/executor.ts
@@ -0,0 +1,310 @@
+/** All targets that this entry owns. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {Emitter} from '../../base/emitter.js';
+import type {FencingToken} from '../../base/fencing-token.js';
+import type {InstanceId} from '../../base/instance-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {Resources} from '../../base/resources.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {TargetHealth} from '../placement/target-health.js';
+import type {TargetOrders} from '../targets/target-orders.js';
+import type {TargetRecord} from '../targets/target-record.js';
+import type {ExecutionReport} from './execution-report.js';
+import type {Handover} from './handover.js';
+import type {RoomShare} from './room-share.js';
+import type {Run} from './run.js';
+import type {RunOutcome} from './run-outcome.js';
+import type {RunRequest} from './run-request.js';
+import {TargetSession} from './target-session.js';
+
+/** A handover that nobody took is forgotten when all that it names has ended with its lease. */
+const handoverMilliseconds = 1500;
+/** How long a release waits for starts that are under way. */
+const pendingStartMilliseconds = 60;
+
+/** A target that this entry owns, with the token for it. */
+type OwnedTarget = {readonly target: TargetRecord; readonly fence: FencingToken};
+
+/** What the executor works with. */
+type ExecutorParts = {
+	readonly leaseMilliseconds: number;
+	readonly orders: TargetOrders;
+	readonly health: TargetHealth;
+	readonly clock: Clock;
+	readonly journal: Journal;
+};
+
+/** Owns a session for each owned target, chooses the target for a run, and reports each run's outcome. */
+export class Executor implements Disposable {
+	readonly #sessions = new Map<InstanceId, TargetSession>();
+	/** The highest token that a target rejected: it isn't ordered again with that one or a lower one. */
+	readonly #fenced = new Map<InstanceId, FencingToken>();
+	readonly #handovers = new Map<InstanceId, Handover>();
+	readonly #report = new Emitter<ExecutionReport>();
+	readonly #adopt = new Emitter<{readonly requester: MemberId; readonly request: RunRequest}>();
+	readonly #change = new Emitter<void>();
+
+	constructor(private readonly parts: ExecutorParts) {}
+
+	/** Fires with each outcome, once a run. */
+	get onDidReport() {
+		return this.#report.event;
+	}
+
+	/** Fires when a former owner's run goes on under this entry. */
+	get onDidAdopt() {
+		return this.#adopt.event;
+	}
+
+	/** Fires when there may be more room than before. */
+	get onDidChangeRoom() {
+		return this.#change.event;
+	}
+
+	get ownedTargets(): number {
+		return this.#sessions.size;
+	}
+
+	/** The room of each target that takes tasks now. */
+	get room(): readonly RoomShare[] {
+		const now = this.parts.clock.now();
+		return [...this.#sessions.values()]
+			.filter(session => session.isOpen && this.parts.health.condition(session.target.id, now) !== 'out')
+			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.room}));
+	}
+
+	/** Opens sessions for targets that came, and updates the others; those that went are dropped with their runs' lease. */
+	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
+		for (const [id, session] of this.#sessions) {
+			if (!owned.has(id)) {
+				this.#drop(id, session);
+			}
+		}
+
+		for (const [id, {target, fence}] of owned) {
+			this.#ensure(id, target, fence);
+		}
+
+		this.parts.health.retain(new Set(owned.keys()));
+		this.#change.fire();
+	}
+
+	/** Gives up targets so that the next owner can go on with what runs there; returns what it has to know. */
+	async release(ids: ReadonlySet<InstanceId>): Promise<readonly Handover[]> {
+		const leaving = [...this.#sessions.values()].filter(session => ids.has(session.target.id));
+		for (const session of leaving) {
+			session.pause();
+		}
+
+		if (leaving.some(session => session.hasPendingStarts)) {
+			await new Promise<void>(resolve => {
+				this.parts.clock.schedule(pendingStartMilliseconds, resolve);
+			});
+		}
+
+		return leaving.map(session => this.#release(session));
+	}
+
+	/** Keeps a former owner's word until the target is this entry's. */
+	expect(handover: Handover): void {
+		const {clock} = this.parts;
+		const session = this.#sessions.get(handover.target);
+		if (session !== undefined) {
+			this.#adoptInto(session, handover);
+			return;
+		}
+
+		this.#handovers.set(handover.target, handover);
+		clock.schedule(handoverMilliseconds, () => {
+			if (this.#handovers.get(handover.target) === handover) {
+				this.#handovers.delete(handover.target);
+			}
+		});
+	}
+
+	/** Starts a run on the fullest target that has room for it; returns the target, or nothing where none has room. */
+	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
+		const session = this.#choose(request);
+		if (session === undefined) {
+			return undefined;
+		}
+
+		const {clock, health, journal} = this.parts;
+		const {target} = session;
+		if (health.condition(target.id, clock.now()) === 'probe') {
+			health.beginProbe(target.id);
+		}
+
+		journal.record('runStarted', {task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.room.cpuMillis, requester});
+		session.start({
+			request, requester, state: 'starting', startedAt: clock.now(), confirmedAt: undefined, stopConfirmedAt: undefined, stopCause: undefined,
+		});
+		return target.id;
+	}
+
+	stop(task: string, attempt: number, cause: string): void {
+		for (const session of this.#sessions.values()) {
+			session.stop(task, attempt, cause);
+		}
+	}
+
+	/** Stops all runs that an entry asked for: nobody else may start them while they go on. */
+	stopRunsOf(requester: MemberId, cause: string): void {
+		for (const session of this.#sessions.values()) {
+			for (const run of session.runs) {
+				if (run.requester === requester) {
+					session.stop(run.request.task, run.request.attempt, cause);
+				}
+			}
+		}
+	}
+
+	dispose(): void {
+		for (const session of this.#sessions.values()) {
+			session.dispose();
+		}
+
+		this.#sessions.clear();
+	}
+
+	#ensure(id: InstanceId, target: TargetRecord, fence: FencingToken): void {
+		const known = this.#sessions.get(id);
+		if (known !== undefined) {
+			known.update(target, fence);
+			return;
+		}
+
+		if ((this.#fenced.get(id) ?? -1) >= fence) {
+			return;
+		}
+
+		this.#open(id, target, fence);
+	}
+
+	#open(id: InstanceId, target: TargetRecord, fence: FencingToken): void {
+		const {leaseMilliseconds, orders, clock, journal} = this.parts;
+		const session: TargetSession = new TargetSession({
+			target, fence, leaseMilliseconds, orders, clock, journal, listener: {
+				onDidEndRun: (run, outcome) => {
+					this.#ended(session, run, outcome);
+				},
+				onDidChange: () => {
+					this.#change.fire();
+				},
+				onDidEnd: cause => {
+					this.#sessionEnded(session, cause);
+				},
+			},
+		});
+		this.#sessions.set(id, session);
+		const handover = this.#handovers.get(id);
+		this.#handovers.delete(id);
+		if (handover !== undefined) {
+			this.#adoptInto(session, handover);
+		}
+
+		journal.record('targetOwned', {target: id, fence, adopted: handover?.runs.length ?? 0});
+		session.open();
+	}
+
+	#adoptInto(session: TargetSession, handover: Handover): void {
+		session.adopt(handover);
+		for (const {request, requester} of handover.runs) {
+			this.#adopt.fire({requester, request});
+		}
+	}
+
+	#release(session: TargetSession): Handover {
+		const {id} = session.target;
+		this.#sessions.delete(id);
+		const handover = session.release();
+		this.parts.orders.forget(session.target);
+		this.parts.journal.record('targetReleased', {target: id, fence: session.fence, handedOver: handover.runs.length});
+		return handover;
+	}
+
+	#drop(id: InstanceId, session: TargetSession): void {
+		this.#sessions.delete(id);
+		session.abandon();
+		this.parts.orders.forget(session.target);
+		this.parts.journal.record('targetDropped', {target: id});
+	}
+
+	#sessionEnded(session: TargetSession, cause: 'fenced' | 'replaced'): void {
+		const {id} = session.target;
+		this.#sessions.delete(id);
+		this.parts.orders.forget(session.target);
+		if (cause === 'fenced') {
+			this.#fenced.set(id, session.fence);
+		}
+
+		this.#change.fire();
+	}
+
+	#ended(session: TargetSession, run: Run, outcome: RunOutcome): void {
+		const {request, requester} = run;
+		const judged = this.#judge(session, run, outcome);
+		this.parts.journal.record('runEnded', {
+			task: request.task, attempt: request.attempt, target: session.target.id, outcome: judged.kind, cause: 'cause' in judged ? judged.cause : undefined, ranMilliseconds: Math.round(this.parts.clock.now() - run.startedAt),
+		});
+		this.#fire(requester, request, judged);
+		this.#change.fire();
+	}
+
+	/** Feeds the target's health with the end, and says whether the target is to blame for a failure. */
+	#judge(session: TargetSession, run: Run, outcome: RunOutcome): RunOutcome {
+		const {health, clock} = this.parts;
+		const {id} = session.target;
+		const now = clock.now();
+		const end = {
+			target: id, profile: run.request.queue, runMilliseconds: now - run.startedAt, expectedMilliseconds: run.request.expectedMilliseconds,
+		};
+		if (outcome.kind === 'done') {
+			health.report({...end, outcome: 'result'}, now);
+		} else if (outcome.kind === 'failed') {
+			health.report({...end, outcome: 'failure'}, now);
+			return {...outcome, isTargetSuspect: health.condition(id, now) === 'out'};
+		} else if (run.stopCause === 'overdue' || (outcome.kind === 'refused' && outcome.cause === 'targetRefused')) {
+			health.report({...end, outcome: 'lost'}, now);
+		} else {
+			health.cancelProbe(id);
+		}
+
+		return outcome;
+	}
+
+	#fire(requester: MemberId, request: RunRequest, outcome: RunOutcome): void {
+		this.#report.fire({
+			requester, task: request.task, attempt: request.attempt, outcome,
+		});
+	}
+
+	/** Best fit: the target with the least room left keeps whole targets free for wide tasks. */
+	#choose(request: RunRequest): TargetSession | undefined {
+		let best: {readonly session: TargetSession; readonly rest: number} | undefined;
+		for (const session of this.#sessions.values()) {
+			const {room} = session;
+			if (!this.#suits(session, request, room)) {
+				continue;
+			}
+
+			const rest = room.cpuMillis - request.need.cpuMillis;
+			if (best === undefined || rest < best.rest) {
+				best = {session, rest};
+			}
+		}
+
+		return best?.session;
+	}
+
+	#suits(session: TargetSession, request: RunRequest, room: Resources): boolean {
+		const {target} = session;
+		const isKind = target.service === request.service && (request.label === undefined || target.labels.includes(request.label));
+		if (!isKind || !session.isOpen || !request.need.fitsInto(room) || request.avoid.includes(target.id)) {
+			return false;
+		}
+
+		return this.parts.health.condition(target.id, this.parts.clock.now()) !== 'out';
+	}
+}
--- /dev/null
+++ b/src/features/execution/lease-schedule.ts
@@ -0,0 +1,41 @@
+/** The lease of everything that runs on one target. */
+import type {TargetTime} from '../../base/target-time.js';
+
+/** A target's steady clock may be this much slower than ours, by the platform's own statement. */
+const clockDrift = 0.02;
+/** For the time that an order travels and is handled. */
+const travelMilliseconds = 60;
+
+/**
+ * Converts between the target's clock and ours. The target's time is taken from its latest answer, so that the estimate is
+ * late by the answer's travel and a lease ends rather earlier than asked for; the time when everything has certainly ended
+ * is reckoned from the sending of the last order that renewed the lease.
+ */
+export class LeaseSchedule {
+	#clock: TargetTime | undefined;
+	#clockReadAt = 0;
+	#certainEnd = 0;
+
+	constructor(private readonly leaseMilliseconds: number) {}
+
+	/** Takes the clock of an answer that was received at a monotonic time. */
+	read(clock: TargetTime, receivedAt: number): void {
+		this.#clock = clock;
+		this.#clockReadAt = receivedAt;
+	}
+
+	/** The time until which an order that is sent now renews the lease; nothing before the first answer. */
+	renewal(now: number): TargetTime | undefined {
+		if (this.#clock === undefined) {
+			return undefined;
+		}
+
+		this.#certainEnd = Math.max(this.#certainEnd, now + (this.leaseMilliseconds * (1 + clockDrift)) + travelMilliseconds);
+		return Math.floor(this.#clock + (now - this.#clockReadAt) + this.leaseMilliseconds) as TargetTime;
+	}
+
+	/** When whatever ran there has ended, if nobody else renews it; monotonic. */
+	get certainEnd(): number {
+		return this.#certainEnd;
+	}
+}
--- /dev/null
+++ b/src/features/execution/run.ts
@@ -0,0 +1,20 @@
+/** A run on a target, as its owner keeps it. */
+import type {MemberId} from '../../base/member-id.js';
+import type {RunRequest} from './run-request.js';
+
+/**
+ * - `starting`: the order is under way, and its answer isn't there.
+ * - `running`: the target confirmed it.
+ * - `stopping`: it's to end; `stopConfirmedAt` is set once the target has accepted the stop.
+ */
+export type Run = {
+	readonly request: RunRequest;
+	/** The entry whose job it belongs to. */
+	readonly requester: MemberId;
+	state: 'starting' | 'running' | 'stopping';
+	startedAt: number;
+	/** When the target's confirmation came; none before it. */
+	confirmedAt: number | undefined;
+	stopConfirmedAt: number | undefined;
+	stopCause: string | undefined;
+};
--- /dev/null
+++ b/src/features/execution/session-listener.ts
@@ -0,0 +1,12 @@
+/** What a target's session tells its owner. */
+import type {Run} from './run.js';
+import type {RunOutcome} from './run-outcome.js';
+
+/** Every run gets exactly one outcome, unless it's handed over. */
+export type SessionListener = {
+	readonly onDidEndRun: (run: Run, outcome: RunOutcome) => void;
+	/** Room, fitness or reachability changed. */
+	readonly onDidChange: () => void;
+	/** The session can't go on: another owner has the target, or its life is over. All its runs have got an outcome. */
+	readonly onDidEnd: (cause: 'fenced' | 'replaced') => void;
+};
--- /dev/null
+++ b/src/features/execution/target-session.ts
@@ -0,0 +1,443 @@
+/** The owner's side of one target. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import type {FencingToken} from '../../base/fencing-token.js';
+import {Resources} from '../../base/resources.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {OrderFailure} from '../targets/order-failure.js';
+import type {RenewalReply} from '../targets/renewal-reply.js';
+import type {RunEnd} from '../targets/run-end.js';
+import type {StartReply} from '../targets/start-reply.js';
+import type {TargetOrders} from '../targets/target-orders.js';
+import type {TargetRecord} from '../targets/target-record.js';
+import type {Handover} from './handover.js';
+import {LeaseSchedule} from './lease-schedule.js';
+import {runKeyOf} from './run-key-of.js';
+import type {Run} from './run.js';
+import type {RunOutcome} from './run-outcome.js';
+import type {SessionListener} from './session-listener.js';
+
+/** How long a target waits for an end before it answers a renewal; a third of the lease, so that one lost renewal ends nothing. */
+const busyWaitMilliseconds = 300;
+/** Without runs there's no lease to renew; the wait stays under the lease of a start that comes meanwhile. */
+const idleWaitMilliseconds = 600;
+/** Between renewals of a target that doesn't answer. */
+const retryMilliseconds = 100;
+/** So many renewals in a row without an answer, and the target gets no new tasks. */
+const unansweredToSuspend = 2;
+const stopRetryMilliseconds = 120;
+/** How long runs that this owner doesn't know may go on while the former owner's word of them may still come. */
+const strangerMilliseconds = 250;
+
+/** What a session works with. */
+type SessionParts = {
+	readonly target: TargetRecord;
+	readonly fence: FencingToken;
+	readonly leaseMilliseconds: number;
+	readonly orders: TargetOrders;
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly listener: SessionListener;
+};
+
+/**
+ * Starts and stops runs on one target, renews their lease and takes their ends. The session is the only one that orders the
+ * target, as long as no newer owner was there; what it can't prove to have ended keeps its room.
+ */
+export class TargetSession implements Disposable {
+	readonly #runs = new Map<string, Run>();
+	readonly #lease: LeaseSchedule;
+	#target: TargetRecord;
+	#fence: FencingToken;
+	#acknowledged = 0;
+	#unanswered = 0;
+	#isLooked = false;
+	#isClosed = false;
+	#isPaused = false;
+	#openedAt: number;
+	#strangers: ReadonlyMap<string, {readonly need: Resources}> = new Map();
+	#wake: Disposable | undefined;
+
+	constructor(private readonly parts: SessionParts) {
+		this.#target = parts.target;
+		this.#fence = parts.fence;
+		this.#openedAt = parts.clock.now();
+		this.#lease = new LeaseSchedule(parts.leaseMilliseconds);
+	}
+
+	get target(): TargetRecord {
+		return this.#target;
+	}
+
+	get fence(): FencingToken {
+		return this.#fence;
+	}
+
+	get runs(): Iterable<Run> {
+		return this.#runs.values();
+	}
+
+	/** Whether new tasks may be started: the target answers, isn't draining, and holds nothing unknown. */
+	get isOpen(): boolean {
+		return !this.#isClosed && !this.#isPaused && this.#isLooked && this.#strangers.size === 0 && this.#unanswered < unansweredToSuspend && !this.#target.isDraining;
+	}
+
+	get isReachable(): boolean {
+		return this.#unanswered < unansweredToSuspend;
+	}
+
+	/** What is left of the target's capacity. */
+	get room(): Resources {
+		let room = this.#target.capacity;
+		for (const run of this.#runs.values()) {
+			room = room.minus(run.request.need);
+		}
+
+		return room;
+	}
+
+	/** Begins to look and to renew. */
+	open(): void {
+		void this.#renewLoop();
+	}
+
+	/** Takes a newer state of the same life, or a newer token. */
+	update(target: TargetRecord, fence: FencingToken): void {
+		this.#target = target;
+		this.#fence = fence;
+	}
+
+	/** Takes the former owner's runs as its own; the next report shows which of them still run. */
+	adopt(handover: Handover): void {
+		this.#acknowledged = Math.max(this.#acknowledged, handover.acknowledged);
+		const now = this.parts.clock.now();
+		for (const {request, requester} of handover.runs) {
+			const run: Run = {
+				request, requester, state: 'running', startedAt: now, confirmedAt: now, stopConfirmedAt: undefined, stopCause: undefined,
+			};
+			this.#runs.set(runKeyOf(request), run);
+		}
+
+		this.#strangers = new Map([...this.#strangers].filter(([key]) => !this.#runs.has(key)));
+	}
+
+	/** Orders a start; the caller has checked that there's room. */
+	start(run: Run): void {
+		this.#runs.set(runKeyOf(run.request), run);
+		void this.#startRun(run);
+	}
+
+	/** Has a run ended; its outcome comes once it provably has. */
+	stop(task: string, attempt: number, cause: string): void {
+		const run = this.#runs.get(runKeyOf({task, attempt}));
+		if (run !== undefined) {
+			this.#beginStop(run, cause);
+		}
+	}
+
+	/**
+	 * Stops ordering, so that the next owner can take over. Runs whose start is still under way, or that are being stopped,
+	 * aren't handed over: they end with this owner's lease.
+	 */
+	release(): Handover {
+		this.#close();
+		const runs = [...this.#runs.values()].filter(run => run.state === 'running');
+		for (const run of runs) {
+			this.#runs.delete(runKeyOf(run.request));
+		}
+
+		this.#endAllWithLease('released by its owner');
+		return {
+			target: this.#target.id,
+			acknowledged: this.#acknowledged,
+			runs: runs.map(({request, requester}) => ({request, requester})),
+		};
+	}
+
+	/** Stops ordering a target that left the catalogue; its runs are reported once their lease has certainly ended. */
+	abandon(): void {
+		this.#close();
+		this.#endAllWithLease('the target left');
+	}
+
+	/** A start's answer is awaited before a release, so that a run isn't left without an owner. */
+	get hasPendingStarts(): boolean {
+		return [...this.#runs.values()].some(run => run.state === 'starting');
+	}
+
+	/** Takes no new tasks from here on, before a release. */
+	pause(): void {
+		this.#isPaused = true;
+	}
+
+	dispose(): void {
+		this.#close();
+	}
+
+	#close(): void {
+		this.#isClosed = true;
+		this.#wake?.dispose();
+	}
+
+	async #startRun(run: Run): Promise<void> {
+		const {orders, clock} = this.parts;
+		const leaseUntil = this.#lease.renewal(clock.now());
+		if (leaseUntil === undefined) {
+			this.#end(run, {kind: 'refused', cause: 'targetRefused'});
+			return;
+		}
+
+		const {task, attempt, payload} = run.request;
+		const reply = await orders.start(this.#target, {task, attempt, payload, fence: this.#fence, leaseUntil});
+		if (this.#isClosed || !this.#isCurrent(run)) {
+			return;
+		}
+
+		this.#takeStartReply(run, reply);
+	}
+
+	#takeStartReply(run: Run, reply: StartReply): void {
+		switch (reply.kind) {
+			case 'started': {
+				run.confirmedAt = this.parts.clock.now();
+				if (run.state === 'starting') {
+					run.state = 'running';
+				}
+
+				break;
+			}
+
+			case 'noRoom': {
+				this.#refuse(run, 'noRoom');
+				break;
+			}
+
+			case 'superseded': {
+				this.#refuse(run, 'superseded');
+				break;
+			}
+
+			case 'expired': {
+				this.#refuse(run, 'targetRefused');
+				break;
+			}
+
+			case 'unanswered': {
+				// The start may be carried out later: only a stop of the same attempt proves that it won't.
+				this.#beginStop(run, 'start without an answer');
+				break;
+			}
+
+			case 'fenced':
+			case 'replaced': {
+				this.#finish(reply);
+				break;
+			}
+
+			case 'unhealthy':
+			case 'unreachable':
+			case 'rejected': {
+				this.parts.journal.record('startRefused', {target: this.#target.id, task: run.request.task, attempt: run.request.attempt, kind: reply.kind, detail: reply.detail});
+				this.#refuse(run, 'targetRefused');
+				break;
+			}
+		}
+	}
+
+	#refuse(run: Run, cause: 'noRoom' | 'superseded' | 'targetRefused'): void {
+		this.#end(run, {kind: 'refused', cause});
+	}
+
+	#beginStop(run: Run, cause: string): void {
+		if (run.state === 'stopping') {
+			return;
+		}
+
+		run.state = 'stopping';
+		run.stopCause = cause;
+		this.parts.journal.record('runStopped', {target: this.#target.id, task: run.request.task, attempt: run.request.attempt, cause});
+		void this.#stopLoop(run);
+	}
+
+	async #stopLoop(run: Run): Promise<void> {
+		const {orders, clock} = this.parts;
+		while (!this.#isClosed && this.#isCurrent(run) && run.stopConfirmedAt === undefined) {
+			const {task, attempt} = run.request;
+			const reply = await orders.stop(this.#target, {task, attempt, fence: this.#fence});
+			if (reply.kind === 'accepted') {
+				run.stopConfirmedAt = clock.now();
+				return;
+			}
+
+			if (reply.kind === 'fenced' || reply.kind === 'replaced') {
+				this.#finish(reply);
+				return;
+			}
+
+			await this.#pause(stopRetryMilliseconds);
+		}
+	}
+
+	async #renewLoop(): Promise<void> {
+		const {orders, clock} = this.parts;
+		while (!this.#isClosed) {
+			const sentAt = clock.now();
+			const isBusy = this.#runs.size > 0;
+			const isQuick = !this.#isLooked || this.#unanswered > 0;
+			const reply = await orders.renew(this.#target, {
+				fence: this.#fence,
+				acknowledged: this.#acknowledged,
+				leaseUntil: this.#leaseWanted(sentAt),
+				waitMilliseconds: isQuick ? 0 : (isBusy ? busyWaitMilliseconds : idleWaitMilliseconds),
+			});
+			if (this.#isClosed) {
+				return;
+			}
+
+			if (reply.kind === 'report') {
+				this.#takeReport(reply, sentAt);
+			} else if (reply.kind === 'fenced' || reply.kind === 'replaced') {
+				this.#finish(reply);
+			} else {
+				this.#missRenewal(reply);
+				await this.#pause(retryMilliseconds);
+			}
+		}
+	}
+
+	/** Nothing is renewed while something may run there that nobody asked for, or whose stop isn't confirmed. */
+	#leaseWanted(now: number) {
+		if (!this.#isLooked || this.#strangers.size > 0) {
+			return undefined;
+		}
+
+		const hasOverdueStop = [...this.#runs.values()].some(run => run.state === 'stopping' && run.stopConfirmedAt === undefined && this.#unanswered > 0);
+		return hasOverdueStop || this.#runs.size === 0 ? undefined : this.#lease.renewal(now);
+	}
+
+	#takeReport(report: Extract<RenewalReply, {kind: 'report'}>, sentAt: number): void {
+		const now = this.parts.clock.now();
+		if (this.#unanswered >= unansweredToSuspend) {
+			this.parts.journal.record('targetAnswers', {target: this.#target.id, unanswered: this.#unanswered});
+		}
+
+		this.#unanswered = 0;
+		this.#lease.read(report.clock, now);
+		for (const end of report.ended) {
+			this.#takeEnd(end);
+		}
+
+		const running = new Set(report.running.map(run => runKeyOf(run)));
+		this.#dropMissing(running, sentAt);
+		this.#takeStrangers(report, now);
+		this.#isLooked = true;
+		this.parts.listener.onDidChange();
+	}
+
+	#takeEnd(end: RunEnd): void {
+		this.#acknowledged = Math.max(this.#acknowledged, end.number);
+		const run = this.#runs.get(runKeyOf(end));
+		if (run !== undefined) {
+			this.#end(run, this.#outcomeOf(run, end));
+		}
+	}
+
+	#outcomeOf(run: Run, end: RunEnd): RunOutcome {
+		const target = this.#target.id;
+		if (end.how === 'done') {
+			return {kind: 'done', target, ranMilliseconds: this.parts.clock.now() - run.startedAt};
+		}
+
+		if (end.how === 'failed') {
+			return {kind: 'failed', target, isTargetSuspect: false};
+		}
+
+		return {kind: 'gone', target, cause: run.stopCause ?? end.how};
+	}
+
+	/**
+	 * A run that was confirmed before the report was asked for and is in neither of its lists has ended. A report that left
+	 * before the start was carried out says nothing of it.
+	 */
+	#dropMissing(running: ReadonlySet<string>, sentAt: number): void {
+		for (const [key, run] of this.#runs) {
+			const settledAt = run.stopConfirmedAt ?? run.confirmedAt;
+			if (settledAt !== undefined && settledAt < sentAt && !running.has(key)) {
+				this.#end(run, {kind: 'gone', target: this.#target.id, cause: run.stopCause ?? 'missing from the report'});
+			}
+		}
+	}
+
+	/** Runs of a former owner: its word of them may still come; after that they're stopped. */
+	#takeStrangers(report: Extract<RenewalReply, {kind: 'report'}>, now: number): void {
+		const strangers = report.running.filter(run => !this.#runs.has(runKeyOf(run)));
+		this.#strangers = new Map(strangers.map(run => [runKeyOf(run), {need: Resources.none}]));
+		if (strangers.length === 0 || now - this.#openedAt < strangerMilliseconds) {
+			return;
+		}
+
+		for (const {task, attempt} of strangers) {
+			this.parts.journal.record('strangerStopped', {target: this.#target.id, task, attempt});
+			void this.parts.orders.stop(this.#target, {task, attempt, fence: this.#fence});
+		}
+	}
+
+	#missRenewal(failure: OrderFailure): void {
+		this.#unanswered += 1;
+		const {clock, journal, listener} = this.parts;
+		if (this.#unanswered === unansweredToSuspend) {
+			journal.record('targetSilent', {target: this.#target.id, kind: failure.kind, detail: failure.detail, runs: this.#runs.size});
+		}
+
+		if (clock.now() > this.#lease.certainEnd) {
+			this.#endAll('lease passed on a target that does not answer');
+		}
+
+		listener.onDidChange();
+	}
+
+	#finish({kind, detail}: OrderFailure): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#close();
+		this.parts.journal.record('sessionEnded', {target: this.#target.id, kind, detail, fence: this.#fence, runs: this.#runs.size});
+		if (kind === 'replaced') {
+			this.#endAll(kind);
+		} else {
+			this.#endAllWithLease(kind);
+		}
+
+		this.parts.listener.onDidEnd(kind === 'fenced' ? 'fenced' : 'replaced');
+	}
+
+	/** Another owner may have let the runs go on for the rest of their lease; it renews none that it doesn't know. */
+	#endAllWithLease(cause: string): void {
+		const {clock} = this.parts;
+		clock.schedule(Math.max(0, this.#lease.certainEnd - clock.now()), () => {
+			this.#endAll(cause);
+		});
+	}
+
+	#endAll(cause: string): void {
+		for (const run of this.#runs.values()) {
+			this.#end(run, {kind: 'gone', target: this.#target.id, cause});
+		}
+	}
+
+	#end(run: Run, outcome: RunOutcome): void {
+		this.#runs.delete(runKeyOf(run.request));
+		this.parts.listener.onDidEndRun(run, outcome);
+	}
+
+	#isCurrent(run: Run): boolean {
+		return this.#runs.get(runKeyOf(run.request)) === run;
+	}
+
+	async #pause(milliseconds: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#wake = this.parts.clock.schedule(milliseconds, resolve);
+		});
+	}
+}
--- a/src/features/intake/intake.contribution.ts
+++ b/src/features/intake/intake.contribution.ts
@@ -1,9 +1,9 @@
 /** Registers the intake feature. */
 import type {DisposableStore} from '../../base/disposable-store.js';
-import {Contribution} from '../../platform/kernel/contribution.js';
-import {contributions} from '../../platform/kernel/contributions.js';
-import type {ServiceContainer} from '../../platform/kernel/service-container.js';
-import {platformKeys} from '../../platform/platform-keys.js';
+import {Contribution} from '../../runtime/kernel/contribution.js';
+import {contributions} from '../../runtime/kernel/contributions.js';
+import type {ServiceContainer} from '../../runtime/kernel/service-container.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
 import {jobServiceKey} from '../jobs/job-service-key.js';
 import {submissionDeskKey} from '../submissions/submission-desk-key.js';
 import {Intake} from './intake.js';
@@ -16,7 +16,7 @@
 	override readonly requires = ['jobs', 'submissions'];
 
 	override activate(services: ServiceContainer, store: DisposableStore): void {
-		const {entry, limits} = services.get(platformKeys.settings);
+		const {entry, limits} = services.get(runtimeKeys.settings);
 		services.provide(intakeKey, store.add(new Intake(
 			{
 				zone: entry.zone, address: entry.address, port: entry.httpPort, ...limits,
--- a/src/features/jobs/job-service-key.ts
+++ b/src/features/jobs/job-service-key.ts
@@ -1,5 +1,5 @@
 /** The container's name for the job service. */
-import {ServiceKey} from '../../platform/kernel/service-key.js';
+import {ServiceKey} from '../../runtime/kernel/service-key.js';
 import type {JobService} from './job-service.js';
 
 /** Provided by the jobs feature. */
--- a/src/features/jobs/job-tools.ts
+++ b/src/features/jobs/job-tools.ts
@@ -1,8 +1,8 @@
 /** What a running job uses. */
 import type {Clock} from '../../base/clock.js';
-import type {Journal} from '../../platform/journal/journal.js';
-import type {Metrics} from '../../platform/metrics/metrics.js';
-import type {TargetDriver} from '../../platform/targets/target-driver.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Metrics} from '../../runtime/metrics/metrics.js';
+import type {TargetDriver} from '../../runtime/targets/target-driver.js';
 import type {SlotDesk} from '../placement/slot-desk.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {VariantGuard} from './variant-guard.js';
--- a/src/features/jobs/jobs.contribution.ts
+++ b/src/features/jobs/jobs.contribution.ts
@@ -1,9 +1,9 @@
 /** Registers the jobs feature. */
 import type {DisposableStore} from '../../base/disposable-store.js';
-import {Contribution} from '../../platform/kernel/contribution.js';
-import {contributions} from '../../platform/kernel/contributions.js';
-import type {ServiceContainer} from '../../platform/kernel/service-container.js';
-import {platformKeys} from '../../platform/platform-keys.js';
+import {Contribution} from '../../runtime/kernel/contribution.js';
+import {contributions} from '../../runtime/kernel/contributions.js';
+import type {ServiceContainer} from '../../runtime/kernel/service-container.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
 import {slotDeskKey} from '../placement/slot-desk-key.js';
 import {profileBookKey} from '../profiles/profile-book-key.js';
 import {submissionDeskKey} from '../submissions/submission-desk-key.js';
@@ -18,19 +18,19 @@
 	override readonly requires = ['placement', 'profiles', 'submissions'];
 
 	override activate(services: ServiceContainer, store: DisposableStore): void {
-		const {entry} = services.get(platformKeys.settings);
-		const clock = services.get(platformKeys.clock);
-		const journal = services.get(platformKeys.journal);
+		const {entry} = services.get(runtimeKeys.settings);
+		const clock = services.get(runtimeKeys.clock);
+		const journal = services.get(runtimeKeys.journal);
 		const submissions = services.get(submissionDeskKey);
 		const jobs = new JobService(services.get(profileBookKey), submissions, {
 			clock,
 			journal,
-			metrics: services.get(platformKeys.metrics),
-			driver: services.get(platformKeys.targetDriver),
+			metrics: services.get(runtimeKeys.metrics),
+			driver: services.get(runtimeKeys.targetDriver),
 			slots: services.get(slotDeskKey),
 			budget: new RetryBudget(),
 			guard: new VariantGuard(journal),
-			zones: new ZoneChoice(entry.zone, entry.zones, clock, services.get(platformKeys.random)),
+			zones: new ZoneChoice(entry.zone, entry.zones, clock, services.get(runtimeKeys.random)),
 		});
 		store.add(submissions.onDidRequestCancel(id => {
 			jobs.cancel(id);
--- a/src/features/jobs/variant-guard.ts
+++ b/src/features/jobs/variant-guard.ts
@@ -1,7 +1,7 @@
 /** Trials of new behaviour on live traffic. */
 import {hashText} from '../../base/hash-text.js';
 import type {SubmissionId} from '../../base/submission-id.js';
-import type {Journal} from '../../platform/journal/journal.js';
+import type {Journal} from '../../runtime/journal/journal.js';
 import type {ProfileRevision} from '../profiles/profile-revision.js';
 
 const hashRange = 0x1_00_00_00_00;
--- a/src/features/membership/listed-membership.ts
+++ b/src/features/membership/listed-membership.ts
@@ -7,12 +7,12 @@
 import {Emitter} from '../../base/emitter.js';
 import type {MemberId} from '../../base/member-id.js';
 import {rankByKey} from '../../base/rank-by-key.js';
-import type {Instance} from '../../platform/instances/instance.js';
-import type {InstanceList} from '../../platform/instances/instance-list.js';
-import type {InstanceSnapshot} from '../../platform/instances/instance-snapshot.js';
-import type {Journal} from '../../platform/journal/journal.js';
-import type {Member} from '../../platform/peers/member.js';
-import type {PeerNetwork} from '../../platform/peers/peer-network.js';
+import type {Instance} from '../../runtime/instances/instance.js';
+import type {InstanceList} from '../../runtime/instances/instance-list.js';
+import type {InstanceSnapshot} from '../../runtime/instances/instance-snapshot.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Member} from '../../runtime/peers/member.js';
+import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 import type {Loss} from './loss.js';
 import {Membership} from './membership.js';
 
--- a/src/features/membership/loss.ts
+++ b/src/features/membership/loss.ts
@@ -1,5 +1,5 @@
 /** How a member went away. */
-import type {Member} from '../../platform/peers/member.js';
+import type {Member} from '../../runtime/peers/member.js';
 
 /** `left` after it handed everything over; `dead` otherwise, with all that only it knew. */
 export type Loss = {
--- a/src/features/membership/membership-key.ts
+++ b/src/features/membership/membership-key.ts
@@ -1,5 +1,5 @@
 /** The container's name for the membership. */
-import {ServiceKey} from '../../platform/kernel/service-key.js';
+import {ServiceKey} from '../../runtime/kernel/service-key.js';
 import type {Membership} from './membership.js';
 
 /** Provided by the membership feature. */
--- a/src/features/membership/membership.contribution.ts
+++ b/src/features/membership/membership.contribution.ts
@@ -1,9 +1,9 @@
 /** Registers the membership feature. */
 import type {DisposableStore} from '../../base/disposable-store.js';
-import {Contribution} from '../../platform/kernel/contribution.js';
-import {contributions} from '../../platform/kernel/contributions.js';
-import type {ServiceContainer} from '../../platform/kernel/service-container.js';
-import {platformKeys} from '../../platform/platform-keys.js';
+import {Contribution} from '../../runtime/kernel/contribution.js';
+import {contributions} from '../../runtime/kernel/contributions.js';
+import type {ServiceContainer} from '../../runtime/kernel/service-container.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
 import {ListedMembership} from './listed-membership.js';
 import {membershipKey} from './membership-key.js';
 
@@ -13,10 +13,10 @@
 
 	override activate(services: ServiceContainer, store: DisposableStore): void {
 		services.provide(membershipKey, store.add(new ListedMembership(
-			services.get(platformKeys.peerNetwork),
-			services.get(platformKeys.instanceList),
-			services.get(platformKeys.clock),
-			services.get(platformKeys.journal),
+			services.get(runtimeKeys.peerNetwork),
+			services.get(runtimeKeys.instanceList),
+			services.get(runtimeKeys.clock),
+			services.get(runtimeKeys.journal),
 		)));
 	}
 }());
--- a/src/features/membership/membership.ts
+++ b/src/features/membership/membership.ts
@@ -2,7 +2,7 @@
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Event} from '../../base/event.js';
 import type {MemberId} from '../../base/member-id.js';
-import type {Member} from '../../platform/peers/member.js';
+import type {Member} from '../../runtime/peers/member.js';
 import type {Loss} from './loss.js';
 
 /** This entry's own view, which may lag behind the truth and differ from its peers' views. */
--- /dev/null
+++ b/src/features/ownership/group-member.ts
@@ -0,0 +1,120 @@
+/** This entry's membership in one ownership group. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import type {FencingToken} from '../../base/fencing-token.js';
+import type {OwnershipGroupName} from '../../base/ownership-group-name.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Claim} from './claim.js';
+import type {PartitionGrant} from './partition-grant.js';
+import type {PartitionGroup} from './partition-group.js';
+
+/** How often the membership is renewed; a fifth of its time to live, so that four renewals may be lost. */
+const renewalMilliseconds = 300;
+
+/** What a member tells its owner. */
+type GroupMemberListener = {
+	readonly onDidChangeClaim: () => void;
+	/** The group has given away partitions: what runs on their targets has to be handed over before this returns. */
+	readonly onWillRelease: (lost: ReadonlySet<number>) => Promise<void>;
+};
+
+/**
+ * Joins a group over and over. While the store gives no answer the last claim stays: a target that has met a newer owner
+ * rejects this entry's token, and nobody else can take over a target unless the store answered it.
+ */
+export class GroupMember implements Disposable {
+	#claim: Claim | undefined;
+	#generation = 0;
+	#isAway = false;
+	#isDisposed = false;
+	#timer: Disposable | undefined;
+	#isJoining = false;
+	#isWanted = false;
+
+	constructor(
+		readonly group: OwnershipGroupName,
+		private readonly member: string,
+		private readonly store: PartitionGroup,
+		private readonly clock: Clock,
+		private readonly journal: Journal,
+		private readonly listener: GroupMemberListener,
+	) {}
+
+	get claim(): Claim | undefined {
+		return this.#claim;
+	}
+
+	/** Joins now, and goes on renewing. */
+	renew(): void {
+		this.#timer?.dispose();
+		if (this.#isDisposed) {
+			return;
+		}
+
+		if (this.#isJoining) {
+			this.#isWanted = true;
+			return;
+		}
+
+		void this.#renewOnce();
+	}
+
+	/** Gives up all partitions at once. */
+	async leave(): Promise<void> {
+		this.dispose();
+		await this.store.leave(this.group, this.member);
+		this.#claim = undefined;
+		this.journal.record('groupLeft', {group: this.group, generation: this.#generation});
+	}
+
+	dispose(): void {
+		this.#isDisposed = true;
+		this.#timer?.dispose();
+	}
+
+	async #renewOnce(): Promise<void> {
+		this.#isJoining = true;
+		const grant = await this.store.join(this.group, this.member, this.#generation);
+		if (!this.#isDisposed) {
+			await this.#take(grant);
+		}
+
+		this.#isJoining = false;
+		const delay = this.#isWanted ? 0 : renewalMilliseconds;
+		this.#isWanted = false;
+		if (!this.#isDisposed) {
+			this.#timer = this.clock.schedule(delay, () => {
+				this.renew();
+			});
+		}
+	}
+
+	async #take(grant: PartitionGrant | undefined): Promise<void> {
+		this.#noteAway(grant === undefined);
+		if (grant === undefined) {
+			return;
+		}
+
+		const lost = new Set([...this.#claim?.partitions ?? []].filter(partition => !grant.partitions.has(partition)));
+		const isChanged = grant.generation !== this.#generation;
+		if (lost.size > 0) {
+			// The next owner gets these only after the next join: until then their tasks can be handed over.
+			await this.listener.onWillRelease(lost);
+			this.#isWanted = true;
+		}
+
+		this.#generation = grant.generation;
+		this.#claim = {fence: grant.generation as FencingToken, partitions: grant.partitions, renewedAt: this.clock.now()};
+		if (isChanged) {
+			this.journal.record('claimChanged', {group: this.group, generation: grant.generation, partitions: grant.partitions.size, lost: lost.size});
+			this.listener.onDidChangeClaim();
+		}
+	}
+
+	#noteAway(isAway: boolean): void {
+		if (isAway !== this.#isAway) {
+			this.#isAway = isAway;
+			this.journal.record(isAway ? 'groupAway' : 'groupBack', {group: this.group, generation: this.#generation});
+		}
+	}
+}
--- /dev/null
+++ b/src/features/ownership/ownership.ts
@@ -0,0 +1,130 @@
+/** Which targets this entry owns, and by what right. */
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {Emitter} from '../../base/emitter.js';
+import type {FencingToken} from '../../base/fencing-token.js';
+import {hashText} from '../../base/hash-text.js';
+import type {InstanceId} from '../../base/instance-id.js';
+import type {OwnershipGroupName} from '../../base/ownership-group-name.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Executor} from '../execution/executor.js';
+import type {Handover} from '../execution/handover.js';
+import type {TargetCatalogue} from '../targets/target-catalogue.js';
+import type {TargetRecord} from '../targets/target-record.js';
+import {GroupMember} from './group-member.js';
+import type {PartitionGroup} from './partition-group.js';
+
+/** What ownership works with. */
+type OwnershipParts = {
+	readonly zone: AvailabilityZone;
+	/** Names this life of the entry in the groups. */
+	readonly member: string;
+	readonly store: PartitionGroup;
+	readonly catalogue: TargetCatalogue;
+	readonly executor: Executor;
+	readonly clock: Clock;
+	readonly journal: Journal;
+};
+
+/**
+ * The targets of each zone are shared out among the entries of that zone, so that a zone which is cut off goes on with all
+ * of its own targets. A zone without an entry is covered by an entry of another one, which joins that zone's group.
+ */
+export class Ownership implements Disposable {
+	readonly #members = new Map<AvailabilityZone, GroupMember>();
+	readonly #handOver = new Emitter<readonly Handover[]>();
+	readonly #subscription: Disposable;
+
+	constructor(private readonly parts: OwnershipParts) {
+		this.#subscription = parts.catalogue.onDidChange(() => {
+			this.#assign();
+		});
+	}
+
+	/** Fires when targets were given up: the entry that gets them next needs these. */
+	get onDidHandOver() {
+		return this.#handOver.event;
+	}
+
+	/** Joins the groups of its own zone and of the zones to cover, and leaves the others. */
+	cover(zones: ReadonlySet<AvailabilityZone>): void {
+		for (const zone of new Set([this.parts.zone, ...zones])) {
+			if (!this.#members.has(zone)) {
+				this.#join(zone);
+			}
+		}
+
+		for (const [zone, member] of this.#members) {
+			if (zone !== this.parts.zone && !zones.has(zone)) {
+				void this.#leave(zone, member);
+			}
+		}
+	}
+
+	/** Somebody gave up targets: they may be this entry's now. */
+	renew(): void {
+		for (const member of this.#members.values()) {
+			member.renew();
+		}
+	}
+
+	/** Gives up all targets, with what runs there. */
+	async leave(): Promise<void> {
+		const members = [...this.#members];
+		await Promise.all(members.map(async ([zone, member]) => this.#leave(zone, member)));
+	}
+
+	dispose(): void {
+		this.#subscription.dispose();
+		this.#handOver.dispose();
+		for (const member of this.#members.values()) {
+			member.dispose();
+		}
+	}
+
+	#join(zone: AvailabilityZone): void {
+		const {member, store, clock, journal} = this.parts;
+		const joined = new GroupMember(`targets.${zone}` as OwnershipGroupName, member, store, clock, journal, {
+			onDidChangeClaim: () => {
+				this.#assign();
+			},
+			onWillRelease: async lost => this.#release(zone, lost),
+		});
+		this.#members.set(zone, joined);
+		joined.renew();
+	}
+
+	async #leave(zone: AvailabilityZone, member: GroupMember): Promise<void> {
+		this.#members.delete(zone);
+		const partitions = member.claim?.partitions ?? new Set<number>();
+		// The word of what runs there goes out first: the next owner may be there as soon as the group knows.
+		await this.#release(zone, partitions);
+		await member.leave();
+		this.#handOver.fire([]);
+	}
+
+	async #release(zone: AvailabilityZone, partitions: ReadonlySet<number>): Promise<void> {
+		const ids = [...this.parts.catalogue.targets.values()].filter(target => target.zone === zone && partitions.has(this.#partitionOf(target.id)));
+		const handovers = await this.parts.executor.release(new Set(ids.map(target => target.id)));
+		if (handovers.length > 0) {
+			this.#handOver.fire(handovers);
+		}
+	}
+
+	#assign(): void {
+		const owned = new Map<InstanceId, {readonly target: TargetRecord; readonly fence: FencingToken}>();
+		for (const target of this.parts.catalogue.targets.values()) {
+			const claim = this.#members.get(target.zone)?.claim;
+			if (claim?.partitions.has(this.#partitionOf(target.id))) {
+				owned.set(target.id, {target, fence: claim.fence});
+			}
+		}
+
+		this.parts.executor.assign(owned);
+	}
+
+	#partitionOf(target: InstanceId): number {
+		return hashText(target) % this.parts.store.partitionCount;
+	}
+}
--- a/src/features/placement/candidate.ts
+++ b/src/features/placement/candidate.ts
@@ -1,5 +1,5 @@
 /** A target as a policy sees it. */
-import type {Instance} from '../../platform/instances/instance.js';
+import type {Instance} from '../../runtime/instances/instance.js';
 
 /** A target that can take the task at hand. */
 export type Candidate = {
--- a/src/features/placement/placement.contribution.ts
+++ b/src/features/placement/placement.contribution.ts
@@ -1,9 +1,9 @@
 /** Registers the placement feature and its policies. */
 import type {DisposableStore} from '../../base/disposable-store.js';
-import {Contribution} from '../../platform/kernel/contribution.js';
-import {contributions} from '../../platform/kernel/contributions.js';
-import type {ServiceContainer} from '../../platform/kernel/service-container.js';
-import {platformKeys} from '../../platform/platform-keys.js';
+import {Contribution} from '../../runtime/kernel/contribution.js';
+import {contributions} from '../../runtime/kernel/contributions.js';
+import type {ServiceContainer} from '../../runtime/kernel/service-container.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
 import {membershipKey} from '../membership/membership-key.js';
 import {placements} from './placements.js';
 import './policies/fixed-shares.js';
@@ -21,7 +21,7 @@
 	override readonly requires = ['membership'];
 
 	override activate(services: ServiceContainer, store: DisposableStore): void {
-		const settings = services.get(platformKeys.settings).placement;
+		const settings = services.get(runtimeKeys.settings).placement;
 		const placement = placements.named(settings.policy);
 		if (placement === undefined) {
 			throw new Error(`placement.policy = ${settings.policy}: one of ${placements.names().join(', ')}`);
@@ -30,13 +30,13 @@
 		const zonePlacement = store.add(new ZonePlacement({
 			placement,
 			quarantineMilliseconds: settings.quarantineMilliseconds,
-			network: services.get(platformKeys.peerNetwork),
+			network: services.get(runtimeKeys.peerNetwork),
 			membership: services.get(membershipKey),
-			list: services.get(platformKeys.instanceList),
-			driver: services.get(platformKeys.targetDriver),
-			clock: services.get(platformKeys.clock),
-			random: services.get(platformKeys.random),
-			journal: services.get(platformKeys.journal),
+			list: services.get(runtimeKeys.instanceList),
+			driver: services.get(runtimeKeys.targetDriver),
+			clock: services.get(runtimeKeys.clock),
+			random: services.get(runtimeKeys.random),
+			journal: services.get(runtimeKeys.journal),
 		}));
 		services.provide(slotDeskKey, zonePlacement.desk);
 		services.provide(zonePlacementKey, zonePlacement);
--- a/src/features/placement/slot-desk-key.ts
+++ b/src/features/placement/slot-desk-key.ts
@@ -1,5 +1,5 @@
 /** The container's name for the slots of all zones. */
-import {ServiceKey} from '../../platform/kernel/service-key.js';
+import {ServiceKey} from '../../runtime/kernel/service-key.js';
 import type {SlotDesk} from './slot-desk.js';
 
 /** Provided by the placement feature. */
--- a/src/features/placement/slot-ledger.ts
+++ b/src/features/placement/slot-ledger.ts
@@ -3,7 +3,7 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {SubmissionId} from '../../base/submission-id.js';
 import type {TicketId} from '../../base/ticket-id.js';
-import type {Instance} from '../../platform/instances/instance.js';
+import type {Instance} from '../../runtime/instances/instance.js';
 import type {Candidate} from './candidate.js';
 import type {HeldSlot} from './held-slot.js';
 import type {TargetHealth} from './target-health.js';
--- a/src/features/placement/target-health.ts
+++ b/src/features/placement/target-health.ts
@@ -1,7 +1,7 @@
 /** Whether a target is fit for work. */
 import type {InstanceId} from '../../base/instance-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
-import type {Journal} from '../../platform/journal/journal.js';
+import type {Journal} from '../../runtime/journal/journal.js';
 
 /** Failures in a row after which a target is out; a loss or a refusal weighs as much as a failure. */
 const failuresToEject = 3;
--- /dev/null
+++ b/src/features/pool/pool-member.ts
@@ -0,0 +1,15 @@
+/** Another entry, as this one last heard of it. */
+import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {Member} from '../../runtime/peers/member.js';
+import type {RoomShare} from '../execution/room-share.js';
+
+/** `room` is what the member told last, less what was sent there since. */
+export type PoolMember = {
+	readonly member: Member;
+	heardAt: number;
+	isLeaving: boolean;
+	routingVersion: number;
+	ownedTargets: number;
+	zones: readonly AvailabilityZone[];
+	room: RoomShare[];
+};
--- /dev/null
+++ b/src/features/pool/pool.ts
@@ -0,0 +1,216 @@
+/** The entries that share their targets' room. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Emitter} from '../../base/emitter.js';
+import type {MemberId} from '../../base/member-id.js';
+import {repeat} from '../../base/repeat.js';
+import type {Resources} from '../../base/resources.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Member} from '../../runtime/peers/member.js';
+import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
+import type {RoomShare} from '../execution/room-share.js';
+import type {OutgoingPoolMessage} from './outgoing-pool-message.js';
+import type {PoolMember} from './pool-member.js';
+import type {PoolMessage} from './pool-message.js';
+import {poolMessageSchema} from './pool-message-schema.js';
+
+const channel = 'pool';
+/** The heartbeat while nothing changes. */
+const heartbeatMilliseconds = 100;
+/** Changes of room are told at most so often: fewer bytes between zones, and no later than a small part of a short task. */
+const changeMilliseconds = 20;
+/**
+ * An entry that was silent for so long is taken as lost. Clients submit again 1300 ms after a loss: by then its tasks on
+ * other entries' targets must have been stopped.
+ */
+const silenceMilliseconds = 800;
+
+/** What an entry tells of itself. */
+type OwnState = Omit<Extract<OutgoingPoolMessage, {kind: 'state'}>, 'kind'>;
+
+/** Sends this entry's state to all others, and keeps theirs. */
+export class Pool implements Disposable {
+	readonly #members = new Map<MemberId, PoolMember>();
+	/** Every life that was met: one that can't be heard may still hear, and has to be told to stop. */
+	readonly #met = new Map<MemberId, Member>();
+	readonly #addresses = new Set<string>();
+	readonly #store = new DisposableStore();
+	readonly #message = new Emitter<{readonly from: Member; readonly message: PoolMessage}>();
+	readonly #lose = new Emitter<MemberId>();
+	readonly #reconnect = new Emitter<MemberId>();
+	readonly #room = new Emitter<void>();
+	#toldAt = 0;
+	#pending: Disposable | undefined;
+
+	constructor(
+		private readonly network: PeerNetwork,
+		private readonly ownState: () => OwnState,
+		private readonly clock: Clock,
+		private readonly journal: Journal,
+	) {
+		this.#store.add(network.onDidReceive(({from, message}) => {
+			if (message.channel === channel) {
+				this.#receive(from, message.body);
+			}
+		}));
+		this.#store.add(network.onDidMeet(member => {
+			this.#meet(member);
+		}));
+		this.#store.add(network.onDidReconnect(member => {
+			this.#reconnect.fire(member.id);
+		}));
+		this.#store.add(network.onDidProveDead(id => {
+			this.#drop(id, 'its port refuses connections, or a newer life answers there');
+		}));
+	}
+
+	/** Messages of other entries, but for their states. */
+	get onDidReceive() {
+		return this.#message.event;
+	}
+
+	/** Fires once an entry is gone or was silent for too long. */
+	get onDidLose() {
+		return this.#lose.event;
+	}
+
+	/** Fires when a connection was made anew: messages on the former one may be lost. */
+	get onDidReconnect() {
+		return this.#reconnect.event;
+	}
+
+	/** Fires after an entry told of its room. */
+	get onDidChangeRoom() {
+		return this.#room.event;
+	}
+
+	get self(): MemberId {
+		return this.network.self.id;
+	}
+
+	/** All entries that were heard lately, without this one. */
+	get members(): Iterable<PoolMember> {
+		return this.#members.values();
+	}
+
+	start(): void {
+		this.#store.add(repeat(this.clock, heartbeatMilliseconds, () => {
+			this.#dropSilent();
+			if (this.clock.now() - this.#toldAt >= heartbeatMilliseconds / 2) {
+				this.#tell();
+			}
+		}));
+	}
+
+	/** Connects to entries at these addresses, besides those that are known. */
+	meet(addresses: Iterable<string>): void {
+		for (const address of addresses) {
+			if (address !== this.network.self.peerAddress) {
+				this.#addresses.add(address);
+			}
+		}
+
+		this.network.watch(this.#addresses);
+	}
+
+	send(to: MemberId, message: OutgoingPoolMessage): void {
+		const member = this.#met.get(to);
+		if (member !== undefined) {
+			this.network.send(member, {channel, body: message});
+		}
+	}
+
+	broadcast(message: OutgoingPoolMessage): void {
+		for (const {member} of this.#members.values()) {
+			this.network.send(member, {channel, body: message});
+		}
+	}
+
+	/** Tells all entries of a change, soon. */
+	tellChange(): void {
+		if (this.#pending !== undefined) {
+			return;
+		}
+
+		const due = this.#toldAt + changeMilliseconds - this.clock.now();
+		this.#pending = this.clock.schedule(Math.max(0, due), () => {
+			this.#tell();
+		});
+	}
+
+	isKnown(id: MemberId): boolean {
+		return this.#members.has(id);
+	}
+
+	/** Takes room from what a member told, until it tells again. */
+	reserve(member: PoolMember, share: RoomShare, need: Resources): void {
+		member.room = member.room.map(other => other === share ? {...share, room: share.room.minus(need)} : other);
+	}
+
+	dispose(): void {
+		this.#pending?.dispose();
+		this.#store.dispose();
+	}
+
+	#tell(): void {
+		this.#pending?.dispose();
+		this.#pending = undefined;
+		this.#toldAt = this.clock.now();
+		this.broadcast({kind: 'state', ...this.ownState()});
+	}
+
+	#meet(member: Member): void {
+		this.meet([member.peerAddress]);
+		this.#met.set(member.id, member);
+		this.#members.set(member.id, {
+			member, heardAt: this.clock.now(), isLeaving: false, routingVersion: 0, ownedTargets: 0, zones: [], room: [],
+		});
+		this.journal.record('poolMemberMet', {member: member.id, zone: member.zone});
+		this.network.send(member, {channel, body: {kind: 'addresses', addresses: [...this.#addresses]}});
+		this.tellChange();
+	}
+
+	#receive(from: Member, body: unknown): void {
+		const checked = poolMessageSchema.safeParse(body);
+		if (!checked.success) {
+			this.journal.record('poolMessageUnreadable', {member: from.id, detail: checked.error.issues[0]?.message});
+			return;
+		}
+
+		if (!this.#members.has(from.id)) {
+			this.#meet(from);
+		}
+
+		const known = this.#members.get(from.id)!;
+		known.heardAt = this.clock.now();
+		const message = checked.data;
+		if (message.kind === 'state') {
+			Object.assign(known, {
+				isLeaving: message.isLeaving, routingVersion: message.routingVersion, ownedTargets: message.ownedTargets, zones: message.zones, room: message.room,
+			});
+			this.#room.fire();
+		} else if (message.kind === 'addresses') {
+			this.meet(message.addresses);
+			return;
+		}
+
+		this.#message.fire({from, message});
+	}
+
+	#dropSilent(): void {
+		const now = this.clock.now();
+		for (const {member, heardAt} of this.#members.values()) {
+			if (now - heardAt > silenceMilliseconds) {
+				this.#drop(member.id, `silent for ${Math.round(now - heardAt)} ms`);
+			}
+		}
+	}
+
+	#drop(id: MemberId, cause: string): void {
+		if (this.#members.delete(id)) {
+			this.journal.record('poolMemberLost', {member: id, cause});
+			this.#lose.fire(id);
+		}
+	}
+}
--- /dev/null
+++ b/src/features/pool/remote-runs.ts
@@ -0,0 +1,117 @@
+/** Runs that other entries asked this one for. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {ExecutionReport} from '../execution/execution-report.js';
+import type {Executor} from '../execution/executor.js';
+import {runKeyOf} from '../execution/run-key-of.js';
+import type {RunRequest} from '../execution/run-request.js';
+import type {OutgoingPoolMessage} from './outgoing-pool-message.js';
+import type {Pool} from './pool.js';
+
+/** How long a request is remembered: as long as its sender may send it again after a lost connection. */
+const rememberedMilliseconds = 3000;
+
+type Remembered = {readonly requester: MemberId; readonly at: number; report: OutgoingPoolMessage | undefined};
+
+/**
+ * Starts what other entries ask for and reports how it ended. Requests and reports are sent again when a connection was
+ * lost; a request that was seen before isn't started again.
+ */
+export class RemoteRuns implements Disposable {
+	readonly #store = new DisposableStore();
+	readonly #remembered = new Map<string, Remembered>();
+
+	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock) {
+		this.#store.add(pool.onDidReceive(({from, message}) => {
+			if (message.kind === 'run') {
+				this.#run(from.id, message.request);
+			} else if (message.kind === 'stop') {
+				executor.stop(message.task, message.attempt, message.cause);
+			} else if (message.kind === 'handover') {
+				for (const handover of message.handovers) {
+					executor.expect(handover);
+				}
+			}
+		}));
+		this.#store.add(executor.onDidReport(report => {
+			this.#report(report);
+		}));
+		this.#store.add(executor.onDidAdopt(({requester, request}) => {
+			this.#remembered.set(runKeyOf(request), {requester, at: clock.now(), report: undefined});
+			pool.send(requester, {kind: 'adopted', task: request.task, attempt: request.attempt});
+		}));
+		this.#store.add(pool.onDidLose(member => {
+			// The entry's job may be submitted again elsewhere: nothing of it may run beside that.
+			executor.stopRunsOf(member, 'its entry is lost');
+		}));
+		this.#store.add(pool.onDidReconnect(member => {
+			this.#repeatReports(member);
+		}));
+	}
+
+	dispose(): void {
+		this.#store.dispose();
+	}
+
+	#run(from: MemberId, request: RunRequest): void {
+		const key = runKeyOf(request);
+		const known = this.#remembered.get(key);
+		if (known !== undefined) {
+			if (known.report !== undefined) {
+				this.pool.send(from, known.report);
+			}
+
+			return;
+		}
+
+		this.#forgetOld();
+		this.#remembered.set(key, {requester: from, at: this.clock.now(), report: undefined});
+		if (this.executor.start(request, from) === undefined) {
+			this.#report({
+				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
+			});
+		}
+	}
+
+	#report({requester, task, attempt, outcome}: ExecutionReport): void {
+		if (requester === this.pool.self) {
+			return;
+		}
+
+		const report: OutgoingPoolMessage = {
+			kind: 'report', task, attempt, outcome,
+		};
+		const known = this.#remembered.get(runKeyOf({task, attempt}));
+		if (known !== undefined) {
+			known.report = report;
+		}
+
+		this.pool.send(requester, report);
+	}
+
+	#repeatReports(member: MemberId): void {
+		this.#forgetOld();
+		for (const {requester, report} of this.#remembered.values()) {
+			if (requester === member && report !== undefined) {
+				this.pool.send(member, report);
+			}
+		}
+	}
+
+	/** Insertion order is age. */
+	#forgetOld(): void {
+		const now = this.clock.now();
+		for (const [key, {at, report}] of this.#remembered) {
+			if (now - at < rememberedMilliseconds) {
+				return;
+			}
+
+			if (report !== undefined || now - at > 10 * rememberedMilliseconds) {
+				this.#remembered.delete(key);
+			}
+		}
+	}
+}
+
--- a/src/features/profiles/configuration-ledger.ts
+++ b/src/features/profiles/configuration-ledger.ts
@@ -1,7 +1,7 @@
 /** The configuration with the rule that it only goes forward. */
 import type {StreamOffset} from '../../base/stream-offset.js';
-import type {StreamPage} from '../../platform/stream/stream-page.js';
-import type {StreamRecord} from '../../platform/stream/stream-record.js';
+import type {StreamPage} from '../../runtime/stream/stream-page.js';
+import type {StreamRecord} from '../../runtime/stream/stream-record.js';
 import type {Acceptance} from './acceptance.js';
 import type {Configuration} from './configuration.js';
 import {configurationOf} from './configuration-of.js';
--- a/src/features/profiles/fold-record.ts
+++ b/src/features/profiles/fold-record.ts
@@ -3,7 +3,7 @@
 import type {ProfileName} from '../../base/profile-name.js';
 import type {Revision} from '../../base/revision.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
-import type {StreamRecord} from '../../platform/stream/stream-record.js';
+import type {StreamRecord} from '../../runtime/stream/stream-record.js';
 import type {ChangeOutcome} from './change-outcome.js';
 import type {Configuration} from './configuration.js';
 import type {ConfigurationRecord} from './configuration-record.js';
--- a/src/features/profiles/next-digest.ts
+++ b/src/features/profiles/next-digest.ts
@@ -1,6 +1,6 @@
 /** The hash chain over configuration records. */
 import {createHash} from 'node:crypto';
-import type {StreamRecord} from '../../platform/stream/stream-record.js';
+import type {StreamRecord} from '../../runtime/stream/stream-record.js';
 
 const digestCharacters = 32;
 
--- a/src/features/profiles/profile-book-key.ts
+++ b/src/features/profiles/profile-book-key.ts
@@ -1,5 +1,5 @@
 /** The container's name for the profiles in force. */
-import {ServiceKey} from '../../platform/kernel/service-key.js';
+import {ServiceKey} from '../../runtime/kernel/service-key.js';
 import type {ProfileBook} from './profile-book.js';
 
 /** Provided by the profiles feature. */
--- a/src/features/profiles/profiles.contribution.ts
+++ b/src/features/profiles/profiles.contribution.ts
@@ -1,9 +1,9 @@
 /** Registers the profiles feature. */
 import type {DisposableStore} from '../../base/disposable-store.js';
-import {Contribution} from '../../platform/kernel/contribution.js';
-import {contributions} from '../../platform/kernel/contributions.js';
-import type {ServiceContainer} from '../../platform/kernel/service-container.js';
-import {platformKeys} from '../../platform/platform-keys.js';
+import {Contribution} from '../../runtime/kernel/contribution.js';
+import {contributions} from '../../runtime/kernel/contributions.js';
+import type {ServiceContainer} from '../../runtime/kernel/service-container.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
 import {membershipKey} from '../membership/membership-key.js';
 import {LogProfileBook} from './log-profile-book.js';
 import {SnapshotKeeper} from './snapshot-keeper.js';
@@ -17,20 +17,20 @@
 
 	override activate(services: ServiceContainer, store: DisposableStore): void {
 		const book = store.add(new LogProfileBook({
-			stream: services.get(platformKeys.streams).open(streamName),
-			network: services.get(platformKeys.peerNetwork),
+			stream: services.get(runtimeKeys.streams).open(streamName),
+			network: services.get(runtimeKeys.peerNetwork),
 			membership: services.get(membershipKey),
-			clock: services.get(platformKeys.clock),
-			random: services.get(platformKeys.random),
-			journal: services.get(platformKeys.journal),
+			clock: services.get(runtimeKeys.clock),
+			random: services.get(runtimeKeys.random),
+			journal: services.get(runtimeKeys.journal),
 		}));
 		services.provide(profileBookKey, book);
 		const keeper = store.add(new SnapshotKeeper({
 			book,
-			stream: services.get(platformKeys.streams).open(streamName),
-			clock: services.get(platformKeys.clock),
-			random: services.get(platformKeys.random),
-			journal: services.get(platformKeys.journal),
+			stream: services.get(runtimeKeys.streams).open(streamName),
+			clock: services.get(runtimeKeys.clock),
+			random: services.get(runtimeKeys.random),
+			journal: services.get(runtimeKeys.journal),
 			latestSnapshot: () => book.latestSnapshot,
 		}));
 		keeper.start();
--- a/src/features/profiles/snapshot-keeper.ts
+++ b/src/features/profiles/snapshot-keeper.ts
@@ -5,8 +5,8 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import type {JsonValue} from '../../base/json-value.js';
 import type {Random} from '../../base/random.js';
-import type {Journal} from '../../platform/journal/journal.js';
-import type {LogStream} from '../../platform/stream/log-stream.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {LogStream} from '../../runtime/stream/log-stream.js';
 import type {ProfileBook} from './profile-book.js';
 import {snapshotOf} from './snapshot-of.js';
 
--- a/src/features/submissions/authority-rule.ts
+++ b/src/features/submissions/authority-rule.ts
@@ -1,8 +1,8 @@
 /** Who decides on an id, as one registrar sees it. */
 import type {Clock} from '../../base/clock.js';
 import type {SubmissionId} from '../../base/submission-id.js';
-import type {Journal} from '../../platform/journal/journal.js';
-import type {Member} from '../../platform/peers/member.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Member} from '../../runtime/peers/member.js';
 import type {Authority} from './authority.js';
 import type {CircleView} from './circle-view.js';
 import type {RegistrarSurroundings} from './registrar-surroundings.js';
--- a/src/features/submissions/authority.ts
+++ b/src/features/submissions/authority.ts
@@ -1,5 +1,5 @@
 /** Who decides on a submission. */
-import type {Member} from '../../platform/peers/member.js';
+import type {Member} from '../../runtime/peers/member.js';
 
 /** This registrar with the holder of the copy, if the zone has one; or another one; or nobody at present. */
 export type Authority =
--- a/src/features/submissions/circle-entry.ts
+++ b/src/features/submissions/circle-entry.ts
@@ -1,8 +1,8 @@
 /** How a registrar enters the circle of its zone. */
 import type {Clock} from '../../base/clock.js';
 import type {MemberId} from '../../base/member-id.js';
-import type {Journal} from '../../platform/journal/journal.js';
-import type {Member} from '../../platform/peers/member.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Member} from '../../runtime/peers/member.js';
 import type {CircleView} from './circle-view.js';
 import type {RegistrarSurroundings} from './registrar-surroundings.js';
 import type {RegistryMessage} from './registry-message.js';
--- a/src/features/submissions/circle-view.ts
+++ b/src/features/submissions/circle-view.ts
@@ -2,7 +2,7 @@
 import type {MemberId} from '../../base/member-id.js';
 import {rankByKey} from '../../base/rank-by-key.js';
 import type {SubmissionId} from '../../base/submission-id.js';
-import type {Member} from '../../platform/peers/member.js';
+import type {Member} from '../../runtime/peers/member.js';
 
 type Departure = {
 	readonly member: Member;
--- a/src/features/submissions/registrar-surroundings.ts
+++ b/src/features/submissions/registrar-surroundings.ts
@@ -1,6 +1,6 @@
 /** What a registrar sees of its surroundings. */
 import type {MemberId} from '../../base/member-id.js';
-import type {Member} from '../../platform/peers/member.js';
+import type {Member} from '../../runtime/peers/member.js';
 
 /** The part of the membership that the registry relies on. */
 export type RegistrarSurroundings = {
--- a/src/features/submissions/submission-desk-key.ts
+++ b/src/features/submissions/submission-desk-key.ts
@@ -1,5 +1,5 @@
 /** The container's name for the registry of submissions. */
-import {ServiceKey} from '../../platform/kernel/service-key.js';
+import {ServiceKey} from '../../runtime/kernel/service-key.js';
 import type {SubmissionDesk} from './submission-desk.js';
 
 /** Provided by the submissions feature. */
--- a/src/features/submissions/submissions.contribution.ts
+++ b/src/features/submissions/submissions.contribution.ts
@@ -1,9 +1,9 @@
 /** Registers the submissions feature. */
 import type {DisposableStore} from '../../base/disposable-store.js';
-import {Contribution} from '../../platform/kernel/contribution.js';
-import {contributions} from '../../platform/kernel/contributions.js';
-import type {ServiceContainer} from '../../platform/kernel/service-container.js';
-import {platformKeys} from '../../platform/platform-keys.js';
+import {Contribution} from '../../runtime/kernel/contribution.js';
+import {contributions} from '../../runtime/kernel/contributions.js';
+import type {ServiceContainer} from '../../runtime/kernel/service-container.js';
+import {runtimeKeys} from '../../runtime/runtime-keys.js';
 import {membershipKey} from '../membership/membership-key.js';
 import {OpenSubmissionDesk} from './open-submission-desk.js';
 import {submissionDeskKey} from './submission-desk-key.js';
@@ -18,15 +18,15 @@
 	override readonly requires = ['membership'];
 
 	override activate(services: ServiceContainer, store: DisposableStore): void {
-		const settings = services.get(platformKeys.settings);
-		const clock = services.get(platformKeys.clock);
+		const settings = services.get(runtimeKeys.settings);
+		const clock = services.get(runtimeKeys.clock);
 		const registry = store.add(new SubmissionRegistry({
 			settings,
-			network: services.get(platformKeys.peerNetwork),
+			network: services.get(runtimeKeys.peerNetwork),
 			membership: services.get(membershipKey),
-			births: new ZoneBirths(services.get(platformKeys.streams).open(birthsStreamName), clock),
+			births: new ZoneBirths(services.get(runtimeKeys.streams).open(birthsStreamName), clock),
 			clock,
-			journal: services.get(platformKeys.journal),
+			journal: services.get(runtimeKeys.journal),
 		}));
 		services.provide(submissionRegistryKey, registry);
 		services.provide(submissionDeskKey, settings.registry.enabled ? registry.desk : new OpenSubmissionDesk());
--- a/src/features/submissions/zone-births.ts
+++ b/src/features/submissions/zone-births.ts
@@ -6,7 +6,7 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
 import {wait} from '../../base/wait.js';
-import type {LogStream} from '../../platform/stream/log-stream.js';
+import type {LogStream} from '../../runtime/stream/log-stream.js';
 
 const appendAgainMilliseconds = 2000;
 
--- /dev/null
+++ b/src/features/targets/stop-order.ts
@@ -0,0 +1,10 @@
+/** The order to stop a run. */
+import type {FencingToken} from '../../base/fencing-token.js';
+import type {TaskId} from '../../base/task-id.js';
+
+/** After it was accepted, this run and all earlier attempts can't start there any more. */
+export type StopOrder = {
+	readonly task: TaskId;
+	readonly attempt: number;
+	readonly fence: FencingToken;
+};
--- a/src/platform/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -1,7 +1,7 @@
 /** All events of the daemon; docs/EVENTS.md is checked against this list. */
 import type {EventDescription} from './event-description.js';
 
-/** Hundreds group the events: 1 process, 2 configuration, 3 membership, 4 placement, 5 jobs, 6 submissions. */
+/** Hundreds group the events: 1 process, 2 configuration, 3 membership, 4 placement, 5 jobs, 6 submissions, 7 ownership of targets, 8 pooled jobs. */
 export const eventCatalogue = {
 	started: {
 		number: 100, level: 'notice', meaning: 'The daemon listens', fields: ['instance', 'zone', 'httpPort', 'peerPort'],
@@ -147,4 +147,118 @@
 	claimUndecided: {
 		number: 606, level: 'warning', meaning: 'The home zone of a submission can\'t be asked; the submission isn\'t started', fields: ['submission', 'zone', 'milliseconds'],
 	},
+	edgeStarted: {
+		number: 110, level: 'notice', meaning: 'The edge daemon listens', fields: ['instance', 'zone', 'intake', 'peers', 'version'],
+	},
+	edgeStopping: {
+		number: 111, level: 'notice', meaning: 'The edge daemon was told to stop', fields: ['inFlight', 'ownedTargets'],
+	},
+	edgeStopped: {
+		number: 112, level: 'notice', meaning: 'The edge daemon ends', fields: ['inFlight'],
+	},
+	settingsReloaded: {
+		number: 113, level: 'notice', meaning: 'The settings file was read again', fields: ['outcome', 'detail'],
+	},
+	errorUnhandled: {
+		number: 114, level: 'alarm', meaning: 'A defect: an error reached the top of the process, which goes on', fields: ['detail'],
+	},
+	processPaused: {
+		number: 115, level: 'warning', meaning: 'The process stood still; what it believed before may be out of date', fields: ['milliseconds'],
+	},
+	linesDropped: {
+		number: 116, level: 'warning', meaning: 'Log lines were dropped because standard output is not read fast enough', fields: ['lines'],
+	},
+	storeAway: {
+		number: 210, level: 'warning', meaning: 'The store gives no usable answers', fields: ['detail', 'path'],
+	},
+	storeBack: {
+		number: 211, level: 'notice', meaning: 'The store answers again', fields: ['detail', 'path'],
+	},
+	answerUnreadable: {
+		number: 212, level: 'warning', meaning: 'An answer or a record can\'t be read and has no effect', fields: ['from', 'path', 'detail'],
+	},
+	routingChanged: {
+		number: 220, level: 'notice', meaning: 'A newer configuration is in force here', fields: ['version', 'previous', 'routes', 'source'],
+	},
+	routeMissing: {
+		number: 221, level: 'detail', meaning: 'A request matches no route; "uncertain" while a newer configuration may exist', fields: ['host', 'path', 'kind', 'version', 'ageMilliseconds'],
+	},
+	catalogueChanged: {
+		number: 320, level: 'notice', meaning: 'A target came, went or announced its leaving', fields: ['target', 'change', 'sequence'],
+	},
+	poolMemberMet: {
+		number: 330, level: 'notice', meaning: 'Another entry shares its room from now on', fields: ['member', 'zone'],
+	},
+	poolMemberLost: {
+		number: 331, level: 'warning', meaning: 'Another entry is gone or silent; its runs here are stopped, and jobs with runs there given up', fields: ['member', 'cause'],
+	},
+	poolMessageUnreadable: {
+		number: 332, level: 'warning', meaning: 'A message of another entry can\'t be read and has no effect', fields: ['member', 'detail'],
+	},
+	zonesCovered: {
+		number: 333, level: 'notice', meaning: 'This entry owns targets of zones that have no entry', fields: ['zones'],
+	},
+	claimChanged: {
+		number: 700, level: 'notice', meaning: 'The group gave this entry other partitions', fields: ['group', 'generation', 'partitions', 'lost'],
+	},
+	groupAway: {
+		number: 701, level: 'warning', meaning: 'The group can\'t be asked; the claim stays until a target rejects its token', fields: ['group', 'generation'],
+	},
+	groupBack: {
+		number: 702, level: 'notice', meaning: 'The group answers again', fields: ['group', 'generation'],
+	},
+	groupLeft: {
+		number: 703, level: 'notice', meaning: 'This entry gave up its partitions', fields: ['group', 'generation'],
+	},
+	targetOwned: {
+		number: 710, level: 'notice', meaning: 'This entry orders a target from now on', fields: ['target', 'fence', 'adopted'],
+	},
+	targetReleased: {
+		number: 711, level: 'notice', meaning: 'A target was given up for the next owner, with what runs there', fields: ['target', 'fence', 'handedOver'],
+	},
+	targetDropped: {
+		number: 712, level: 'notice', meaning: 'A target left the catalogue or this entry\'s partitions', fields: ['target'],
+	},
+	sessionEnded: {
+		number: 713, level: 'warning', meaning: 'A target has met a newer owner, or its life is over', fields: ['target', 'kind', 'detail', 'fence', 'runs'],
+	},
+	targetSilent: {
+		number: 714, level: 'warning', meaning: 'A target does not answer and gets no new tasks', fields: ['target', 'kind', 'detail', 'runs'],
+	},
+	targetAnswers: {
+		number: 715, level: 'notice', meaning: 'A silent target answers again', fields: ['target', 'unanswered'],
+	},
+	strangerStopped: {
+		number: 716, level: 'notice', meaning: 'A run of a former owner is stopped, since nobody handed it over', fields: ['target', 'task', 'attempt'],
+	},
+	runStarted: {
+		number: 720, level: 'detail', meaning: 'A run is ordered from a target with this room left before it', fields: ['task', 'attempt', 'target', 'fence', 'roomCpuMillis', 'requester'],
+	},
+	startRefused: {
+		number: 721, level: 'detail', meaning: 'A target did not take a start', fields: ['target', 'task', 'attempt', 'kind', 'detail'],
+	},
+	runStopped: {
+		number: 722, level: 'detail', meaning: 'A run is told to stop', fields: ['target', 'task', 'attempt', 'cause'],
+	},
+	runEnded: {
+		number: 723, level: 'detail', meaning: 'A run has ended, or provably never began', fields: ['task', 'attempt', 'target', 'outcome', 'cause', 'ranMilliseconds'],
+	},
+	jobAccepted: {
+		number: 800, level: 'detail', meaning: 'A job waits for room', fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'patienceMilliseconds'],
+	},
+	taskSent: {
+		number: 801, level: 'detail', meaning: 'A task goes to another entry\'s targets', fields: ['task', 'attempt', 'owner', 'heardAgoMilliseconds'],
+	},
+	jobEnded: {
+		number: 802, level: 'detail', meaning: 'A job has its verdict', fields: ['job', 'queue', 'verdict', 'detail', 'tookMilliseconds', 'expectedMilliseconds'],
+	},
+	jobUnreadable: {
+		number: 803, level: 'notice', meaning: 'A job can\'t be read and does not run', fields: ['job', 'queue', 'detail'],
+	},
+	callerUnreadable: {
+		number: 804, level: 'notice', meaning: 'A caller does not speak HTTP; its connection is closed', fields: ['detail'],
+	},
+	callerGone: {
+		number: 805, level: 'detail', meaning: 'A caller\'s connection broke', fields: ['detail'],
+	},
 } as const satisfies Readonly<Record<string, EventDescription>>;
--- a/src/platform/platform-keys.ts
+++ b/src/runtime/runtime-keys.ts
@@ -11,7 +11,7 @@
 import type {TargetDriver} from './targets/target-driver.js';
 
 /** Provided by the wiring module before any contribution is activated. */
-export const platformKeys = {
+export const runtimeKeys = {
 	settings: new ServiceKey<Settings>('settings'),
 	clock: new ServiceKey<Clock>('clock'),
 	random: new ServiceKey<Random>('random'),
--- a/test/features/placement/placement-world.ts
+++ b/test/features/placement/placement-world.ts
@@ -11,7 +11,7 @@
 import type {PlacementRequest} from '../../../src/features/placement/placement-request.js';
 import {placements} from '../../../src/features/placement/placements.js';
 import '../../../src/features/placement/policies/late-binding.js';
-import type {Instance} from '../../../src/platform/instances/instance.js';
+import type {Instance} from '../../../src/runtime/instances/instance.js';
 import {FakeClock} from '../../support/fake-clock.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
 
--- a/test/features/placement/tenure.test.ts
+++ b/test/features/placement/tenure.test.ts
@@ -3,7 +3,7 @@
 import {test} from 'node:test';
 import {Tenure} from '../../../src/features/placement/tenure.js';
 import type {TenureMessage} from '../../../src/features/placement/tenure-message.js';
-import type {Member} from '../../../src/platform/peers/member.js';
+import type {Member} from '../../../src/runtime/peers/member.js';
 import {FakeClock} from '../../support/fake-clock.js';
 import {FakeMembership} from '../../support/fake-membership.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
--- a/test/features/profiles/configuration-ledger.test.ts
+++ b/test/features/profiles/configuration-ledger.test.ts
@@ -9,8 +9,8 @@
 import {emptyConfiguration} from '../../../src/features/profiles/empty-configuration.js';
 import {foldRecord} from '../../../src/features/profiles/fold-record.js';
 import {snapshotOf} from '../../../src/features/profiles/snapshot-of.js';
-import type {StreamPage} from '../../../src/platform/stream/stream-page.js';
-import type {StreamRecord} from '../../../src/platform/stream/stream-record.js';
+import type {StreamPage} from '../../../src/runtime/stream/stream-page.js';
+import type {StreamRecord} from '../../../src/runtime/stream/stream-record.js';
 
 const seed = 20_261_202;
 
--- a/test/features/submissions/registry-world.ts
+++ b/test/features/submissions/registry-world.ts
@@ -12,7 +12,7 @@
 import type {RegistryMessage} from '../../../src/features/submissions/registry-message.js';
 import {registryMessageSchema} from '../../../src/features/submissions/registry-message-schema.js';
 import {RegistrySubmissionDesk} from '../../../src/features/submissions/registry-submission-desk.js';
-import type {Member} from '../../../src/platform/peers/member.js';
+import type {Member} from '../../../src/runtime/peers/member.js';
 import {neverCancelled} from '../../support/never-cancelled.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
 
--- a/test/platform/instances/http-instance-list.test.ts
+++ b/test/runtime/instances/http-instance-list.test.ts
@@ -3,8 +3,8 @@
 import {after, test} from 'node:test';
 import {serve} from '@hono/node-server';
 import {SystemClock} from '../../../src/base/system-clock.js';
-import {HttpInstanceList} from '../../../src/platform/instances/http-instance-list.js';
-import type {InstanceSnapshot} from '../../../src/platform/instances/instance-snapshot.js';
+import {HttpInstanceList} from '../../../src/runtime/instances/http-instance-list.js';
+import type {InstanceSnapshot} from '../../../src/runtime/instances/instance-snapshot.js';
 import {InstanceService} from '../../../standins/instances/instance-service.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
 
--- a/test/platform/journal/event-catalogue.test.ts
+++ b/test/runtime/journal/event-catalogue.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {readFileSync} from 'node:fs';
 import {test} from 'node:test';
-import {eventCatalogue} from '../../../src/platform/journal/event-catalogue.js';
+import {eventCatalogue} from '../../../src/runtime/journal/event-catalogue.js';
 
 test('docs/EVENTS.md has a row for each event, as the code describes it', () => {
 	const rows = readFileSync('docs/EVENTS.md', 'utf8').split('\n').filter(line => /^\| \d/v.test(line));
--- a/test/platform/kernel/kernel.test.ts
+++ b/test/runtime/kernel/kernel.test.ts
@@ -1,11 +1,11 @@
 /** Features register themselves and are activated in the order of their needs. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Contribution} from '../../../src/platform/kernel/contribution.js';
-import {contributions} from '../../../src/platform/kernel/contributions.js';
-import {Kernel} from '../../../src/platform/kernel/kernel.js';
-import {ServiceContainer} from '../../../src/platform/kernel/service-container.js';
-import {ServiceKey} from '../../../src/platform/kernel/service-key.js';
+import {Contribution} from '../../../src/runtime/kernel/contribution.js';
+import {contributions} from '../../../src/runtime/kernel/contributions.js';
+import {Kernel} from '../../../src/runtime/kernel/kernel.js';
+import {ServiceContainer} from '../../../src/runtime/kernel/service-container.js';
+import {ServiceKey} from '../../../src/runtime/kernel/service-key.js';
 
 class Recorded extends Contribution {
 	constructor(override readonly name: string, override readonly requires: readonly string[], private readonly order: string[]) {
--- a/test/platform/peers/tcp-peer-network.test.ts
+++ b/test/runtime/peers/tcp-peer-network.test.ts
@@ -7,12 +7,12 @@
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import {SystemClock} from '../../../src/base/system-clock.js';
-import {encodeFrame} from '../../../src/platform/peers/encode-frame.js';
-import {FrameReader} from '../../../src/platform/peers/frame-reader.js';
-import type {PeerTransport} from '../../../src/platform/peers/peer-transport.js';
-import {TcpPeerNetwork} from '../../../src/platform/peers/tcp-peer-network.js';
-import {TcpTransport} from '../../../src/platform/peers/tcp-transport.js';
-import {TlsTransport} from '../../../src/platform/peers/tls-transport.js';
+import {encodeFrame} from '../../../src/runtime/peers/encode-frame.js';
+import {FrameReader} from '../../../src/runtime/peers/frame-reader.js';
+import type {PeerTransport} from '../../../src/runtime/peers/peer-transport.js';
+import {TcpPeerNetwork} from '../../../src/runtime/peers/tcp-peer-network.js';
+import {TcpTransport} from '../../../src/runtime/peers/tcp-transport.js';
+import {TlsTransport} from '../../../src/runtime/peers/tls-transport.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
 
 async function networkOf(instance: string, key = 'a shared key for tests', transport: PeerTransport = new TcpTransport()) {
@@ -116,7 +116,7 @@
 });
 
 test('over TLS, entries with certificates of the authority meet, and plain ones stay outside', async () => {
-	const read = (name: string) => readFileSync(`test/platform/peers/certificates/${name}.pem`, 'utf8');
+	const read = (name: string) => readFileSync(`test/runtime/peers/certificates/${name}.pem`, 'utf8');
 	const transport = new TlsTransport({certificate: read('certificate'), privateKey: read('private-key'), authority: read('certificate')});
 	const left = await networkOf('entry-1', undefined, transport);
 	const right = await networkOf('entry-2', undefined, transport);
--- a/test/platform/settings/read-document.test.ts
+++ b/test/runtime/settings/read-document.test.ts
@@ -1,8 +1,8 @@
 /** What an operator reads when settings are wrong. */
 import {test} from 'node:test';
-import {describeProblem} from '../../../src/platform/settings/describe-problem.js';
-import {entrySettingsSchema} from '../../../src/platform/settings/entry-settings.js';
-import {readDocument} from '../../../src/platform/settings/read-document.js';
+import {describeProblem} from '../../../src/runtime/settings/describe-problem.js';
+import {entrySettingsSchema} from '../../../src/runtime/settings/entry-settings.js';
+import {readDocument} from '../../../src/runtime/settings/read-document.js';
 import {snapshotsOf} from '../../support/snapshots.js';
 
 const matchSnapshot = snapshotsOf(import.meta.url);
--- a/test/platform/stream/http-log-stream.test.ts
+++ b/test/runtime/stream/http-log-stream.test.ts
@@ -3,7 +3,7 @@
 import {after, test} from 'node:test';
 import {serve} from '@hono/node-server';
 import type {StreamOffset} from '../../../src/base/stream-offset.js';
-import {HttpLogStream} from '../../../src/platform/stream/http-log-stream.js';
+import {HttpLogStream} from '../../../src/runtime/stream/http-log-stream.js';
 import {LogService} from '../../../standins/log/log-service.js';
 import {neverCancelled} from '../../support/never-cancelled.js';
 
--- a/test/platform/targets/http-target-driver.test.ts
+++ b/test/runtime/targets/http-target-driver.test.ts
@@ -7,7 +7,7 @@
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {ProfileName} from '../../../src/base/profile-name.js';
 import type {TaskId} from '../../../src/base/task-id.js';
-import {HttpTargetDriver} from '../../../src/platform/targets/http-target-driver.js';
+import {HttpTargetDriver} from '../../../src/runtime/targets/http-target-driver.js';
 import {TargetServer} from '../../../standins/target/target-server.js';
 import {neverCancelled} from '../../support/never-cancelled.js';
 import {snapshotsOf} from '../../support/snapshots.js';
--- a/test/support/fake-membership.ts
+++ b/test/support/fake-membership.ts
@@ -5,7 +5,7 @@
 import type {MemberId} from '../../src/base/member-id.js';
 import type {Loss} from '../../src/features/membership/loss.js';
 import {Membership} from '../../src/features/membership/membership.js';
-import type {Member} from '../../src/platform/peers/member.js';
+import type {Member} from '../../src/runtime/peers/member.js';
 import type {FakeClock} from './fake-clock.js';
 
 /** Members are alive and answer at once unless a test says otherwise. */
--- a/test/support/fake-target-driver.ts
+++ b/test/support/fake-target-driver.ts
@@ -3,9 +3,9 @@
 import type {TaskAnswer} from '../../src/base/task-answer.js';
 import type {TaskId} from '../../src/base/task-id.js';
 import type {Verdict} from '../../src/base/verdict.js';
-import type {TargetAddress} from '../../src/platform/targets/target-address.js';
-import {TargetDriver} from '../../src/platform/targets/target-driver.js';
-import type {TaskOrder} from '../../src/platform/targets/task-order.js';
+import type {TargetAddress} from '../../src/runtime/targets/target-address.js';
+import {TargetDriver} from '../../src/runtime/targets/target-driver.js';
+import type {TaskOrder} from '../../src/runtime/targets/task-order.js';
 
 type Start = {readonly target: TargetAddress; readonly order: TaskOrder; readonly answer: (verdict: Verdict<TaskAnswer>) => void};
 
--- a/test/support/job-tools-of.ts
+++ b/test/support/job-tools-of.ts
@@ -6,8 +6,8 @@
 import {VariantGuard} from '../../src/features/jobs/variant-guard.js';
 import {ZoneChoice} from '../../src/features/jobs/zone-choice.js';
 import type {SlotDesk} from '../../src/features/placement/slot-desk.js';
-import {SilentMetrics} from '../../src/platform/metrics/silent-metrics.js';
-import type {TargetDriver} from '../../src/platform/targets/target-driver.js';
+import {SilentMetrics} from '../../src/runtime/metrics/silent-metrics.js';
+import type {TargetDriver} from '../../src/runtime/targets/target-driver.js';
 import type {FakeClock} from './fake-clock.js';
 import {RecordingJournal} from './recording-journal.js';
 
--- a/test/support/recording-journal.ts
+++ b/test/support/recording-journal.ts
@@ -1,7 +1,7 @@
 /** A journal that a test can read. */
-import type {EventFields} from '../../src/platform/journal/event-fields.js';
-import type {EventName} from '../../src/platform/journal/event-name.js';
-import {Journal} from '../../src/platform/journal/journal.js';
+import type {EventFields} from '../../src/runtime/journal/event-fields.js';
+import type {EventName} from '../../src/runtime/journal/event-name.js';
+import {Journal} from '../../src/runtime/journal/journal.js';
 
 /** Keeps every event in order. */
 export class RecordingJournal extends Journal {
