--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -13,6 +13,8 @@
 import {wait} from '../../base/wait.js';
 import {RoutingTable} from '../../features/routing/routing-table.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import {StatusServer} from '../../runtime/metrics/status-server.js';
+import type {TextMetrics} from '../../runtime/metrics/text-metrics.js';
 import {TcpPeerNetwork} from '../../runtime/peers/tcp-peer-network.js';
 import {TcpTransport} from '../../runtime/peers/tcp-transport.js';
 import {version} from '../version.js';
@@ -41,9 +43,10 @@
 	readonly #directory: EntryDirectory;
 	readonly #storeRouting: StoreRouting;
 	readonly #readiness: ReadinessServer;
+	readonly #metricsServer: StatusServer;
 	#isLeaving = false;
 
-	constructor(private readonly settings: BootSettings, private readonly clock: Clock, private readonly journal: Journal) {
+	constructor(private readonly settings: BootSettings, private readonly clock: Clock, private readonly journal: Journal, private readonly metrics: TextMetrics) {
 		const [host = '', port = ''] = settings.peers.split(':');
 		const own = this.#store;
 		this.#network = own.add(new TcpPeerNetwork({
@@ -69,14 +72,20 @@
 		this.#directory = own.add(new EntryDirectory(store, settings.peers, clock, address => {
 			this.#entry.pool.meet([address]);
 		}));
+		this.#metricsServer = own.add(new StatusServer(() => {
+			this.#measure();
+			return {status: 200, text: metrics.render()};
+		}));
 		this.#readiness = own.add(new ReadinessServer(() => !this.#isLeaving && this.#routing.configuration !== undefined));
 	}
 
-	async start(): Promise<void> {
+	/** Listens everywhere and joins the others; metrics are served on the given port. */
+	async start(metricsPort: number): Promise<void> {
 		const {settings, journal} = this;
 		await this.#network.listen();
 		await this.#front.listen(settings.intake);
 		await this.#readiness.listen(settings.readiness);
+		await this.#metricsServer.listen(`${settings.address}:${metricsPort}`);
 		this.#entry.start();
 		this.#entry.pool.meet(settings.seeds);
 		this.#directory.start();
@@ -110,4 +119,12 @@
 		journal.record('edgeStopped', {inFlight: dispatcher.inFlight});
 		this.#store.dispose();
 	}
+
+	#measure(): void {
+		const {dispatcher, executor} = this.#entry;
+		this.metrics.gauge('jobs_in_flight', dispatcher.inFlight);
+		this.metrics.gauge('tasks_waiting', dispatcher.waitingTasks);
+		this.metrics.gauge('targets_owned', executor.ownedTargets);
+		this.metrics.gauge('routing_version', this.#routing.version);
+	}
 }
--- a/src/entries/edge/main.ts
+++ b/src/entries/edge/main.ts
@@ -4,17 +4,22 @@
 import process from 'node:process';
 import {bootSettings, type BootSettings} from '../../../platform/boot-settings.js';
 import {SystemClock} from '../../base/system-clock.js';
+import {CountingJournal} from '../../runtime/journal/counting-journal.js';
 import {LineJournal} from '../../runtime/journal/line-journal.js';
+import {TextMetrics} from '../../runtime/metrics/text-metrics.js';
 import {EdgeDaemon} from './edge-daemon.js';
 
 const exitSettings = 2;
+const defaultMetricsPort = 9464;
 const settingsVariable = 'SAVORYLOCK_SETTINGS';
 
 const clock = new SystemClock();
-const journal = new LineJournal(clock, true);
+const metrics = new TextMetrics();
+const lines = new LineJournal(clock, true);
+const journal = new CountingJournal(lines, metrics);
 const file = process.env[settingsVariable] ?? '';
 const settings = readSettings();
-const daemon = new EdgeDaemon(settings, clock, journal);
+const daemon = new EdgeDaemon(settings, clock, journal, metrics);
 
 // An error here is a defect of one request or task; ending the process would fail all others with it.
 process.on('uncaughtException', error => {
@@ -29,10 +34,15 @@
 });
 process.once('SIGTERM', async () => {
 	await daemon.stop();
-	await journal.flush();
+	await lines.flush();
 	process.exit(0);
 });
-await daemon.start();
+await daemon.start(metricsPort());
+
+/** The first argument, or the port that exporters commonly use. */
+function metricsPort(): number {
+	return Number(process.argv[2] ?? defaultMetricsPort);
+}
 
 function readSettings(): BootSettings {
 	try {
--- /dev/null
+++ b/src/runtime/metrics/text-metrics.ts
@@ -0,0 +1,70 @@
+/** Metrics that are fetched as text. */
+import {Metrics} from './metrics.js';
+
+/** Upper bounds in milliseconds; they cover a target's answer at the lower end and the longest jobs at the upper. */
+const bucketBounds = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000] as const;
+
+type Histogram = {readonly counts: number[]; sum: number; count: number};
+
+/** Counters, gauges and histograms in memory, in the text format that Prometheus reads. */
+export class TextMetrics extends Metrics {
+	readonly #counters = new Map<string, number>();
+	readonly #gauges = new Map<string, number>();
+	readonly #histograms = new Map<string, Histogram>();
+
+	override count(name: string, by = 1, tags: Readonly<Record<string, string>> = {}): void {
+		const key = keyOf(`${name}_total`, tags);
+		this.#counters.set(key, (this.#counters.get(key) ?? 0) + by);
+	}
+
+	override gauge(name: string, value: number): void {
+		this.#gauges.set(keyOf(name, {}), value);
+	}
+
+	override timing(name: string, milliseconds: number, tags: Readonly<Record<string, string>> = {}): void {
+		const key = keyOf(`${name}_milliseconds`, tags);
+		const histogram = this.#histograms.get(key) ?? {counts: Array.from({length: bucketBounds.length}, () => 0), sum: 0, count: 0};
+		this.#histograms.set(key, histogram);
+		const bucket = bucketBounds.findIndex(bound => milliseconds <= bound);
+		if (bucket !== -1) {
+			histogram.counts[bucket]! += 1;
+		}
+
+		histogram.sum += milliseconds;
+		histogram.count += 1;
+	}
+
+	/** All of them, a line each. */
+	render(): string {
+		const lines: string[] = [];
+		for (const [key, value] of [...this.#counters, ...this.#gauges]) {
+			lines.push(`${key} ${value}`);
+		}
+
+		for (const [key, histogram] of this.#histograms) {
+			lines.push(...linesOf(key, histogram));
+		}
+
+		return `${lines.join('\n')}\n`;
+	}
+}
+
+function keyOf(name: string, tags: Readonly<Record<string, string>>): string {
+	const labels = Object.entries(tags).map(([tag, value]) => `${tag}="${value}"`);
+	return `savorylock_${name}${labels.length === 0 ? '' : `{${labels.join(',')}}`}`;
+}
+
+function linesOf(key: string, {counts, sum, count}: Histogram): readonly string[] {
+	const [name = '', labels = ''] = key.split(/[\{\}]/v);
+	const suffixed = (suffix: string, label = '') => {
+		const all = [labels, label].filter(part => part !== '').join(',');
+		return `${name}_${suffix}${all === '' ? '' : `{${all}}`}`;
+	};
+
+	let cumulative = 0;
+	const buckets = bucketBounds.map((bound, index) => {
+		cumulative += counts[index]!;
+		return `${suffixed('bucket', `le="${bound}"`)} ${cumulative}`;
+	});
+	return [...buckets, `${suffixed('bucket', 'le="+Inf"')} ${count}`, `${suffixed('sum')} ${Math.round(sum)}`, `${suffixed('count')} ${count}`];
+}
