--- a/src/entries/command/main.ts
+++ b/src/entries/command/main.ts
@@ -11,9 +11,11 @@
 import type {ChangeResult} from './change-result.js';
 import {describeHistory} from './describe-history.js';
 import {describeResult} from './describe-result.js';
+import {explainStory} from './explain-story.js';
 import {exitCode} from './exit-code.js';
 import {FleetView} from './fleet-view.js';
 import {OperatorCommands} from './operator-commands.js';
+import {readLogLines} from './read-log-lines.js';
 import {readProfile} from './read-profile.js';
 import {submitJobs} from './submit-jobs.js';
 
@@ -89,6 +91,22 @@
 
 		print(JSON.stringify(status, undefined, options.json ? 0 : 2));
 	})
+	.command('explain <id> [files..]', 'tell the story of a job, task, target or entry from logs of edge daemons', command => command
+		.positional('id', {type: 'string', demandOption: true})
+		.positional('files', {
+			type: 'string', array: true, default: [], describe: 'log files; standard input where none is named',
+		}), async options => {
+		const read = options.files.length === 0
+			? [readLogLines('-', process.stdin)]
+			: options.files.map(async file => readLogLines(file, createReadStream(file)));
+		const lines = await Promise.all(read);
+		const story = explainStory(lines.flat(), options.id);
+		if (story.length === 0) {
+			fail(`no line names ${options.id}`, exitCode.failed);
+		}
+
+		print(story.join('\n'));
+	})
 	.demandCommand(1, 'name a command')
 	.epilogue('Exit codes: 0 done, 1 failed, 2 usage, 3 rejected, 4 accepted but not yet everywhere, 5 unknown; submit: 10 a job failed, 11 not run, 12 may have run.')
 	.version(version)
