--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -7,7 +7,7 @@
 import {Random} from '../../base/random.js';
 import {repeat} from '../../base/repeat.js';
 import {Dispatcher} from '../../features/dispatch/dispatcher.js';
-import {EarliestObjective} from '../../features/dispatch/earliest-objective.js';
+import {ReachableObjective} from '../../features/dispatch/reachable-objective.js';
 import {Executor} from '../../features/execution/executor.js';
 import type {Handover} from '../../features/execution/handover.js';
 import {Ownership} from '../../features/ownership/ownership.js';
@@ -68,7 +68,7 @@
 		this.dispatcher = own.add(new Dispatcher({
 			executor: this.executor,
 			pool: this.pool,
-			order: new EarliestObjective(),
+			order: new ReachableObjective(),
 			runTimes: new RunTimes(),
 			random: new Random(hashText(member)),
 			clock,
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -379,6 +379,7 @@
 		service: job.route.service,
 		label: job.shape.label,
 		avoid: [...slot.avoid],
+		jobTasks: job.shape.count,
 		expectedMilliseconds,
 	};
 }
--- /dev/null
+++ b/src/features/dispatch/reachable-objective.ts
@@ -0,0 +1,26 @@
+/** Order by objective, with regard to what has been begun. */
+import {QueueOrder} from './queue-order.js';
+import type {RunningJob} from './running-job.js';
+
+/** Above any objective, so that the two kinds never mix. */
+const aheadMilliseconds = 1_000_000;
+/**
+ * A late answer is worth a fifth of one in time. With a quarter of its tasks left, a job that is late yields 0.8 of what a
+ * fresh one yields for the same work; with more left, less.
+ */
+const nearlyDoneShare = 0.25;
+
+/**
+ * First the rest of jobs that have begun and can keep their objective: their running tasks are of no use without it. Then
+ * jobs that haven't begun, the nearest objective first. Jobs that have missed it come last, unless they are nearly done.
+ */
+export class ReachableObjective extends QueueOrder {
+	override rank(job: RunningJob, now: number): number {
+		const latestStart = job.objectiveAt - job.expectedMilliseconds;
+		if (latestStart >= now) {
+			return job.mayHaveRun ? latestStart - aheadMilliseconds : latestStart;
+		}
+
+		return job.waiting.length <= nearlyDoneShare * job.slots.length ? latestStart : latestStart + aheadMilliseconds;
+	}
+}
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -27,6 +27,9 @@
 /** How often runs are compared with what they are expected to take: a small part of the shortest task. */
 const watchMilliseconds = 25;
 
+/** A probe may be late or fail, and all of its job with it: only narrow jobs, of which little is lost, are used for it. */
+const probeJobTasks = 2;
+
 /** A target that this entry owns, with the token for it. */
 type OwnedTarget = {readonly target: TargetRecord; readonly fence: FencingToken};
 
@@ -76,11 +79,11 @@
 		return this.#sessions.size;
 	}
 
-	/** The room of each target that takes tasks now. */
+	/** The room of each target that takes any task now; one that is to be probed is left to this entry's own jobs. */
 	get room(): readonly RoomShare[] {
 		const now = this.parts.clock.now();
 		return [...this.#sessions.values()]
-			.filter(session => session.isOpen && this.parts.health.condition(session.target.id, now) !== 'out')
+			.filter(session => session.isOpen && ['fit', 'slow'].includes(this.parts.health.condition(session.target.id, now)))
 			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.room}));
 	}
 
@@ -343,6 +346,7 @@
 			return false;
 		}
 
-		return this.parts.health.condition(target.id, this.parts.clock.now()) !== 'out';
+		const condition = this.parts.health.condition(target.id, this.parts.clock.now());
+		return condition === 'probe' ? request.jobTasks <= probeJobTasks : condition !== 'out';
 	}
 }
--- a/src/features/execution/run-request.ts
+++ b/src/features/execution/run-request.ts
@@ -15,6 +15,8 @@
 	/** A label that the target must have. */
 	readonly label: string | undefined;
 	readonly avoid: readonly string[];
+	/** How many tasks the job has: all of them wait for the last one. */
+	readonly jobTasks: number;
 	/** What the run is expected to take, in milliseconds. */
 	readonly expectedMilliseconds: number;
 };
--- a/src/features/placement/target-health.ts
+++ b/src/features/placement/target-health.ts
@@ -6,6 +6,8 @@
 /** Failures in a row after which a target is out; a loss or a refusal weighs as much as a failure. */
 const failuresToEject = 3;
 const firstEjectionMilliseconds = 2000;
+/** One probe a second for a slow target, against a task in each free place on it; and it's back within a second. */
+const suspensionMilliseconds = 1000;
 const longestEjectionMilliseconds = 60_000;
 const ejectionGrowth = 2;
 /** No more of a zone's targets are out at once: when many look bad, the cause is most likely elsewhere. */
@@ -84,9 +86,16 @@
 		this.#stateOf(target).isProbing = false;
 	}
 
-	/** Takes a target out at once, on evidence that needs no second case; a target that is out stays so for longer. */
+	/**
+	 * Takes a target out at once, on evidence that needs no second case, whatever is out already: each task that is sent to
+	 * a target which works slowly or not at all is late. The time is short, since a probe costs but one task.
+	 */
 	suspend(target: InstanceId, cause: 'overdue', now: number): void {
-		this.#eject(target, this.#stateOf(target), cause, now);
+		const state = this.#stateOf(target);
+		state.isProbing = false;
+		state.isOut = true;
+		state.ejectedUntil = now + suspensionMilliseconds;
+		this.journal.record('targetEjected', {target, outcome: cause, periodMilliseconds: suspensionMilliseconds});
 	}
 
 	/** Takes the end of a task. */
@@ -124,7 +133,7 @@
 		this.journal.record('targetBack', {target, ejections: state.ejections});
 	}
 
-	#eject(target: InstanceId, state: State, outcome: Outcome | 'overdue', now: number): void {
+	#eject(target: InstanceId, state: State, outcome: Outcome, now: number): void {
 		state.isProbing = false;
 		const out = [...this.#states.values()].filter(other => other.isOut).length;
 		if (!state.isOut && out + 1 > this.#states.size * ejectedShareLimit) {
--- a/src/features/pool/pool-message-schema.ts
+++ b/src/features/pool/pool-message-schema.ts
@@ -19,6 +19,7 @@
 	service: z.string().transform(name => name as ServiceName),
 	label: z.string().optional().transform(label => label),
 	avoid: z.array(z.string()),
+	jobTasks: z.number(),
 	expectedMilliseconds: z.number(),
 });
 
--- /dev/null
+++ b/test/features/dispatch/reachable-objective.test.ts
@@ -0,0 +1,73 @@
+/** The order of jobs that wait for room, under a burst that is more than there's room for. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {JobId} from '../../../src/base/job-id.js';
+import type {ProfileName} from '../../../src/base/profile-name.js';
+import {Resources} from '../../../src/base/resources.js';
+import type {ServiceName} from '../../../src/base/service-name.js';
+import {ReachableObjective} from '../../../src/features/dispatch/reachable-objective.js';
+import {RunningJob} from '../../../src/features/dispatch/running-job.js';
+
+type Begun = {readonly name: string; readonly tasks: number; readonly started: number; readonly expected: number; readonly receivedAt: number};
+
+function jobOf({name, tasks, started, expected, receivedAt}: Begun): RunningJob {
+	const job = new RunningJob({
+		id: name as JobId,
+		route: {
+			queue: 'q' as ProfileName, host: '', pathPrefix: '', service: 's' as ServiceName, priority: 0, attempts: 3, stretch: 1.6, slackMilliseconds: 60,
+		},
+		payload: '',
+		shape: {
+			count: tasks, need: Resources.none, declaredMilliseconds: expected, label: undefined,
+		},
+		patienceMilliseconds: 5000,
+	}, receivedAt, expected, () => {
+		// Nobody waits for it here.
+	});
+	for (const slot of job.slots.slice(0, started)) {
+		slot.isDone = true;
+		job.orderedStarts += 1;
+	}
+
+	return job;
+}
+
+test('what has begun and can be in time comes first, then the nearest objective; what is late comes last unless it is nearly done', () => {
+	const now = 1000;
+	const jobs = [
+		jobOf({
+			name: 'late, half done', tasks: 8, started: 4, expected: 60, receivedAt: 700,
+		}),
+		jobOf({
+			name: 'long, fresh', tasks: 4, started: 0, expected: 900, receivedAt: 900,
+		}),
+		jobOf({
+			name: 'late, nearly done', tasks: 8, started: 7, expected: 60, receivedAt: 700,
+		}),
+		jobOf({
+			name: 'short, fresh', tasks: 8, started: 0, expected: 60, receivedAt: 990,
+		}),
+		jobOf({
+			name: 'short, begun', tasks: 8, started: 2, expected: 60, receivedAt: 990,
+		}),
+		jobOf({
+			name: 'short, fresh, older', tasks: 8, started: 0, expected: 60, receivedAt: 950,
+		}),
+	];
+	const order = new ReachableObjective();
+	const sorted = jobs.map(job => ({name: job.job.id, rank: order.rank(job, now)})).sort((left, right) => left.rank - right.rank);
+	assert.deepEqual(sorted.map(({name}) => name), ['short, begun', 'late, nearly done', 'short, fresh, older', 'short, fresh', 'long, fresh', 'late, half done']);
+});
+
+test('a job that has not begun is given up when it would miss its objective, one that has when its answer is of no use', () => {
+	const fresh = jobOf({
+		name: 'fresh', tasks: 8, started: 0, expected: 100, receivedAt: 0,
+	});
+	const begun = jobOf({
+		name: 'begun', tasks: 8, started: 1, expected: 100, receivedAt: 0,
+	});
+	const placed = jobOf({
+		name: 'placed', tasks: 8, started: 8, expected: 100, receivedAt: 0,
+	});
+	assert.deepEqual([fresh.giveUpAt, begun.giveUpAt, placed.giveUpAt], [120, 560, 5000]);
+});
--- a/test/features/execution/executor.test.ts
+++ b/test/features/execution/executor.test.ts
@@ -43,6 +43,7 @@
 		service: 'service' as ServiceName,
 		label: undefined,
 		avoid: [],
+		jobTasks: 1,
 		expectedMilliseconds: Number(payload),
 	};
 }
