A zone that is only cut off isn't covered; runs handed over to nobody are begun again; quicker connections between entries

Ruled out: the lease (no run lapsed), lost reports. Now the group is asked whether the zone has members of its own. A run whose handover nobody confirmed counts as ended with its lease. Tests: a zone that is only cut off keeps its targets; runs that were handed over to nobody (failed before).

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -22,6 +22,13 @@
 
 /** Entries of one installation share it, so that a stray program isn't taken for a peer; the network is trusted. */
 const peerKey = 'savorylock';
+/**
+ * Heartbeats come every 100 ms. A connection that has gone silent is dialled anew before its entry is taken as lost after
+ * 800 ms, and one that can't be made is tried often enough to be there soon after a cut has healed.
+ */
+const peerTiming = {
+	ping: 200, check: 100, silence: 450, connect: 300, redial: 100,
+};
 /** An entry's place in its groups outlives four lost renewals; the store may ask for more. */
 const membershipMilliseconds = 1500;
 /** An answer by the store that is older than three quarters of the time to apply a change proves nothing any more. */
@@ -50,7 +57,7 @@
 		const [host = '', port = ''] = settings.peers.split(':');
 		const own = this.#store;
 		this.#network = own.add(new TcpPeerNetwork({
-			instance: settings.instance, zone: settings.zone, address: host, port: Number(port), key: peerKey, transport: new TcpTransport(),
+			instance: settings.instance, zone: settings.zone, address: host, port: Number(port), key: peerKey, transport: new TcpTransport(), timing: peerTiming,
 		}, clock, journal));
 		const store = own.add(new StoreClient(settings.storeAddress, journal));
 		this.#routing = new RoutingTable(settings.applyMilliseconds * freshShare, clock, journal);
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -69,6 +69,7 @@
 			executor: this.executor,
 			pool: this.pool,
 			order: new ReachableObjective(),
+			leaseMilliseconds,
 			runTimes: new RunTimes(),
 			random: new Random(hashText(member)),
 			clock,
@@ -107,6 +108,7 @@
 			this.pool.tellRoom();
 		}));
 		own.add(this.ownership.onDidHandOver(handovers => {
+			this.dispatcher.noteHandovers(handovers);
 			this.pool.broadcast({kind: 'handover', handovers: handovers.map(handover => messageOf(handover))});
 		}));
 		own.add(routing.onDidChange(() => {
@@ -145,10 +147,6 @@
 
 		const zones = [...this.parts.catalogue.targets.values()].map(target => target.zone);
 		const covered = zonesToCover(zones, {id: this.pool.self, zone: this.parts.zone, isLeaving: false}, this.pool.members);
-		if ([...covered].join(',') !== [...this.#covered].join(',')) {
-			this.parts.journal.record('zonesCovered', {zones: [...covered].join(',')});
-		}
-
 		this.#covered = covered;
 		this.ownership.cover(covered);
 	}
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -11,11 +11,13 @@
 import {repeat} from '../../base/repeat.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import type {Handover} from '../execution/handover.js';
 import type {Executor} from '../execution/executor.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {RunTimes} from '../placement/run-times.js';
 import type {Pool} from '../pool/pool.js';
+import type {PoolMessage} from '../pool/pool-message.js';
 import {requestMessageOf} from '../pool/request-message-of.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import {chooseMember} from './choose-member.js';
@@ -31,11 +33,18 @@
 /** The next attempt after a target said that it knows a later one: above those of an earlier submission of the job. */
 const attemptStep = 16;
 
+/** A target's clock may be this much slower than ours. */
+const leaseDrift = 1.02;
+/** For the messages of the former owner and of the next one, also on a connection that's being made anew. */
+const adoptionSlackMilliseconds = 300;
+
 /** What the dispatcher works with. */
 type DispatcherParts = {
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
+	/** The longest lease that a target grants. */
+	readonly leaseMilliseconds: number;
 	readonly runTimes: RunTimes;
 	readonly random: Random;
 	readonly clock: Clock;
@@ -59,11 +68,7 @@
 			}
 		}));
 		this.#store.add(pool.onDidReceive(({from, message}) => {
-			if (message.kind === 'report') {
-				this.#take(message.task, message.attempt, message.outcome);
-			} else if (message.kind === 'adopted') {
-				this.#adopted(message.task, message.attempt, from.id);
-			}
+			this.#receive(from.id, message);
 		}));
 		this.#store.add(executor.onDidAdopt(({requester, request}) => {
 			if (requester === pool.self) {
@@ -153,6 +158,16 @@
 		this.#isWaiting = isWaiting;
 	}
 
+	/** Runs changed hands: their next owner has to tell, or they have ended with their lease. */
+	noteHandovers(handovers: readonly Handover[]): void {
+		for (const {request} of handovers.flatMap(handover => handover.runs)) {
+			const found = this.#find(request.task);
+			if (found?.slot.attempt === request.attempt && found.slot.owner !== undefined) {
+				found.slot.handedOverAt = this.parts.clock.now();
+			}
+		}
+	}
+
 	/** Answers every job as it stands; the process is about to end. */
 	giveUp(): void {
 		for (const job of this.#jobs.values()) {
@@ -164,6 +179,20 @@
 		this.#store.dispose();
 	}
 
+	#receive(from: MemberId, message: PoolMessage): void {
+		if (message.kind === 'report') {
+			this.#take(message.task, message.attempt, message.outcome);
+		}
+
+		if (message.kind === 'handover') {
+			this.noteHandovers(message.handovers);
+		}
+
+		if (message.kind === 'adopted') {
+			this.#adopted(message.task, message.attempt, from);
+		}
+	}
+
 	/** Whether nothing was left waiting. */
 	#placeAll(): boolean {
 		const now = this.parts.clock.now();
@@ -221,6 +250,7 @@
 
 		const {job, slot} = found;
 		slot.owner = undefined;
+		slot.handedOverAt = undefined;
 		switch (outcome.kind) {
 			case 'done': {
 				slot.isDone = true;
@@ -286,6 +316,7 @@
 		const found = this.#find(task);
 		if (found?.slot.attempt === attempt && found.slot.owner !== undefined) {
 			found.slot.owner = owner;
+			found.slot.handedOverAt = undefined;
 			return;
 		}
 
@@ -315,6 +346,7 @@
 	#check(): void {
 		const now = this.parts.clock.now();
 		for (const job of this.#jobs.values()) {
+			this.#endUnadopted(job, now);
 			if (now <= job.giveUpAt) {
 				continue;
 			}
@@ -327,6 +359,16 @@
 		}
 	}
 
+	/** Nobody renews the lease of a run that nobody adopted, so that it has ended once the lease has. */
+	#endUnadopted(job: RunningJob, now: number): void {
+		const limit = (this.parts.leaseMilliseconds * leaseDrift) + adoptionSlackMilliseconds;
+		for (const slot of job.slots) {
+			if (slot.handedOverAt !== undefined && now - slot.handedOverAt > limit) {
+				this.#take(slot.id, slot.attempt, {kind: 'gone', target: '', cause: 'handed over to nobody'});
+			}
+		}
+	}
+
 	#end(job: RunningJob, verdict: Verdict<JobOutcome>): void {
 		if (job.isOver) {
 			return;
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -20,7 +20,7 @@
 		readonly settle: (verdict: Verdict<JobOutcome>) => void,
 	) {
 		this.slots = Array.from({length: job.shape.count}, (_, index) => ({
-			id: `${job.id}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, sentAt: 0, isDone: false, avoid: new Set<string>(),
+			id: `${job.id}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, sentAt: 0, handedOverAt: undefined, isDone: false, avoid: new Set<string>(),
 		}));
 	}
 
--- a/src/features/dispatch/task-slot.ts
+++ b/src/features/dispatch/task-slot.ts
@@ -12,6 +12,8 @@
 	failures: number;
 	owner: MemberId | undefined;
 	sentAt: number;
+	/** When the owner gave the run's target up; none while its owner is known. */
+	handedOverAt: number | undefined;
 	isDone: boolean;
 	readonly avoid: Set<string>;
 };
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -15,6 +15,9 @@
 import {GroupMember} from './group-member.js';
 import type {PartitionGroup} from './partition-group.js';
 
+/** How often the store is asked whether a zone that can't be heard has entries of its own. */
+const considerMilliseconds = 500;
+
 /** What ownership works with. */
 type OwnershipParts = {
 	readonly zone: AvailabilityZone;
@@ -33,8 +36,10 @@
  */
 export class Ownership implements Disposable {
 	readonly #members = new Map<AvailabilityZone, GroupMember>();
+	readonly #consideredAt = new Map<AvailabilityZone, number>();
 	readonly #handOver = new Emitter<readonly Handover[]>();
 	readonly #subscription: Disposable;
+	#isLeaving = false;
 
 	constructor(private readonly parts: OwnershipParts) {
 		this.#subscription = parts.catalogue.onDidChange(() => {
@@ -49,10 +54,12 @@
 
 	/** Joins the groups of its own zone and of the zones to cover, and leaves the others. */
 	cover(zones: ReadonlySet<AvailabilityZone>): void {
-		for (const zone of new Set([this.parts.zone, ...zones])) {
-			if (!this.#members.has(zone)) {
-				this.#join(zone);
-			}
+		if (!this.#members.has(this.parts.zone)) {
+			this.#join(this.parts.zone);
+		}
+
+		for (const zone of zones) {
+			void this.#considerCovering(zone);
 		}
 
 		for (const [zone, member] of this.#members) {
@@ -71,6 +78,7 @@
 
 	/** Gives up all targets, with what runs there. */
 	async leave(): Promise<void> {
+		this.#isLeaving = true;
 		const members = [...this.#members];
 		await Promise.all(members.map(async ([zone, member]) => this.#leave(zone, member)));
 	}
@@ -83,11 +91,38 @@
 		}
 	}
 
+	/**
+	 * A zone whose entries can't be heard may just be cut off, and its targets with it: then its group still has members of
+	 * its own, and joining would take targets from those who reach them. Asked again while the zone is covered.
+	 */
+	async #considerCovering(zone: AvailabilityZone): Promise<void> {
+		const {store, clock, journal} = this.parts;
+		const now = clock.now();
+		if (now - (this.#consideredAt.get(zone) ?? Number.NEGATIVE_INFINITY) < considerMilliseconds) {
+			return;
+		}
+
+		this.#consideredAt.set(zone, now);
+		const holders = await store.holders(groupOf(zone));
+		const isStaffed = holders === undefined || [...holders].some(holder => holder.startsWith(memberPrefixOf(zone)));
+		const member = this.#members.get(zone);
+		if (isStaffed === (member === undefined) || this.#isLeaving) {
+			return;
+		}
+
+		journal.record('zoneCovered', {zone, isCovered: !isStaffed, holders: holders?.size});
+		if (member === undefined) {
+			this.#join(zone);
+		} else if (holders !== undefined) {
+			await this.#leave(zone, member);
+		}
+	}
+
 	#join(zone: AvailabilityZone): void {
 		const {member, store, clock, journal} = this.parts;
 		const joined = new GroupMember({
-			group: `targets.${zone}` as OwnershipGroupName,
-			member,
+			group: groupOf(zone),
+			member: `${memberPrefixOf(this.parts.zone)}${member}`,
 			store,
 			clock,
 			journal,
@@ -135,3 +170,12 @@
 		return hashText(target) % this.parts.store.partitionCount;
 	}
 }
+
+function groupOf(zone: AvailabilityZone): OwnershipGroupName {
+	return `targets.${zone}` as OwnershipGroupName;
+}
+
+/** Members are named after their own zone, so that those of another one can be told apart. */
+function memberPrefixOf(zone: AvailabilityZone): string {
+	return `${zone}/`;
+}
--- a/src/features/ownership/partition-group.ts
+++ b/src/features/ownership/partition-group.ts
@@ -12,5 +12,8 @@
 	 */
 	abstract join(group: OwnershipGroupName, member: string, generation: number): Promise<PartitionGrant | undefined>;
 
+	/** The members that hold partitions, for anybody to see; nothing where the store gave no answer. */
+	abstract holders(group: OwnershipGroupName): Promise<ReadonlySet<string> | undefined>;
+
 	abstract leave(group: OwnershipGroupName, member: string): Promise<void>;
 }
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -14,7 +14,13 @@
 /** How long a request is remembered: as long as its sender may send it again after a lost connection. */
 const rememberedMilliseconds = 3000;
 
-type Remembered = {readonly requester: MemberId; readonly at: number; report: OutgoingPoolMessage | undefined};
+type Remembered = {
+	readonly requester: MemberId;
+	readonly at: number;
+	/** What its requester has to know: that it was adopted, then how it ended. */
+	report: OutgoingPoolMessage | undefined;
+	isEnded: boolean;
+};
 
 /**
  * Starts what other entries ask for and reports how it ended. Requests and reports are sent again when a connection was
@@ -32,8 +38,11 @@
 			this.#report(report);
 		}));
 		this.#store.add(executor.onDidAdopt(({requester, request}) => {
-			this.#remembered.set(runKeyOf(request), {requester, at: clock.now(), report: undefined});
-			pool.send(requester, {kind: 'adopted', task: request.task, attempt: request.attempt});
+			const adopted: OutgoingPoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
+			this.#remembered.set(runKeyOf(request), {
+				requester, at: clock.now(), report: adopted, isEnded: false,
+			});
+			pool.send(requester, adopted);
 		}));
 		this.#store.add(pool.onDidLose(member => {
 			// The entry's job may be submitted again elsewhere: nothing of it may run beside that.
@@ -76,7 +85,9 @@
 		}
 
 		this.#forgetOld();
-		this.#remembered.set(key, {requester: from, at: this.clock.now(), report: undefined});
+		this.#remembered.set(key, {
+			requester: from, at: this.clock.now(), report: undefined, isEnded: false,
+		});
 		if (this.executor.start(request, from) === undefined) {
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
@@ -95,6 +106,7 @@
 		const known = this.#remembered.get(runKeyOf({task, attempt}));
 		if (known !== undefined) {
 			known.report = report;
+			known.isEnded = true;
 		}
 
 		this.pool.send(requester, report);
@@ -112,12 +124,12 @@
 	/** Insertion order is age. */
 	#forgetOld(): void {
 		const now = this.clock.now();
-		for (const [key, {at, report}] of this.#remembered) {
+		for (const [key, {at, isEnded}] of this.#remembered) {
 			if (now - at < rememberedMilliseconds) {
 				return;
 			}
 
-			if (report !== undefined || now - at > 10 * rememberedMilliseconds) {
+			if (isEnded || now - at > 10 * rememberedMilliseconds) {
 				this.#remembered.delete(key);
 			}
 		}
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -195,9 +195,6 @@
 	poolMessageUnreadable: {
 		number: 332, level: 'warning', meaning: 'A message of another entry can\'t be read and has no effect', fields: ['member', 'detail'],
 	},
-	zonesCovered: {
-		number: 333, level: 'notice', meaning: 'This entry owns targets of zones that have no entry', fields: ['zones'],
-	},
 	claimChanged: {
 		number: 700, level: 'notice', meaning: 'The group gave this entry other partitions', fields: ['group', 'generation', 'partitions', 'lost'],
 	},
@@ -210,6 +207,9 @@
 	groupLeft: {
 		number: 703, level: 'notice', meaning: 'This entry gave up its partitions', fields: ['group', 'generation'],
 	},
+	zoneCovered: {
+		number: 704, level: 'notice', meaning: 'This entry joins, or leaves, the group of another zone that has no entry of its own', fields: ['zone', 'isCovered', 'holders'],
+	},
 	targetOwned: {
 		number: 710, level: 'notice', meaning: 'This entry orders a target from now on', fields: ['target', 'fence', 'adopted'],
 	},
--- a/src/runtime/peers/outgoing-link.ts
+++ b/src/runtime/peers/outgoing-link.ts
@@ -10,24 +10,12 @@
 import type {Member} from './member.js';
 import type {peerFrameSchema} from './peer-frame.js';
 import type {PeerMessage} from './peer-message.js';
+import type {PeerTiming} from './peer-timing.js';
 import type {PeerTransport} from './peer-transport.js';
 import type {TrafficCounter} from './traffic-counter.js';
 
-/**
- * A peer that answered nothing for so long is asked for a sign of life while its connection is watched or used. Traffic
- * takes the place of pings.
- */
-const pingPeriodMilliseconds = 600;
-const checkPeriodMilliseconds = 300;
-/**
- * A connection without a sign of life for so long is given up and dialled anew: a network that lost track of it lets
- * a new one through. Whoever waits for an answer sends again on the new one.
- */
-const silenceLimitMilliseconds = 1600;
 /** A connection that nobody watches is pinged for so long after its last use. */
 const useMilliseconds = 1000;
-const redialMilliseconds = 250;
-const connectLimitMilliseconds = 1000;
 /** Messages that wait for the connection; older ones are dropped, since their senders send again. */
 const queueLimit = 512;
 
@@ -43,6 +31,7 @@
 	readonly counter: TrafficCounter;
 	readonly listener: LinkListener;
 	readonly transport: PeerTransport;
+	readonly timing: PeerTiming;
 };
 
 /** Owns the connection to one peer address, and keeps it alive while it's watched or used. */
@@ -62,7 +51,7 @@
 	constructor(private readonly parts: OutgoingLinkParts, public isWatched: boolean) {
 		const {clock} = parts;
 		this.#usedAt = clock.now();
-		this.#pings = repeat(clock, checkPeriodMilliseconds, () => {
+		this.#pings = repeat(clock, parts.timing.check, () => {
 			this.#check();
 		});
 		this.#dial();
@@ -100,7 +89,7 @@
 
 	#isQuiet(peer: Member): boolean {
 		// What comes from the peer over its own connection says nothing of this one: only an answer does.
-		return this.parts.clock.now() - this.parts.listener.reachedAt(peer) >= pingPeriodMilliseconds;
+		return this.parts.clock.now() - this.parts.listener.reachedAt(peer) >= this.parts.timing.ping;
 	}
 
 	#dial(): void {
@@ -116,7 +105,7 @@
 				kind: 'hello', version: 1, nonce: this.#nonce, member: this.parts.self,
 			});
 		});
-		socket.setTimeout(connectLimitMilliseconds);
+		socket.setTimeout(this.parts.timing.connect);
 		this.#heardAt = this.parts.clock.now();
 		this.#nonce = handshake.nonce();
 		const frames = new FrameSocket(socket, this.parts.counter, frame => {
@@ -187,7 +176,7 @@
 		}
 
 		if (!this.#isDisposed && (this.#isWanted || this.#queue.length > 0)) {
-			this.#redial = this.parts.clock.schedule(redialMilliseconds, () => {
+			this.#redial = this.parts.clock.schedule(this.parts.timing.redial, () => {
 				this.#dial();
 			});
 		}
@@ -203,7 +192,7 @@
 		}
 
 		const aliveAt = this.#peer === undefined ? this.#heardAt : Math.max(this.#heardAt, this.parts.listener.reachedAt(this.#peer));
-		if (this.parts.clock.now() - aliveAt > silenceLimitMilliseconds && this.#pingedAt > aliveAt) {
+		if (this.parts.clock.now() - aliveAt > this.parts.timing.silence && this.#pingedAt > aliveAt) {
 			this.#socket.dispose();
 			return;
 		}
--- /dev/null
+++ b/src/runtime/peers/peer-timing.ts
@@ -0,0 +1,19 @@
+/** How quickly the peer network notices what is wrong. */
+
+/** All in milliseconds. */
+export type PeerTiming = {
+	/**
+	 * A peer that answered nothing for so long is asked for a sign of life while its connection is watched or used. Traffic
+	 * takes the place of pings.
+	 */
+	readonly ping: number;
+	/** How often connections are looked at. */
+	readonly check: number;
+	/**
+	 * A connection without a sign of life for so long is given up and dialled anew: a network that lost track of it lets a
+	 * new one through. Whoever waits for an answer sends again on the new one.
+	 */
+	readonly silence: number;
+	readonly connect: number;
+	readonly redial: number;
+};
--- a/src/runtime/peers/tcp-peer-network.ts
+++ b/src/runtime/peers/tcp-peer-network.ts
@@ -8,11 +8,13 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {Journal} from '../journal/journal.js';
 import {AcceptedConnection} from './accepted-connection.js';
+import {calmPeerTiming} from './calm-peer-timing.js';
 import type {LinkListener} from './link-listener.js';
 import type {Member} from './member.js';
 import {OutgoingLink} from './outgoing-link.js';
 import type {PeerMessage} from './peer-message.js';
 import {PeerNetwork} from './peer-network.js';
+import type {PeerTiming} from './peer-timing.js';
 import type {PeerTraffic} from './peer-traffic.js';
 import type {PeerTransport} from './peer-transport.js';
 import type {ReceivedMessage} from './received-message.js';
@@ -28,6 +30,8 @@
 	readonly transport: PeerTransport;
 	/** Where peers reach this entry, if not at its own address. */
 	readonly advertised?: string;
+	/** The calm timing where absent. */
+	readonly timing?: PeerTiming;
 };
 
 /** Owns the listening socket, all accepted connections, and one outgoing link for each peer address. */
@@ -192,7 +196,13 @@
 
 	#linkParts() {
 		return {
-			self: this.#self, key: this.identity.key, clock: this.clock, counter: this.#counter, listener: this.#listener, transport: this.identity.transport,
+			self: this.#self,
+			key: this.identity.key,
+			clock: this.clock,
+			counter: this.#counter,
+			listener: this.#listener,
+			transport: this.identity.transport,
+			timing: this.identity.timing ?? calmPeerTiming,
 		};
 	}
 
--- a/standins/store/store-service.ts
+++ b/standins/store/store-service.ts
@@ -45,6 +45,7 @@
 		routes.get('/log-read', async context => this.#read(context));
 		routes.post('/log-append', async context => this.#append(context));
 		routes.post('/log-join', async context => this.#join(await context.req.json()));
+		routes.get('/log-owners', context => context.json({parts: (this.#groups.get(context.req.query('group') ?? '')?.owners ?? []).map(([partition, member]) => ['topic', partition, member, 0])}));
 		routes.post('/log-leave', async context => this.#leave(await context.req.json()));
 		return routes;
 	}
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {OwnershipGroupName} from '../../../src/base/ownership-group-name.js';
+import {requestMessageOf} from '../../../src/features/pool/request-message-of.js';
 import {PooledWorld} from '../../support/pooled-world.js';
 
 test('a job wider than its entry\'s own targets runs on those of all entries at once', async () => {
@@ -105,7 +106,7 @@
 	await world.start();
 	await world.pass(1000);
 	world.kill('a-1');
-	world.group.expire('targets.a' as OwnershipGroupName, 'a-1');
+	world.group.expire('targets.a' as OwnershipGroupName, 'a/a-1');
 	await world.pass(1500);
 	assert.equal(world.entries.get('b-1')!.executor.ownedTargets, 4);
 });
@@ -194,3 +195,38 @@
 	await world.pass(250);
 	assert.deepEqual(job.verdict, {kind: 'answered', answer: 'complete'});
 });
+
+// A zone is cut off from the others, not from the store. Its targets are out of the others' reach: an entry that covered
+// the zone would take targets from those that reach them, and when the cut heals tasks are stopped and jobs hang.
+test('a zone that is only cut off keeps all of its targets', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 2);
+	await world.start();
+	await world.pass(1000);
+	world.network.isolate('a-1', true);
+	await world.pass(4000);
+	assert.deepEqual(['a-1', 'b-1'].map(name => world.entries.get(name)!.executor.ownedTargets), [2, 2]);
+});
+
+// An owner gives its targets up and its word of them is lost on the way, as when a cut heals at that moment. Nobody renews
+// the runs' lease any more and nobody tells their jobs, which would wait until their callers give up.
+test('runs that were handed over to nobody are begun again once their lease has passed', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 2);
+	await world.start();
+	const job = world.submit('b-1', '00000000000000aa', {
+		tasks: 8, payload: '900', declared: 900, patience: 9000,
+	});
+	await world.pass(100);
+	world.entries.get('a-1')!.ownership.dispose();
+	const released = await Promise.all([world.entries.get('a-1')!.executor.release(new Set(['a-target-0', 'a-target-1'] as InstanceId[])), world.pass(100)]);
+	world.entries.get('a-1')!.pool.broadcast({
+		kind: 'handover',
+		handovers: released[0].map(({target, acknowledged, runs}) => ({
+			target: `${target} of nobody`,
+			acknowledged,
+			runs: runs.map(({request, requester}) => ({request: requestMessageOf(request), requester})),
+		})),
+	});
+	await world.pass(4000);
+	assert.deepEqual(job.verdict, {kind: 'answered', answer: 'complete'});
+	assert.equal(world.orders.mostAtOnce, 1);
+});
--- a/test/support/model-group.ts
+++ b/test/support/model-group.ts
@@ -29,6 +29,10 @@
 		return {generation: state.generation, partitions: new Set(partitions)};
 	}
 
+	override async holders(group: OwnershipGroupName): Promise<ReadonlySet<string> | undefined> {
+		return this.isAway ? undefined : new Set(this.#stateOf(group).holders.values());
+	}
+
 	override async leave(group: OwnershipGroupName, member: string): Promise<void> {
 		this.expire(group, member);
 	}
