An answer from before a pause confirms nothing after it

Cause, found in review: a suspended machine's steady clock stands still, so that a confirmation by the store from before the suspension looked fresh after it, and a route that was added meanwhile would have been denied with 404. Test: an answer that was asked for before a pause confirms nothing after it.

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -15,6 +15,7 @@
 import type {Journal} from '../../runtime/journal/journal.js';
 import {StatusServer} from '../../runtime/metrics/status-server.js';
 import type {TextMetrics} from '../../runtime/metrics/text-metrics.js';
+import {PauseWatch} from '../../runtime/pause-watch.js';
 import {TcpPeerNetwork} from '../../runtime/peers/tcp-peer-network.js';
 import {TcpTransport} from '../../runtime/peers/tcp-transport.js';
 import {version} from '../version.js';
@@ -79,6 +80,11 @@
 		this.#directory = own.add(new EntryDirectory(store, settings.peers, clock, address => {
 			this.#entry.pool.meet([address]);
 		}));
+		own.add(own.add(new PauseWatch(clock)).onDidPause(milliseconds => {
+			// A route may have been added meanwhile: without a new answer by the store its absence can't be told.
+			this.#routing.distrust();
+			journal.record('processPaused', {milliseconds: Math.round(milliseconds)});
+		}));
 		this.#metricsServer = own.add(new StatusServer(() => {
 			this.#measure();
 			return {status: 200, text: metrics.render()};
--- a/src/features/routing/routing-table.ts
+++ b/src/features/routing/routing-table.ts
@@ -18,6 +18,7 @@
 	#configuration: RoutingConfiguration | undefined;
 	#byHost = new Map<string, readonly QueueRoute[]>();
 	#confirmedAt = Number.NEGATIVE_INFINITY;
+	#distrustedAt = Number.NEGATIVE_INFINITY;
 	readonly #change = new Emitter<RoutingConfiguration>();
 
 	/** `freshMilliseconds`: under the time within which a change has to be in force. */
@@ -51,7 +52,15 @@
 
 	/** The store answered a read that was sent at a monotonic time: nothing newer was there then. */
 	confirm(readAt: number): void {
-		this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
+		if (readAt >= this.#distrustedAt) {
+			this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
+		}
+	}
+
+	/** The process may have missed something: what was confirmed before, or asked before, proves nothing. */
+	distrust(): void {
+		this.#distrustedAt = this.clock.now();
+		this.#confirmedAt = Number.NEGATIVE_INFINITY;
 	}
 
 	/** How long ago the store last confirmed that nothing newer is there, in milliseconds. */
--- /dev/null
+++ b/test/features/routing/routing-table.test.ts
@@ -0,0 +1,54 @@
+/** The configuration in force. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {ProfileName} from '../../../src/base/profile-name.js';
+import type {ServiceName} from '../../../src/base/service-name.js';
+import {RoutingTable} from '../../../src/features/routing/routing-table.js';
+import {FakeClock} from '../../support/fake-clock.js';
+import {RecordingJournal} from '../../support/recording-journal.js';
+
+function configurationOf(version: number, ...prefixes: readonly string[]) {
+	return {
+		version,
+		bodyLimitBytes: 1000,
+		routes: prefixes.map(pathPrefix => ({
+			queue: pathPrefix as ProfileName, host: 'host', pathPrefix, service: 's' as ServiceName, priority: 0, attempts: 3, stretch: 1, slackMilliseconds: 0,
+		})),
+	};
+}
+
+function tableOf() {
+	const clock = new FakeClock();
+	return {clock, table: new RoutingTable(1500, clock, new RecordingJournal())};
+}
+
+test('the longest prefix wins, and hosts are kept apart', () => {
+	const {table} = tableOf();
+	table.offer(configurationOf(1, '/a/', '/a/b/'), 'store');
+	const found = table.resolve('host', '/a/b/c');
+	assert.equal(found.kind === 'found' && found.route.queue, '/a/b/');
+	assert.equal(table.resolve('other', '/a/b/c').kind, 'uncertain');
+});
+
+// Operators' changes would be undone: an answer that was delayed, or a peer that was cut off, brings an older version.
+test('an older version never replaces a newer one, whoever brings it', () => {
+	const {table} = tableOf();
+	table.offer(configurationOf(7, '/new/'), 'peer');
+	table.offer(configurationOf(3, '/old/'), 'store');
+	assert.equal(table.version, 7);
+	assert.equal(table.resolve('host', '/old/x').kind, 'uncertain');
+});
+
+// A machine is suspended while the store's answer is on its way. When it wakes the answer looks fresh, but a route may have
+// been added since: a caller of that route would be told that there's no such queue.
+test('an answer that was asked for before a pause confirms nothing after it', () => {
+	const {clock, table} = tableOf();
+	table.offer(configurationOf(1, '/a/'), 'store');
+	const askedAt = clock.now();
+	clock.advance(10);
+	table.distrust();
+	table.confirm(askedAt);
+	assert.equal(table.resolve('host', '/b/x').kind, 'uncertain');
+	table.confirm(clock.now());
+	assert.equal(table.resolve('host', '/b/x').kind, 'unknown');
+});
--- a/test/support/fake-clock.ts
+++ b/test/support/fake-clock.ts
@@ -8,6 +8,7 @@
 export class FakeClock extends Clock {
 	#now = 1_000_000;
 	#order = 0;
+	#wallAhead = 0;
 	readonly #timers = new Set<Timer>();
 
 	override now(): number {
@@ -15,7 +16,7 @@
 	}
 
 	override wallTime(): number {
-		return this.#now;
+		return this.#now + this.#wallAhead;
 	}
 
 	override schedule(delayMilliseconds: number, callback: () => void): Disposable {
@@ -51,6 +52,11 @@
 		this.#now += milliseconds;
 	}
 
+	/** Sets the time of day forward, or lets a suspension pass that the steady clock doesn't count. */
+	jumpWall(milliseconds: number): void {
+		this.#wallAhead += milliseconds;
+	}
+
 	#nextBefore(end: number): Timer | undefined {
 		const due = [...this.#timers].filter(timer => timer.at <= end);
 		due.sort((left, right) => left.at - right.at || left.order - right.order);
