--- a/src/features/routing/routing-table.ts
+++ b/src/features/routing/routing-table.ts
@@ -50,10 +50,10 @@
 		this.#change.fire(configuration);
 	}
 
-	/** The store answered a read that was sent at a monotonic time: nothing newer was there then. */
-	confirm(readAt: number): void {
+	/** The store answered a read that was sent at a monotonic time: nothing newer was there at the second one, or then. */
+	confirm(readAt: number, knownAt = readAt): void {
 		if (readAt >= this.#distrustedAt) {
-			this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
+			this.#confirmedAt = Math.max(this.#confirmedAt, knownAt);
 		}
 	}
 
