--- a/test/features/dispatch/reachable-objective.test.ts
+++ b/test/features/dispatch/reachable-objective.test.ts
@@ -8,13 +8,13 @@
 import {ReachableObjective} from '../../../src/features/dispatch/reachable-objective.js';
 import {RunningJob} from '../../../src/features/dispatch/running-job.js';
 
-type Begun = {readonly name: string; readonly tasks: number; readonly started: number; readonly expected: number; readonly receivedAt: number};
+type Begun = {readonly name: string; readonly tasks: number; readonly started: number; readonly expected: number; readonly receivedAt: number; readonly priority?: number};
 
-function jobOf({name, tasks, started, expected, receivedAt}: Begun): RunningJob {
+function jobOf({name, tasks, started, expected, receivedAt, priority = 0}: Begun): RunningJob {
 	const job = new RunningJob({
 		id: name as JobId,
 		route: {
-			queue: 'q' as ProfileName, host: '', pathPrefix: '', service: 's' as ServiceName, priority: 0, attempts: 3, stretch: 1.6, slackMilliseconds: 60,
+			queue: 'q' as ProfileName, host: '', pathPrefix: '', service: 's' as ServiceName, priority, attempts: 3, stretch: 1.6, slackMilliseconds: 60,
 		},
 		payload: '',
 		shape: {
@@ -71,3 +71,23 @@
 	});
 	assert.deepEqual([fresh.giveUpAt, begun.giveUpAt, placed.giveUpAt], [120, 560, 5000]);
 });
+
+// A burst of a less urgent queue's jobs came a moment before an urgent one. Without regard to priority the urgent job, which
+// has more time left, would wait behind all of them.
+test('an urgent queue\'s job goes before less urgent ones of the same age, and not before one that has waited long', () => {
+	const now = 1000;
+	const jobs = [
+		jobOf({
+			name: 'less urgent', tasks: 2, started: 0, expected: 60, receivedAt: 990, priority: 1,
+		}),
+		jobOf({
+			name: 'urgent', tasks: 2, started: 0, expected: 200, receivedAt: 995, priority: 0,
+		}),
+		jobOf({
+			name: 'less urgent, waited long', tasks: 2, started: 0, expected: 200, receivedAt: 820, priority: 1,
+		}),
+	];
+	const order = new ReachableObjective();
+	const sorted = jobs.map(job => ({name: job.job.id, rank: order.rank(job, now)})).sort((left, right) => left.rank - right.rank);
+	assert.deepEqual(sorted.map(({name}) => name), ['less urgent, waited long', 'urgent', 'less urgent']);
+});
