--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -17,8 +17,11 @@
 import type {RunOutcome} from './run-outcome.js';
 import type {SessionListener} from './session-listener.js';
 
-/** How long a target waits for an end before it answers a renewal; a third of the lease, so that one lost renewal ends nothing. */
-const busyWaitMilliseconds = 300;
+/**
+ * How long a target waits for an end before it answers a renewal: a fifth of the lease, so that three lost renewals in a row
+ * end nothing, and a lost one hides ends for no longer than this and the time limit.
+ */
+const busyWaitMilliseconds = 200;
 /** Without runs there's no lease to renew; the wait stays under the lease of a start that comes meanwhile. */
 const idleWaitMilliseconds = 600;
 /** Between renewals of a target that doesn't answer. */
