A run is overdue only by what its target has reported

The wait of a renewal is 100 ms now, so that slowness is still seen as quickly. Test: a target whose answers are lost is not taken for a slow one (failed before).

--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -189,7 +189,7 @@
 		const {clock, health, journal} = this.parts;
 		const now = clock.now();
 		for (const session of this.#sessions.values()) {
-			const overdue = session.findOverdue(now);
+			const overdue = session.findOverdue();
 			if (overdue.length > 0) {
 				const [first] = overdue;
 				journal.record('targetOverdue', {
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -18,10 +18,10 @@
 import type {SessionListener} from './session-listener.js';
 
 /**
- * How long a target waits for an end before it answers a renewal: a fifth of the lease, so that three lost renewals in a row
- * end nothing, and a lost one hides ends for no longer than this and the time limit.
+ * How long a target waits for an end before it answers a renewal: a tenth of the lease. A lost renewal hides the target's
+ * ends for this and the time limit, and a run that is overdue is known to be so no later than this.
  */
-const busyWaitMilliseconds = 200;
+const busyWaitMilliseconds = 100;
 /** Without runs there's no lease to renew; the wait stays under the lease of a start that comes meanwhile. */
 const idleWaitMilliseconds = 600;
 /** Between renewals of a target that doesn't answer. */
@@ -72,6 +72,8 @@
 	#isClosed = false;
 	#isPaused = false;
 	#hasOverdue = false;
+	/** When the latest report came: what is still in `#runs` was running then. */
+	#reportedAt = 0;
 	readonly #openedAt: number;
 	#strangers: ReadonlyMap<string, {readonly need: Resources}> = new Map();
 	#wake: Disposable | undefined;
@@ -108,11 +110,12 @@
 	/**
 	 * Looks for runs that take much longer than expected. One of them may just be long: the target gets no new tasks until
 	 * it has ended. Several, or one that is far over, say that the target works slowly or not at all; those are returned.
+	 * Only what the target itself has reported counts: while its answers are lost, runs that have ended seem to go on.
 	 */
-	findOverdue(now: number): readonly Run[] {
-		const overdue = [...this.#runs.values()].filter(run => run.state === 'running' && isOver(run, now, suspectFactor));
+	findOverdue(): readonly Run[] {
+		const overdue = [...this.#runs.values()].filter(run => run.state === 'running' && isOver(run, this.#reportedAt, suspectFactor));
 		this.#hasOverdue = overdue.length > 0;
-		return overdue.length >= overdueToBlame ? overdue : overdue.filter(run => isOver(run, now, overdueFactor));
+		return overdue.length >= overdueToBlame ? overdue : overdue.filter(run => isOver(run, this.#reportedAt, overdueFactor));
 	}
 
 	/** What is left of the target's capacity. */
@@ -373,6 +376,7 @@
 		}
 
 		this.#unanswered = 0;
+		this.#reportedAt = now;
 		this.#lease.read(report.clock, now);
 		for (const end of report.ended) {
 			this.#takeEnd(end);
@@ -497,6 +501,6 @@
 	}
 }
 
-function isOver(run: Run, now: number, factor: number): boolean {
-	return now - run.startedAt > (factor * run.request.expectedMilliseconds) + overdueSlackMilliseconds;
+function isOver(run: Run, reportedAt: number, factor: number): boolean {
+	return reportedAt - run.startedAt > (factor * run.request.expectedMilliseconds) + overdueSlackMilliseconds;
 }
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -230,3 +230,19 @@
 	assert.deepEqual(job.verdict, {kind: 'answered', answer: 'complete'});
 	assert.equal(world.orders.mostAtOnce, 1);
 });
+
+// Some of a target's answers are lost for a while. Its runs seem to go on, since their ends aren't heard of; a target that
+// is sound must not be taken out for that, or a few lost answers stop all work.
+test('a target whose answers are lost is not taken for a slow one', async () => {
+	const world = new PooledWorld(['a-1'], 1);
+	await world.start();
+	world.orders.behaviour.set('a-target-0' as InstanceId, 'loses reports');
+	await world.pass(610);
+	const job = world.submit('a-1', '00000000000000aa', {tasks: 2, payload: '60', declared: 60});
+	await world.pass(190);
+	world.orders.behaviour.set('a-target-0' as InstanceId, 'answers');
+	await world.pass(400);
+	assert.deepEqual(job.verdict, {kind: 'answered', answer: 'complete'});
+	assert.equal(world.journal.named('targetOverdue').length, 0);
+	assert.equal(world.orders.starts.length, 2);
+});
--- a/test/support/model-targets.ts
+++ b/test/support/model-targets.ts
@@ -33,8 +33,8 @@
  * checked, and `behaviour` puts a target out of order.
  */
 export class ModelTargets extends TargetOrders {
-	/** What a target does: answer, be silent, carry out but not answer, refuse connections. */
-	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'refuses'>();
+	/** What a target does: answer, be silent, carry out but not answer (any order, or renewals only), refuse connections. */
+	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'refuses'>();
 	/** So many times as long as its payload says a task takes on a target. */
 	readonly slowness = new Map<InstanceId, number>();
 	/** Every start that was carried out, in order. */
@@ -114,22 +114,22 @@
 		return [...this.#modelOf(id).runs.values()].map(({task}) => task);
 	}
 
-	async #carryOut<Reply>(id: InstanceId, action: () => Reply | Promise<Reply>, waitMilliseconds = 0): Promise<Reply | OrderFailure> {
+	async #carryOut<Reply>(id: InstanceId, action: () => Reply | Promise<Reply>, waitMilliseconds?: number): Promise<Reply | OrderFailure> {
 		const behaviour = this.behaviour.get(id) ?? 'answers';
 		if (behaviour === 'refuses') {
 			return {kind: 'unreachable', detail: 'refused'};
 		}
 
-		if (behaviour === 'answers') {
+		if (behaviour === 'answers' || (behaviour === 'loses reports' && waitMilliseconds === undefined)) {
 			return action();
 		}
 
-		if (behaviour === 'loses answers') {
+		if (behaviour !== 'silent') {
 			void action();
 		}
 
 		await new Promise<void>(resolve => {
-			this.clock.schedule(limitMilliseconds + waitMilliseconds, resolve);
+			this.clock.schedule(limitMilliseconds + (waitMilliseconds ?? 0), resolve);
 		});
 		return {kind: 'unanswered', detail: 'no answer'};
 	}
