--- a/standins/log/log-service.ts
+++ b/standins/log/log-service.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the platform's log service, with the faults that the brief tells of. */
 import {Hono} from 'hono';
 import {z} from 'zod';
+import {Waiters} from '../waiters.js';
 
 const readLimitRecords = 1000;
 
@@ -21,7 +22,7 @@
 /** Keeps streams in memory; `/faults` breaks it on request, `/counts` tells what it was asked. */
 export class LogService {
 	readonly #streams = new Map<string, StreamState>();
-	readonly #waiting = new Set<() => void>();
+	readonly #waiters = new Waiters();
 	#isDown = false;
 	#delayMilliseconds = 0;
 	#lostReplies = 0;
@@ -68,9 +69,7 @@
 		const offset = nextOffsetOf(stream);
 		stream.records.push({offset, body});
 		this.#trim(stream);
-		for (const wake of this.#waiting) {
-			wake();
-		}
+		this.#waiters.wakeAll();
 
 		if (this.#lostReplies > 0) {
 			this.#lostReplies -= 1;
@@ -87,7 +86,7 @@
 		this.#reads += 1;
 		const stream = this.#streamOf(name);
 		if (!this.#isDown && from >= nextOffsetOf(stream) && wait > 0) {
-			await this.#waitForAppend(wait);
+			await this.#waiters.wait(wait);
 		}
 
 		if (this.#isDown) {
@@ -98,19 +97,6 @@
 		return Response.json({records, firstOffset: stream.firstOffset, nextOffset: nextOffsetOf(stream)});
 	}
 
-	async #waitForAppend(milliseconds: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const wake = () => {
-				clearTimeout(timer);
-				this.#waiting.delete(wake);
-				resolve();
-			};
-
-			const timer = setTimeout(wake, milliseconds);
-			this.#waiting.add(wake);
-		});
-	}
-
 	async #delay(): Promise<void> {
 		if (this.#delayMilliseconds > 0) {
 			await new Promise<void>(resolve => {
--- a/standins/store/store-service.ts
+++ b/standins/store/store-service.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the platform's store: topics, keyed records and groups in memory. */
 import {Hono, type Context} from 'hono';
 import type {z} from 'zod';
+import {Waiters} from '../waiters.js';
 import {MemberGroup} from './member-group.js';
 import {storeFaultSchema} from './store-fault.js';
 import {TopicLog} from './topic-log.js';
@@ -16,7 +17,7 @@
 	readonly calls = new Map<string, number>();
 	readonly #topics = new Map<string, TopicLog>();
 	readonly #groups = new Map<string, MemberGroup>();
-	readonly #waiting = new Set<() => void>();
+	readonly #waiters = new Waiters();
 	#status = 0;
 	#delayMilliseconds = 0;
 	#lostReplies = 0;
@@ -75,9 +76,7 @@
 
 	#store(topic: string, body: Uint8Array): void {
 		this.#topicOf(topic).append(body);
-		for (const wake of this.#waiting) {
-			wake();
-		}
+		this.#waiters.wakeAll();
 	}
 
 	#newest(context: Context): Response {
@@ -93,7 +92,7 @@
 		}
 
 		if (from >= log.end) {
-			await this.#waitForAppend(Number(context.req.query('wait_ms') ?? 0));
+			await this.#waiters.wait(Number(context.req.query('wait_ms') ?? 0));
 		}
 
 		return new Response(log.read(from) as Uint8Array<ArrayBuffer>);
@@ -135,19 +134,6 @@
 		});
 	}
 
-	async #waitForAppend(milliseconds: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const wake = () => {
-				clearTimeout(timer);
-				this.#waiting.delete(wake);
-				resolve();
-			};
-
-			const timer = setTimeout(wake, milliseconds);
-			this.#waiting.add(wake);
-		});
-	}
-
 	#topicOf(topic: string): TopicLog {
 		const known = this.#topics.get(topic);
 		if (known !== undefined) {
--- /dev/null
+++ b/standins/waiters.ts
@@ -0,0 +1,25 @@
+/** Calls of a stand-in that wait for something to happen. */
+
+/** Each wait ends with the next wake, or after its own time. */
+export class Waiters {
+	readonly #waiting = new Set<() => void>();
+
+	async wait(milliseconds: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const wake = () => {
+				clearTimeout(timer);
+				this.#waiting.delete(wake);
+				resolve();
+			};
+
+			const timer = setTimeout(wake, milliseconds);
+			this.#waiting.add(wake);
+		});
+	}
+
+	wakeAll(): void {
+		for (const wake of this.#waiting) {
+			wake();
+		}
+	}
+}
--- a/standins/worker/worker-service.ts
+++ b/standins/worker/worker-service.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a worker: capacity, leases, fencing tokens and a list of ends. */
 import {Hono, type Context} from 'hono';
 import {z} from 'zod';
+import {Waiters} from '../waiters.js';
 import {workerFaultSchema} from './worker-fault.js';
 
 const stopMilliseconds = 50;
@@ -24,7 +25,7 @@
 	readonly starts: Array<{readonly task: string; readonly attempt: number}> = [];
 	readonly #runs = new Map<string, Run>();
 	readonly #barred = new Map<string, number>();
-	readonly #waiting = new Set<() => void>();
+	readonly #waiters = new Waiters();
 	#ended: End[] = [];
 	#endCount = 0;
 	#fence = 0;
@@ -162,7 +163,7 @@
 		}
 
 		if (this.#ended.length === 0 && wait > 0) {
-			await this.#waitForEnd(wait);
+			await this.#waiters.wait(wait);
 		}
 
 		return this.#reply({num_running: [...this.#runs.values()].map(({task, attempt}) => [task, attempt, '', 100, this.cpuOfTask]), ended: this.#ended});
@@ -196,22 +197,7 @@
 		this.#barred.set(task, Math.max(run.attempt, this.#barred.get(task) ?? 0));
 		this.#endCount += 1;
 		this.#ended.push([this.#endCount, task, run.attempt, how, '']);
-		for (const wake of this.#waiting) {
-			wake();
-		}
-	}
-
-	async #waitForEnd(milliseconds: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const wake = () => {
-				clearTimeout(timer);
-				this.#waiting.delete(wake);
-				resolve();
-			};
-
-			const timer = setTimeout(wake, milliseconds);
-			this.#waiting.add(wake);
-		});
+		this.#waiters.wakeAll();
 	}
 
 	#reply(body: Readonly<Record<string, unknown>>): Response {
