--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -7,5 +7,5 @@
 shift 2
 [ $# -gt 0 ] || set -- bench/days/*.toml
 for day in "$@"; do
-	"$bench" run "$site" "$day" | grep -E "^$(basename "$day" .toml) |^short of the gate" || echo "$day: no result"
+	"$bench" run "$site" "$day" --why "day of our own: $(basename "$day" .toml)" | grep -E "^$(basename "$day" .toml) |^short of the gate" || echo "$day: no result"
 done
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
-import {Resources} from '../../base/resources.js';
+import type {Resources} from '../../base/resources.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {RenewalReply} from '../targets/renewal-reply.js';
@@ -75,7 +75,7 @@
 	/** When the latest report came: what is still in `#runs` was running then. */
 	#reportedAt = 0;
 	readonly #openedAt: number;
-	#strangers: ReadonlyMap<string, {readonly need: Resources}> = new Map();
+	#strangers: ReadonlySet<string> = new Set();
 	#wake: Disposable | undefined;
 
 	constructor(private readonly parts: SessionParts) {
@@ -150,7 +150,7 @@
 			this.#runs.set(runKeyOf(request), run);
 		}
 
-		this.#strangers = new Map([...this.#strangers].filter(([key]) => !this.#runs.has(key)));
+		this.#strangers = new Set([...this.#strangers].filter(key => !this.#runs.has(key)));
 	}
 
 	/** Orders a start; the caller has checked that there's room. */
@@ -426,7 +426,7 @@
 	/** Runs of a former owner: its word of them may still come; after that they're stopped. */
 	#takeStrangers(report: Extract<RenewalReply, {kind: 'report'}>, now: number): void {
 		const strangers = report.running.filter(run => !this.#runs.has(runKeyOf(run)));
-		this.#strangers = new Map(strangers.map(run => [runKeyOf(run), {need: Resources.none}]));
+		this.#strangers = new Set(strangers.map(run => runKeyOf(run)));
 		if (strangers.length === 0 || now - this.#openedAt < strangerMilliseconds) {
 			return;
 		}
--- a/src/features/ownership/claim.ts
+++ b/src/features/ownership/claim.ts
@@ -1,9 +1,8 @@
 /** A right to own targets. */
 import type {FencingToken} from '../../base/fencing-token.js';
 
-/** `renewedAt` is the monotonic time of the last answer that confirmed it. */
+/** The partitions of a group, and the token for orders to their targets. */
 export type Claim = {
 	readonly fence: FencingToken;
 	readonly partitions: ReadonlySet<number>;
-	readonly renewedAt: number;
 };
--- a/src/features/ownership/group-member.ts
+++ b/src/features/ownership/group-member.ts
@@ -110,7 +110,7 @@
 		}
 
 		this.#generation = grant.generation;
-		this.#claim = {fence: grant.generation as FencingToken, partitions: grant.partitions, renewedAt: this.parts.clock.now()};
+		this.#claim = {fence: grant.generation as FencingToken, partitions: grant.partitions};
 		if (isChanged) {
 			this.parts.journal.record('claimChanged', {
 				group: this.parts.group, generation: grant.generation, partitions: grant.partitions.size, lost: lost.size,
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -152,10 +152,6 @@
 		}
 	}
 
-	isKnown(id: MemberId): boolean {
-		return this.#members.has(id);
-	}
-
 	/** Takes room from what a member told, until it tells again. */
 	reserve(member: PoolMember, share: RoomShare, need: Resources): void {
 		member.room = member.room.map(other => other === share ? {...share, room: share.room.minus(need)} : other);
