--- a/test/platform/store-routing.test.ts
+++ b/test/platform/store-routing.test.ts
@@ -8,9 +8,9 @@
 import {passTime} from '../support/pass-time.js';
 import {RecordingJournal} from '../support/recording-journal.js';
 
-/** Has one configuration, and answers each waiting read after its whole wait without a record. */
+/** Has one configuration, and answers each waiting read after a share of its wait without a record. */
 class CalmStore extends StoreClient {
-	constructor(private readonly clock: FakeClock, journal: RecordingJournal) {
+	constructor(private readonly clock: FakeClock, journal: RecordingJournal, private readonly waitedShare = 1) {
 		super('127.0.0.1:1', journal);
 	}
 
@@ -20,7 +20,7 @@
 
 	override async read(_topic: string, from: number, waitMilliseconds: number) {
 		await new Promise<void>(resolve => {
-			this.clock.schedule(waitMilliseconds, resolve);
+			this.clock.schedule(waitMilliseconds * this.waitedShare, resolve);
 		});
 		return {kind: 'records' as const, records: [], next: from};
 	}
@@ -44,3 +44,23 @@
 	routing.dispose();
 	assert.deepEqual([...kinds], ['unknown']);
 });
+
+// A machine is suspended while a read waits at the store, and its steady clock with it: when it wakes, the answer is there
+// after a small part of the wait. Counted as if the whole wait had passed, it would vouch for a time yet to come, and a
+// caller of a route that was added meanwhile would be told that there's no such queue.
+test('an answer before the end of its wait vouches only for the time when it was asked for', async () => {
+	const clock = new FakeClock();
+	const journal = new RecordingJournal();
+	const table = new RoutingTable(1500, clock, journal);
+	const routing = new StoreRouting(new CalmStore(clock, journal, 0.5), table, clock, journal);
+	routing.start();
+	await passTime(clock, 600);
+	const ages: number[] = [];
+	for (let checks = 0; checks < 10; checks += 1) {
+		await passTime(clock, 100);
+		ages.push(table.ageMilliseconds);
+	}
+
+	routing.dispose();
+	assert.equal(Math.min(...ages) >= 500, true);
+});
