Pool: room is told to at most seven that wait, and heartbeats come half as often in a large fleet

Cause: every entry told every other one of each change of its room, up to fifty times a second while anybody waited, and sent ten heartbeats a second to each. With 29 entries that is up to 2800 messages a second in and out of each.

In a fleet of eight nothing changes but the limits of silent connections (ping after 300 ms, dialled anew after 500 ms).

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -24,11 +24,12 @@
 /** Entries of one installation share it, so that a stray program isn't taken for a peer; the network is trusted. */
 const peerKey = 'savorylock';
 /**
- * Heartbeats come every 100 ms. A connection that has gone silent is dialled anew before its entry is taken as lost after
- * 800 ms, and one that can't be made is tried often enough to be there soon after a cut has healed.
+ * Heartbeats come every 100 to 200 ms and take the place of pings. A connection that has gone silent is dialled anew before
+ * its entry is taken as lost after 800 ms, and one that can't be made is tried often enough to be there soon after a cut has
+ * healed.
  */
 const peerTiming = {
-	ping: 200, check: 100, silence: 450, connect: 300, redial: 100,
+	ping: 300, check: 100, silence: 500, connect: 300, redial: 100,
 };
 /** An entry's place in its groups outlives four lost renewals; the store may ask for more. */
 const membershipMilliseconds = 1500;
@@ -40,6 +41,16 @@
 const lastAnswersMilliseconds = 700;
 const drainCheckMilliseconds = 50;
 
+/** What a daemon is built from. */
+type EdgeDaemonParts = {
+	readonly settings: BootSettings;
+	/** Where peers connect, if not to where this entry listens. */
+	readonly advertisedPeers: string | undefined;
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly metrics: TextMetrics;
+};
+
 /** Wires the features with the platform's adapter, and ends them in order. */
 export class EdgeDaemon {
 	readonly #store = new DisposableStore();
@@ -54,11 +65,13 @@
 	readonly #metricsServer: StatusServer;
 	#isLeaving = false;
 
-	constructor(private readonly settings: BootSettings, private readonly clock: Clock, private readonly journal: Journal, private readonly metrics: TextMetrics) {
+	constructor(private readonly parts: EdgeDaemonParts) {
+		const {settings, clock, journal, metrics} = parts;
+		const advertisedPeers = parts.advertisedPeers ?? settings.peers;
 		const [host = '', port = ''] = settings.peers.split(':');
 		const own = this.#store;
 		this.#network = own.add(new TcpPeerNetwork({
-			instance: settings.instance, zone: settings.zone, address: host, port: Number(port), key: peerKey, transport: new TcpTransport(), timing: peerTiming,
+			instance: settings.instance, zone: settings.zone, address: host, port: Number(port), key: peerKey, transport: new TcpTransport(), timing: peerTiming, advertised: advertisedPeers,
 		}, clock, journal));
 		const store = own.add(new StoreClient(settings.storeAddress, journal));
 		this.#routing = new RoutingTable(settings.applyMilliseconds * freshShare, clock, journal);
@@ -77,7 +90,7 @@
 			journal,
 		}));
 		this.#front = own.add(new JobFront(this.#entry.dispatcher, this.#routing, journal));
-		this.#directory = own.add(new EntryDirectory(store, settings.peers, clock, address => {
+		this.#directory = own.add(new EntryDirectory(store, advertisedPeers, clock, address => {
 			this.#entry.pool.meet([address]);
 		}));
 		own.add(own.add(new PauseWatch(clock)).onDidPause(milliseconds => {
@@ -94,7 +107,7 @@
 
 	/** Listens everywhere and joins the others; metrics are served on the given port. */
 	async start(metricsPort: number): Promise<void> {
-		const {settings, journal} = this;
+		const {settings, journal} = this.parts;
 		await this.#network.listen();
 		await this.#front.listen(settings.intake);
 		await this.#readiness.listen(settings.readiness);
@@ -114,7 +127,7 @@
 	 * the balancer has taken note, then each answer ends its connection. Resolves when nothing is left or time is up.
 	 */
 	async stop(): Promise<void> {
-		const {clock, journal, settings} = this;
+		const {clock, journal, settings} = this.parts;
 		const {dispatcher, executor} = this.#entry;
 		const begunAt = clock.now();
 		journal.record('edgeStopping', {inFlight: dispatcher.inFlight, ownedTargets: executor.ownedTargets});
@@ -134,10 +147,11 @@
 	}
 
 	#measure(): void {
+		const {metrics} = this.parts;
 		const {dispatcher, executor} = this.#entry;
-		this.metrics.gauge('jobs_in_flight', dispatcher.inFlight);
-		this.metrics.gauge('tasks_waiting', dispatcher.waitingTasks);
-		this.metrics.gauge('targets_owned', executor.ownedTargets);
-		this.metrics.gauge('routing_version', this.#routing.version);
+		metrics.gauge('jobs_in_flight', dispatcher.inFlight);
+		metrics.gauge('tasks_waiting', dispatcher.waitingTasks);
+		metrics.gauge('targets_owned', executor.ownedTargets);
+		metrics.gauge('routing_version', this.#routing.version);
 	}
 }
--- a/src/entries/edge/main.ts
+++ b/src/entries/edge/main.ts
@@ -1,7 +1,11 @@
 #!/usr/bin/env node
-/** The edge daemon, `savorylock-edge`. Exit codes: 0 stopped, 2 bad settings. */
+/**
+ * The edge daemon, `savorylock-edge [METRICS-PORT] [--advertised-peers IP:PORT]`. Exit codes: 0 stopped, 2 bad settings.
+ * Its peers connect to the advertised address, where the daemon is behind a relay; else to where it listens.
+ */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
+import {parseArgs} from 'node:util';
 import {bootSettings, type BootSettings} from '../../../platform/boot-settings.js';
 import {SystemClock} from '../../base/system-clock.js';
 import {CountingJournal} from '../../runtime/journal/counting-journal.js';
@@ -19,7 +23,10 @@
 const journal = new CountingJournal(lines, metrics);
 const file = process.env[settingsVariable] ?? '';
 const settings = readSettings();
-const daemon = new EdgeDaemon(settings, clock, journal, metrics);
+const {positionals, values} = parseArgs({allowPositionals: true, options: {'advertised-peers': {type: 'string'}}});
+const daemon = new EdgeDaemon({
+	settings, advertisedPeers: values['advertised-peers'], clock, journal, metrics,
+});
 
 // An error here is a defect of one request or task; ending the process would fail all others with it.
 process.on('uncaughtException', error => {
@@ -41,7 +48,7 @@
 
 /** The first argument, or the port that exporters commonly use. */
 function metricsPort(): number {
-	return Number(process.argv[2] ?? defaultMetricsPort);
+	return Number(positionals[0] ?? defaultMetricsPort);
 }
 
 function readSettings(): BootSettings {
--- a/src/features/dispatch/choose-member.ts
+++ b/src/features/dispatch/choose-member.ts
@@ -4,23 +4,18 @@
 import type {RunRequest} from '../execution/run-request.js';
 import type {PoolMember} from '../pool/pool-member.js';
 
-/**
- * An entry that missed two heartbeats may be gone: what is sent there comes back only when it's taken as lost, which is too
- * late for most tasks.
- */
-const heardMilliseconds = 250;
-
 /** A target of another entry that had room when it was last heard of. */
 type Choice = {readonly member: PoolMember; readonly share: RoomShare};
 
 /**
  * Picks one of all targets with room at random: entries that see the same picture would otherwise all send to the same
- * target, and all but one be refused.
+ * target, and all but one be refused. An entry that wasn't heard since `heardSince` may be gone: what is sent there comes
+ * back only when it's taken as lost, which is too late for most tasks.
  */
-export function chooseMember(members: Iterable<PoolMember>, request: RunRequest, random: Random, now: number): Choice | undefined {
+export function chooseMember(members: Iterable<PoolMember>, request: RunRequest, random: Random, heardSince: number): Choice | undefined {
 	const choices: Choice[] = [];
 	for (const member of members) {
-		const isHeard = now - member.heardAt <= heardMilliseconds;
+		const isHeard = member.heardAt >= heardSince;
 		for (const share of isHeard ? member.room : []) {
 			if (suits(share, request)) {
 				choices.push({member, share});
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -222,7 +222,7 @@
 			return true;
 		}
 
-		const choice = chooseMember(pool.members, request, this.parts.random, clock.now());
+		const choice = chooseMember(pool.members, request, this.parts.random, clock.now() - pool.freshMilliseconds);
 		if (choice === undefined) {
 			return false;
 		}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -16,13 +16,28 @@
 import {poolMessageSchema} from './pool-message-schema.js';
 
 const channel = 'pool';
-/** The heartbeat while nothing changes. */
+/** How often it's considered to send a heartbeat, and the time between two of them in a small fleet. */
 const heartbeatMilliseconds = 100;
+/**
+ * Every entry hears every other one, so that each sends and receives so many heartbeats a second: at about 0.05 ms each
+ * way, 100 of them take 1% of a core.
+ */
+const heartbeatsInSecond = 100;
+/** A quarter of the silence that counts as a loss: three heartbeats may be late or lost. */
+const slowestHeartbeatMilliseconds = 200;
+/** An entry that missed two heartbeats and half of the next may be gone; nothing new is sent there. */
+const heartbeatsToMiss = 2.5;
 /**
  * Changes of room are told at most so often, and only while some entry has waiting tasks; else the heartbeat tells them.
  * No later than a small part of a short task, and a few messages where nobody would use them.
  */
 const changeMilliseconds = 20;
+/**
+ * A change of room is told to so many of those that wait, by turns. In a fleet of eight that's all the others. In a larger
+ * one the same room isn't offered to everybody, since all but one would be refused, and the messages of an overloaded
+ * fleet don't grow with the square of its size.
+ */
+const toldAtOnce = 7;
 /**
  * An entry that was silent for so long is taken as lost. Clients submit again 1300 ms after a loss: by then its tasks on
  * other entries' targets must have been stopped.
@@ -44,7 +59,10 @@
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
 	#toldAt = 0;
+	#changeToldAt = 0;
+	#toldUpTo = 0;
 	#pending: Disposable | undefined;
+	#isForAll = false;
 
 	constructor(
 		private readonly network: PeerNetwork,
@@ -97,11 +115,16 @@
 		return this.#members.values();
 	}
 
+	/** How long ago a member may have been heard for new tasks to be sent there. */
+	get freshMilliseconds(): number {
+		return heartbeatsToMiss * this.#heartbeatPeriod;
+	}
+
 	start(): void {
 		this.#store.add(repeat(this.clock, heartbeatMilliseconds, () => {
 			this.#dropSilent();
-			if (this.clock.now() - this.#toldAt >= heartbeatMilliseconds / 2) {
-				this.#tell();
+			if (this.clock.now() - this.#toldAt >= this.#heartbeatPeriod - (heartbeatMilliseconds / 2)) {
+				this.#tellAll();
 			}
 		}));
 	}
@@ -132,21 +155,15 @@
 
 	/** Tells all entries of a change, soon. */
 	tellChange(): void {
-		if (this.#pending !== undefined) {
-			return;
-		}
-
-		const due = this.#toldAt + changeMilliseconds - this.clock.now();
-		this.#pending = this.clock.schedule(Math.max(0, due), () => {
-			this.#tell();
-		});
+		this.#isForAll = true;
+		this.#scheduleChange();
 	}
 
 	/** Tells of a change of room, if anybody waits for room. */
 	tellRoom(): void {
 		for (const member of this.#members.values()) {
 			if (member.waitingTasks > 0) {
-				this.tellChange();
+				this.#scheduleChange();
 				return;
 			}
 		}
@@ -162,13 +179,47 @@
 		this.#store.dispose();
 	}
 
-	#tell(): void {
+	get #heartbeatPeriod(): number {
+		const period = this.#members.size * 1000 / heartbeatsInSecond;
+		return Math.min(slowestHeartbeatMilliseconds, Math.max(heartbeatMilliseconds, period));
+	}
+
+	#scheduleChange(): void {
+		if (this.#pending !== undefined) {
+			return;
+		}
+
+		const due = this.#changeToldAt + changeMilliseconds - this.clock.now();
+		this.#pending = this.clock.schedule(Math.max(0, due), () => {
+			this.#pending = undefined;
+			if (this.#isForAll) {
+				this.#tellAll();
+			} else {
+				this.#tellWaiting();
+			}
+		});
+	}
+
+	#tellAll(): void {
 		this.#pending?.dispose();
 		this.#pending = undefined;
+		this.#isForAll = false;
 		this.#toldAt = this.clock.now();
+		this.#changeToldAt = this.#toldAt;
 		this.broadcast({kind: 'state', ...this.ownState()});
 	}
 
+	#tellWaiting(): void {
+		this.#changeToldAt = this.clock.now();
+		const waiting = [...this.#members.values()].filter(member => member.waitingTasks > 0);
+		const state: OutgoingPoolMessage = {kind: 'state', ...this.ownState()};
+		for (let told = 0; told < Math.min(toldAtOnce, waiting.length); told += 1) {
+			this.#toldUpTo += 1;
+			const {member} = waiting[this.#toldUpTo % waiting.length]!;
+			this.network.send(member, {channel, body: state});
+		}
+	}
+
 	#meet(member: Member): void {
 		this.meet([member.peerAddress]);
 		this.#met.set(member.id, member);
--- /dev/null
+++ b/test/features/pool/pool.test.ts
@@ -0,0 +1,102 @@
+/** What entries tell each other, and to how many. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {MemberId} from '../../../src/base/member-id.js';
+import {Pool} from '../../../src/features/pool/pool.js';
+import type {PeerMessage} from '../../../src/runtime/peers/peer-message.js';
+import {FakeClock} from '../../support/fake-clock.js';
+import {ModelNetwork} from '../../support/model-network.js';
+import {passTime} from '../../support/pass-time.js';
+import {RecordingJournal} from '../../support/recording-journal.js';
+
+/** Counts what each entry sends, and remembers who got anything from the first one. */
+class CountingNetwork extends ModelNetwork {
+	readonly sent = new Map<string, number>();
+	readonly received = new Set<MemberId>();
+
+	override carry(...[from, to, message]: Parameters<ModelNetwork['carry']>): void {
+		const key = `${from.instance}:${kindOf(message)}`;
+		this.sent.set(key, (this.sent.get(key) ?? 0) + 1);
+		if (from.instance === 'entry-0') {
+			this.received.add(to);
+		}
+
+		super.carry(from, to, message);
+	}
+}
+
+function kindOf({body}: PeerMessage): string {
+	return (body as {readonly kind: string}).kind;
+}
+
+function fleetOf(count: number, waitingTasks: number) {
+	const clock = new FakeClock();
+	const network = new CountingNetwork(clock);
+	const pools = Array.from({length: count}, (_, index) => new Pool(network.join(`entry-${index}`, 'a'), () => ({
+		isLeaving: false, routingVersion: 0, ownedTargets: 8, waitingTasks, zones: [], room: [],
+	}), clock, new RecordingJournal()));
+	for (const pool of pools) {
+		pool.start();
+	}
+
+	network.connect();
+	return {clock, network, pools};
+}
+
+/** The states that the first entry sends in a second. */
+async function statesInSecond(fleet: ReturnType<typeof fleetOf>, tellRoom: boolean): Promise<number> {
+	await passTime(fleet.clock, 1000);
+	fleet.network.sent.clear();
+	for (let tick = 0; tick < 100; tick += 1) {
+		if (tellRoom) {
+			fleet.pools[0]!.tellRoom();
+		}
+
+		await passTime(fleet.clock, 10);
+	}
+
+	return fleet.network.sent.get('entry-0:state') ?? 0;
+}
+
+test('a calm fleet of eight hears of every entry ten times a second', async () => {
+	assert.equal(await statesInSecond(fleetOf(8, 0), true), 70);
+});
+
+// A fleet that has grown is overloaded, so that every entry has waiting tasks. Each tells each other one of every change of
+// its room, up to fifty times a second; with 29 entries that's 2800 messages a second in and out of each, which takes a
+// small machine half of its processor, and answers come late.
+test('an overloaded fleet of forty sends each entry no more than twice what a fleet of eight sends', async () => {
+	const few = await statesInSecond(fleetOf(8, 1), true);
+	const many = await statesInSecond(fleetOf(40, 1), true);
+	assert.deepEqual({few: few <= 7 * 55, many: many <= 2 * few}, {few: true, many: true});
+});
+
+// All entries wait, and a target becomes free: every one of them is told by its turn, so that none waits for a heartbeat
+// each time.
+test('every waiting entry is told of room by turns', async () => {
+	const fleet = fleetOf(29, 1);
+	await passTime(fleet.clock, 1000);
+	fleet.network.received.clear();
+	for (let change = 0; change < 4; change += 1) {
+		fleet.pools[0]!.tellRoom();
+		await passTime(fleet.clock, 21);
+	}
+
+	assert.equal(fleet.network.received.size, 28);
+});
+
+// Heartbeats of a large fleet come less often. An entry that sends nothing is still taken as lost after 800 ms, and one that
+// only sends them as seldom as that isn't.
+test('a large fleet loses nobody who lives, and notices a cut in time', async () => {
+	const fleet = fleetOf(40, 0);
+	await passTime(fleet.clock, 1000);
+	const lost: string[] = [];
+	fleet.pools[0]!.onDidLose(member => {
+		lost.push(member);
+	});
+	await passTime(fleet.clock, 5000);
+	assert.deepEqual(lost, []);
+	fleet.network.isolate('entry-7', true);
+	await passTime(fleet.clock, 1100);
+	assert.deepEqual(lost, ['entry-7#1']);
+});
