A fault soak: real entries on stand-ins, faults from outside, ten promises checked on what callers and workers saw

The entries run as processes behind relays on loopback; the workers' stand-in became a program that registers itself, crashes, drains and keeps the truth of what ran. The relay delays and resets, and listens again for a further life. Each promise is shown to fail on a record that breaks it (test/soak/invariants.test.ts).

Also: the linter's rules named the folder src/platform, which is src/runtime since the prepared platform's folder took the name, so that nothing kept its imports; they are kept again, and none was found broken.

--- a/fleet/fleet-entry.ts
+++ b/fleet/fleet-entry.ts
@@ -1,6 +1,6 @@
 /** An entry process of a fleet. */
+import type {Relay} from '../standins/relay.js';
 import type {Program} from './program.js';
-import type {Relay} from './relay.js';
 
 /** The process with its place in the fleet. */
 export type FleetEntry = {
--- a/fleet/fleet.ts
+++ b/fleet/fleet.ts
@@ -3,10 +3,10 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {request} from 'undici';
+import {Relay} from '../standins/relay.js';
 import type {FleetEntry} from './fleet-entry.js';
 import type {FleetPlan} from './fleet-plan.js';
 import {Program} from './program.js';
-import {Relay} from './relay.js';
 
 const readyLimitMilliseconds = 20_000;
 const readyPeriodMilliseconds = 50;
--- /dev/null
+++ b/soak/edge-process.ts
@@ -0,0 +1,126 @@
+/** One entry of a soak: its process, life after life, and the relays around it. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {createWriteStream, type WriteStream, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {edgeSettings} from '../standins/edge-settings.js';
+import {Relay} from '../standins/relay.js';
+
+const main = fileURLToPath(new URL('stepped-edge.js', import.meta.url));
+const heapMegabytes = 96;
+const defectEvent = '"event":"errorUnhandled"';
+
+/** Where an entry lives, and what it needs from around it. */
+type EdgePlace = {
+	readonly instance: string;
+	readonly zone: string;
+	readonly address: string;
+	readonly storeAddress: string;
+	readonly folder: string;
+	/** Told of a process that ended though nobody ended it, and of errors that reached its top. */
+	readonly onDefect: (kind: 'exits' | 'defects', detail: string) => void;
+};
+
+/** Its peers and its way to the store go through relays; callers and the balancer reach it directly. */
+export class EdgeProcess {
+	life = 0;
+	readonly peers = new Relay(true);
+	readonly store = new Relay(false);
+	#child: ChildProcess | undefined;
+	#isEnding = false;
+	#front = '';
+	#ready = '';
+	readonly #log: WriteStream;
+
+	constructor(readonly place: EdgePlace) {
+		this.#log = createWriteStream(join(place.folder, `${place.instance}.log`));
+	}
+
+	get instance(): string {
+		return this.place.instance;
+	}
+
+	get front(): string {
+		return this.#front;
+	}
+
+	get ready(): string {
+		return this.#ready;
+	}
+
+	get isRunning(): boolean {
+		return this.#child !== undefined && !this.#isEnding;
+	}
+
+	/** Opens the relays; returns where peers reach this entry. */
+	async open(): Promise<string> {
+		this.store.leadTo(this.place.storeAddress);
+		await this.store.listen();
+		return this.peers.listen();
+	}
+
+	/** Begins a new life. */
+	async start(seeds: readonly string[]): Promise<void> {
+		const {instance, zone, address, folder} = this.place;
+		const settings = edgeSettings({
+			instance, zone, address, storeAddress: await this.store.listen(), seeds,
+		});
+		const file = join(folder, `${instance}.conf`);
+		writeFileSync(file, settings.text);
+		this.#front = settings.front;
+		this.#ready = settings.ready;
+		this.peers.leadTo(settings.control);
+		const advertised = await this.peers.listen();
+		this.life += 1;
+		this.#isEnding = false;
+		const environment = Object.fromEntries([...Object.entries(process.env), ['SAVORYLOCK_SETTINGS', file]]);
+		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, main, '9464', '--advertised-peers', advertised], {
+			stdio: ['ignore', 'pipe', 'pipe'], env: environment,
+		});
+		this.#child = child;
+		this.#follow(child, this.life);
+	}
+
+	/** SIGTERM ends it by itself; after SIGKILL its peers are refused at once. */
+	async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+		const child = this.#child;
+		if (child === undefined) {
+			return;
+		}
+
+		this.#isEnding = true;
+		const ended = once(child, 'exit');
+		child.kill(signal);
+		await ended;
+		this.peers.close();
+		this.store.close();
+		this.#child = undefined;
+	}
+
+	/** Stops, resumes or tells the process something. */
+	signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP' | 'SIGUSR2'): void {
+		this.#child?.kill(signal);
+	}
+
+	#follow(child: ChildProcess, life: number): void {
+		const {onDefect, instance} = this.place;
+		for (const output of [child.stdout!, child.stderr!]) {
+			createInterface({input: output}).on('line', line => {
+				this.#log.write(`${line}\n`);
+				if (line.includes(defectEvent)) {
+					onDefect('defects', `${instance}: ${line}`);
+				}
+			});
+		}
+
+		child.on('exit', (code, signal) => {
+			if (child === this.#child && !this.#isEnding) {
+				this.#child = undefined;
+				onDefect('exits', `${instance}, life ${life}, ended by itself: ${String(code ?? signal)}`);
+			}
+		});
+	}
+}
--- /dev/null
+++ b/soak/invariants/whole-answer.ts
@@ -0,0 +1,34 @@
+/** An answer is about the caller's own job, and whole. */
+import type {SoakRecord} from '../soak-record.js';
+import {Invariant} from '../invariant.js';
+
+const attemptsOfTask = 3;
+
+/** `complete` needs an end `done` of every task before the answer; `failed` needs a task that failed often enough. */
+export class WholeAnswer extends Invariant {
+	override readonly name = 'an answer is whole and about its own job';
+	override readonly isTimed = false;
+
+	override violations({jobs, runs}: SoakRecord): readonly string[] {
+		const ends = new Map<string, {done: number; failed: number}>();
+		for (const {kind, how, task, at} of runs) {
+			const counts = ends.get(task) ?? {done: Number.POSITIVE_INFINITY, failed: 0};
+			ends.set(task, counts);
+			if (kind === 'end' && how === 'done') {
+				counts.done = Math.min(counts.done, at);
+			} else if (kind === 'end' && how === 'failed') {
+				counts.failed += 1;
+			}
+		}
+
+		return jobs.flatMap(({id, tasks, attempts}) => {
+			const own = Array.from({length: tasks}, (_, index) => ends.get(`${id}.0.0.${index}`));
+			return attempts.flatMap(({outcome, endedAt}) => {
+				const state = outcome?.kind === 'answer' && outcome.status === 200 ? outcome.state : undefined;
+				const isWrong = (state === 'complete' && own.some(counts => (counts?.done ?? Number.POSITIVE_INFINITY) > (endedAt ?? 0)))
+					|| (state === 'failed' && own.every(counts => (counts?.failed ?? 0) < attemptsOfTask));
+				return isWrong ? [`${id} was answered ${String(state)}`] : [];
+			});
+		});
+	}
+}
--- /dev/null
+++ b/soak/run-soak.ts
@@ -0,0 +1,43 @@
+/** Plays one soak from its start to its record. */
+import {Random} from '../src/base/random.js';
+import {Callers} from './callers.js';
+import {drawPlan} from './draw-plan.js';
+import {FaultInjector} from './fault-injector.js';
+import {FaultStrike} from './fault-strike.js';
+import type {SoakPlan} from './soak-plan.js';
+import type {SoakRecord} from './soak-record.js';
+import {SoakWorld} from './soak-world.js';
+
+const readyMilliseconds = 20_000;
+/** After the last answer: stops are on their way, and leases of what nobody stopped lapse. */
+const settleMilliseconds = 2500;
+
+/** Logs of the entries go to the folder. Everything that was started has ended when this resolves. */
+export async function runSoak(plan: SoakPlan, folder: string): Promise<SoakRecord> {
+	const record: SoakRecord = {
+		jobs: [], runs: [], probes: [], publications: [], disturbances: [], drains: [], exits: [], defects: [], leftovers: [], healedAt: 0,
+	};
+	const world = await SoakWorld.start(plan, folder, record);
+	const callers = new Callers(world.entries, new Random(plan.seed + 1), record);
+	try {
+		const injector = new FaultInjector(world, new FaultStrike(world), record);
+		await injector.publish();
+		if (!await callers.waitUntilReady(readyMilliseconds)) {
+			throw new Error('the entries did not become ready');
+		}
+
+		const playing = callers.play(plan.milliseconds, plan.jobsPerSecond);
+		await injector.play(drawPlan(plan.seed, plan.milliseconds), Date.now());
+		await playing;
+		await new Promise(resolve => {
+			setTimeout(resolve, settleMilliseconds);
+		});
+		record.leftovers = await world.running();
+		record.runs = await world.truth();
+	} finally {
+		callers.dispose();
+		await world.stop();
+	}
+
+	return record;
+}
--- /dev/null
+++ b/soak/soak-host.ts
@@ -0,0 +1,2 @@
+/** The host name of a soak's queues. */
+export const soakHost = 'soak.example';
--- /dev/null
+++ b/soak/soak-plan.ts
@@ -0,0 +1,9 @@
+/** The size of a soak. */
+export type SoakPlan = {
+	readonly seed: number;
+	readonly milliseconds: number;
+	readonly zones: number;
+	readonly entriesPerZone: number;
+	readonly workersPerZone: number;
+	readonly jobsPerSecond: number;
+};
--- /dev/null
+++ b/soak/soak-world.ts
@@ -0,0 +1,134 @@
+/** The processes of a soak: store, workers, entries, and the relays between them. */
+import process from 'node:process';
+import {request} from 'undici';
+import {Program} from '../fleet/program.js';
+import {Operator} from '../standins/operator.js';
+import {Relay} from '../standins/relay.js';
+import {EdgeProcess} from './edge-process.js';
+import {soakHost} from './soak-host.js';
+import type {SoakPlan} from './soak-plan.js';
+import type {SoakRecord} from './soak-record.js';
+
+const service = 'service';
+/** Soaks that run beside each other differ in it. */
+const networkOctets = 200;
+
+/** Starts everything, and ends what it started. */
+export class SoakWorld {
+	static async start(plan: SoakPlan, folder: string, record: SoakRecord): Promise<SoakWorld> {
+		const store = await Program.start('standins/store/main.js', []);
+		const storeAddress = `127.0.0.1:${store.ports.httpPort}`;
+		const zones = Array.from({length: plan.zones}, (_, index) => `zone-${index + 1}`);
+		const workerZones = zones.flatMap(zone => Array.from({length: plan.workersPerZone}, () => zone));
+		const host = await Program.start('standins/worker/main.js', ['--store', storeAddress, '--service', service, '--zones', workerZones.join(',')]);
+		const world = new SoakWorld(store, host, storeAddress, entriesOf(plan, {
+			zones, folder, storeAddress, record,
+		}));
+		try {
+			await world.#openWorkers();
+			const seeds = await Promise.all(world.entries.map(async entry => entry.open()));
+			await Promise.all(world.entries.map(async entry => entry.start(seeds.slice(0, 3))));
+		} catch (error) {
+			await world.stop();
+			throw error;
+		}
+
+		return world;
+	}
+
+	readonly workerRelays: Relay[] = [];
+	readonly operator: Operator;
+
+	private constructor(private readonly store: Program, private readonly host: Program, readonly storeAddress: string, readonly entries: readonly EdgeProcess[]) {
+		this.operator = new Operator(storeAddress, service, soakHost);
+	}
+
+	get workerCount(): number {
+		return this.workerRelays.length;
+	}
+
+	/** Starts a further life of an entry. */
+	async restart(entry: EdgeProcess): Promise<void> {
+		await entry.start(await Promise.all(this.entries.slice(0, 3).map(async seed => seed.open())));
+	}
+
+	async failStore(fault: Readonly<Record<string, unknown>>): Promise<void> {
+		await post(`http://${this.storeAddress}/faults`, fault);
+	}
+
+	async failWorker(index: number, fault: Readonly<Record<string, unknown>>): Promise<void> {
+		await post(`http://127.0.0.1:${this.host.ports.httpPorts![index]}/faults`, fault);
+	}
+
+	async crashWorker(index: number): Promise<void> {
+		await post(`${this.#hostUrl}/workers/${index}/crash`, {});
+	}
+
+	/** When the store accepted the worker's report that it leaves; nothing where it didn't. */
+	async drainWorker(index: number): Promise<{readonly worker: string; readonly acceptedAt: number | undefined}> {
+		return await post(`${this.#hostUrl}/workers/${index}/drain`, {}) as {readonly worker: string; readonly acceptedAt: number | undefined};
+	}
+
+	/** What workers ran. */
+	async truth(): Promise<SoakRecord['runs']> {
+		return await get(`${this.#hostUrl}/truth`) as SoakRecord['runs'];
+	}
+
+	async running(): Promise<readonly string[]> {
+		return await get(`${this.#hostUrl}/running`) as readonly string[];
+	}
+
+	async stop(): Promise<void> {
+		for (const entry of this.entries) {
+			entry.signal('SIGCONT');
+		}
+
+		await Promise.all(this.entries.map(async entry => entry.end('SIGKILL')));
+		await Promise.all([this.store, this.host].map(async program => program.end('SIGKILL')));
+		for (const relay of this.workerRelays) {
+			relay.close();
+		}
+	}
+
+	get #hostUrl(): string {
+		return `http://127.0.0.1:${this.host.ports.httpPort}`;
+	}
+
+	async #openWorkers(): Promise<void> {
+		for (const [index, port] of this.host.ports.httpPorts!.entries()) {
+			const relay = new Relay(false);
+			relay.leadTo(`127.0.0.1:${port}`);
+			this.workerRelays.push(relay);
+			const address = await relay.listen();
+			const response = await request(`${this.#hostUrl}/workers/${index}/address`, {method: 'POST', body: address});
+			await response.body.dump();
+		}
+	}
+}
+
+async function post(url: string, body: unknown): Promise<unknown> {
+	const response = await request(url, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body)});
+	return response.body.json();
+}
+
+async function get(url: string): Promise<unknown> {
+	const response = await request(url);
+	return response.body.json();
+}
+
+/** What the entries have in common. */
+type EntrySurroundings = {readonly zones: readonly string[]; readonly folder: string; readonly storeAddress: string; readonly record: SoakRecord};
+
+function entriesOf(plan: SoakPlan, {zones, folder, storeAddress, record}: EntrySurroundings): readonly EdgeProcess[] {
+	const network = process.pid % networkOctets;
+	return zones.flatMap((zone, zoneIndex) => Array.from({length: plan.entriesPerZone}, (_, index) => new EdgeProcess({
+		instance: `${zone}-entry-${index + 1}`,
+		zone,
+		address: `127.${network + 10}.${zoneIndex + 1}.${index + 1}`,
+		storeAddress,
+		folder,
+		onDefect(kind, detail) {
+			record[kind].push(detail);
+		},
+	})));
+}
--- /dev/null
+++ b/standins/edge-settings.ts
@@ -0,0 +1,42 @@
+/** The settings file that the platform writes for an edge daemon. */
+
+/** Times as on the users' sites; addresses of one entry. */
+type EdgePlace = {
+	readonly instance: string;
+	readonly zone: string;
+	readonly address: string;
+	readonly storeAddress: string;
+	readonly seeds: readonly string[];
+};
+
+const ports = {front: 8161, ready: 8167, control: 8166};
+
+/** The file's text, and where the entry will listen. */
+export function edgeSettings({instance, zone, address, storeAddress, seeds}: EdgePlace) {
+	const front = `${address}:${ports.front}`;
+	const ready = `${address}:${ports.ready}`;
+	const control = `${address}:${ports.control}`;
+	const fields: Readonly<Record<string, string | number>> = {
+		node: instance,
+		ip: address,
+		zone,
+		'listen.front': front,
+		'listen.ready': ready,
+		'listen.control': control,
+		port_range: '7720,7735',
+		seeds: seeds.join(','),
+		'limits.memory_mb': 350,
+		'platform.addr': storeAddress,
+		'platform.parts': 24,
+		'platform.min_ttl_ms': 1000,
+		'bounds.hold_max_ms': 1000,
+		'bounds.apply_ms': 2000,
+		'bounds.grace_s': 6,
+		'bounds.drain_ms': 2000,
+		'bounds.resend_ms': 1300,
+	};
+	const text = Object.entries(fields).map(([name, value]) => `${name}=${value}\n`).join('');
+	return {
+		text, front, ready, control,
+	};
+}
--- a/standins/relay.ts
+++ b/standins/relay.ts
@@ -7,7 +7,9 @@
 
 const frameLimitBytes = 8_388_608;
 
-type Pair = {readonly near: Socket; readonly far: Socket; source: string; isLost: boolean};
+/** What is held back in one direction, oldest first. */
+type Held = Array<{readonly dueAt: number; readonly chunk: Uint8Array}>;
+type Pair = {readonly near: Socket; readonly far: Socket; readonly onward: Held; readonly back: Held; source: string; isLost: boolean};
 
 /**
  * Stands between two ends. A cut swallows what is sent and answers nothing, as a network does that is split: neither
@@ -19,6 +21,8 @@
 	#destination: {readonly host: string; readonly port: number} | undefined;
 	#isCutFrom: ((source: string) => boolean) | undefined;
 	#isCutTowards: ((source: string) => boolean) | undefined;
+	#delayMilliseconds = 0;
+	#port = 0;
 
 	/** With `isPeer`, the source of a connection is the zone that its first frame names. */
 	constructor(private readonly isPeer: boolean) {
@@ -27,11 +31,16 @@
 		});
 	}
 
+	/** Listens where it did before, the first time at a port that the system gives. */
 	async listen(): Promise<string> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		if (!this.#server.listening) {
+			await new Promise<void>(resolve => {
+				this.#server.listen(this.#port, '127.0.0.1', resolve);
+			});
+			this.#port = (this.#server.address() as AddressInfo).port;
+		}
+
+		return `127.0.0.1:${this.#port}`;
 	}
 
 	leadTo(address: string): void {
@@ -45,6 +54,11 @@
 		this.#isCutTowards = towards;
 	}
 
+	/** Holds everything back for so long, in order; 0 ends it. */
+	delay(milliseconds: number): void {
+		this.#delayMilliseconds = milliseconds;
+	}
+
 	/** Forgets the connections that are open now. */
 	loseOpen(): void {
 		for (const pair of this.#pairs) {
@@ -52,7 +66,15 @@
 		}
 	}
 
-	/** Refuses connections and breaks those that are open, as when the process behind it died. */
+	/** Breaks the connections that are open now. */
+	resetOpen(): void {
+		for (const {near, far} of this.#pairs) {
+			near.resetAndDestroy();
+			far.resetAndDestroy();
+		}
+	}
+
+	/** Refuses connections and breaks those that are open, as when the process behind it died; until it listens again. */
 	close(): void {
 		this.#server.close();
 		for (const {near, far} of this.#pairs) {
@@ -69,24 +91,48 @@
 
 		const far = connect(this.#destination);
 		const pair: Pair = {
-			near, far, source: '', isLost: false,
+			near, far, onward: [], back: [], source: '', isLost: false,
 		};
 		this.#pairs.add(pair);
 		const reader = this.isPeer ? new FrameReader(frameLimitBytes) : undefined;
 		near.on('data', (chunk: Uint8Array) => {
 			pair.source ||= reader === undefined ? '' : sourceOf(reader, chunk);
 			if (!pair.isLost && this.#isCutFrom?.(pair.source) !== true) {
-				far.write(chunk);
+				this.#pass(pair.onward, far, chunk);
 			}
 		});
 		far.on('data', (chunk: Uint8Array) => {
 			if (!pair.isLost && this.#isCutTowards?.(pair.source) !== true) {
-				near.write(chunk);
+				this.#pass(pair.back, near, chunk);
 			}
 		});
 		this.#joinEnds(pair);
 	}
 
+	#pass(held: Held, to: Socket, chunk: Uint8Array): void {
+		if (this.#delayMilliseconds === 0 && held.length === 0) {
+			to.write(chunk);
+			return;
+		}
+
+		held.push({dueAt: performance.now() + this.#delayMilliseconds, chunk});
+		if (held.length === 1) {
+			this.#passLater(held, to);
+		}
+	}
+
+	#passLater(held: Held, to: Socket): void {
+		setTimeout(() => {
+			while (held.length > 0 && held[0]!.dueAt <= performance.now()) {
+				to.write(held.shift()!.chunk);
+			}
+
+			if (held.length > 0) {
+				this.#passLater(held, to);
+			}
+		}, Math.max(1, held[0]!.dueAt - performance.now()));
+	}
+
 	/** An end of one side is passed on, unless the connection is lost. A refused destination breaks the near side. */
 	#joinEnds(pair: Pair): void {
 		const {near, far} = pair;
--- a/standins/worker/worker-service.ts
+++ b/standins/worker/worker-service.ts
@@ -2,6 +2,7 @@
 import {Hono, type Context} from 'hono';
 import {z} from 'zod';
 import {Waiters} from '../waiters.js';
+import type {RunEvent} from './run-event.js';
 import {workerFaultSchema} from './worker-fault.js';
 
 const stopMilliseconds = 50;
@@ -16,10 +17,13 @@
 	fence_token: z.number().default(0), last_seen: z.number(), until_ms: z.number().optional(), wait_ms: z.number().max(longestWaitMilliseconds).default(0),
 });
 
-type Run = {readonly task: string; readonly attempt: number; readonly timer: NodeJS.Timeout};
+type Run = {readonly task: string; readonly attempt: number; readonly payload: string; readonly timer: NodeJS.Timeout};
 type End = readonly [number: number, task: string, attempt: number, how: string, saved: string];
 
-/** A task runs for as many milliseconds as its text says, on `cpuOfTask` of the capacity. */
+/**
+ * A task runs for as many milliseconds as its text says, on `cpuOfTask` of the capacity; one whose text is no number fails.
+ * `note` is told what really ran, whatever the callers are told.
+ */
 export class WorkerService {
 	/** Every start that was carried out. */
 	readonly starts: Array<{readonly task: string; readonly attempt: number}> = [];
@@ -35,7 +39,12 @@
 	#lateMilliseconds = 0;
 	#slowness = 1;
 
-	constructor(readonly id: string, private readonly cpuCapacity: number, private readonly cpuOfTask: number) {}
+	constructor(
+		readonly id: string,
+		private readonly cpuCapacity: number,
+		private readonly cpuOfTask: number,
+		private readonly note: (event: RunEvent) => void = () => undefined,
+	) {}
 
 	routes(): Hono {
 		const routes = new Hono();
@@ -55,6 +64,14 @@
 		this.#slowness = fault.slowness ?? this.#slowness;
 	}
 
+	/** Loses everything that runs, as a machine does that goes down. */
+	crash(): void {
+		clearTimeout(this.#lapse);
+		for (const task of this.#runs.keys()) {
+			this.#end(task, 'crashed');
+		}
+	}
+
 	get running(): readonly string[] {
 		return [...this.#runs.keys()];
 	}
@@ -125,16 +142,27 @@
 			return this.#reject('room');
 		}
 
-		this.#run(task, attempt, Number(spec));
+		this.#run(task, attempt, spec);
 		return this.#reply({});
 	}
 
-	#run(task: string, attempt: number, milliseconds: number): void {
+	#run(task: string, attempt: number, payload: string): void {
 		this.starts.push({task, attempt});
+		const milliseconds = Number(payload);
+		const isDone = this.#mode !== 'failing' && !Number.isNaN(milliseconds);
 		const timer = setTimeout(() => {
-			this.#end(task, this.#mode === 'failing' ? 'failed' : 'done');
-		}, this.#mode === 'hanging' ? 2 ** 30 : milliseconds * this.#slowness);
-		this.#runs.set(task, {task, attempt, timer});
+			this.#end(task, isDone ? 'done' : 'failed');
+		}, this.#mode === 'hanging' ? 2 ** 30 : (milliseconds || 0) * this.#slowness);
+		this.#runs.set(task, {
+			task, attempt, payload, timer,
+		});
+		this.#note('start', '', {task, attempt, payload});
+	}
+
+	#note(kind: RunEvent['kind'], how: string, {task, attempt, payload}: Omit<Run, 'timer'>): void {
+		this.note({
+			at: Date.now(), worker: this.id, kind, how, task, attempt, payload,
+		});
 	}
 
 	#stop({task, attempt, fence_token: fence}: z.output<typeof stopSchema>): Response {
@@ -197,6 +225,7 @@
 		this.#barred.set(task, Math.max(run.attempt, this.#barred.get(task) ?? 0));
 		this.#endCount += 1;
 		this.#ended.push([this.#endCount, task, run.attempt, how, '']);
+		this.#note('end', how, run);
 		this.#waiters.wakeAll();
 	}
 
--- /dev/null
+++ b/test/soak/invariants.test.ts
@@ -0,0 +1,121 @@
+/** Each promise that a soak checks, on a record that keeps it and on one that breaks it. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {allInvariants} from '../../soak/all-invariants.js';
+import type {Attempt} from '../../soak/attempt.js';
+import type {SoakRecord} from '../../soak/soak-record.js';
+import type {RunEvent} from '../../standins/worker/run-event.js';
+
+const id = '0000000000000001';
+const task = `${id}.0.0.0`;
+
+function attemptOf(outcome: Attempt['outcome'], {entry = 'a', sentAt = 1000, endedAt = 1200} = {}): Attempt {
+	return {
+		entry, life: 1, sentAt, endedAt, outcome,
+	};
+}
+
+function eventOf(kind: RunEvent['kind'], at: number, {worker = 'i-1', how = kind === 'end' ? 'done' : '', of = task, payload = '50', attempt = 1} = {}): RunEvent {
+	return {
+		at, worker, kind, how, task: of, attempt, payload,
+	};
+}
+
+const complete = {kind: 'answer', status: 200, state: 'complete'} as const;
+
+/** One job of one task, answered after its run. */
+function recordOf(changes: Partial<SoakRecord> = {}): SoakRecord {
+	return {
+		jobs: [{
+			id, tasks: 1, payload: '50', attempts: [attemptOf(complete)],
+		}],
+		runs: [eventOf('start', 1050), eventOf('end', 1100)],
+		probes: [],
+		publications: [],
+		disturbances: [],
+		drains: [],
+		exits: [],
+		defects: [],
+		leftovers: [],
+		healedAt: 0,
+		...changes,
+	};
+}
+
+function jobOf(...attempts: Attempt[]): SoakRecord['jobs'] {
+	return [{
+		id, tasks: 1, payload: '50', attempts,
+	}];
+}
+
+function probeOf(sentAt: number, status: number, prefix = '/one/') {
+	return {
+		entry: 'a', life: 1, prefix, sentAt, status,
+	};
+}
+
+function disturbanceOf(kind: string, from: number, to: number, {entry = undefined as string | undefined, isPlanned = false, isOfStore = false} = {}) {
+	return {
+		kind, entry, isPlanned, isOfStore, from, to,
+	};
+}
+
+const publications = [
+	{version: 3, ackedAt: 0, prefixes: new Set(['/base/'])},
+	{version: 6, ackedAt: 10_000, prefixes: new Set(['/base/', '/one/'])},
+];
+
+/** The names of the promises that a record breaks. */
+function brokenBy(record: SoakRecord): readonly string[] {
+	return allInvariants.filter(invariant => invariant.violations(record).length > 0).map(({name}) => name);
+}
+
+test('a record that keeps every promise breaks none', () => {
+	assert.deepEqual(brokenBy(recordOf()), []);
+});
+
+const breaking: ReadonlyArray<readonly [name: string, broken: string, record: SoakRecord]> = [
+	['two runs at a time', 'no task runs twice at the same time', recordOf({
+		runs: [eventOf('start', 1050), eventOf('start', 1060, {worker: 'i-2', attempt: 2}), eventOf('end', 1100), eventOf('end', 1110, {worker: 'i-2', attempt: 2})],
+	})],
+	['refused, yet begun', 'what was refused as not run has not run', recordOf({jobs: jobOf(attemptOf({kind: 'answer', status: 429, state: undefined}))})],
+	['complete before its end', 'an answer is whole and about its own job', recordOf({runs: [eventOf('start', 1050), eventOf('end', 1300)]})],
+	['failed without failures', 'an answer is whole and about its own job', recordOf({jobs: jobOf(attemptOf({kind: 'answer', status: 200, state: 'failed'}))})],
+	['a task of nobody', 'only what callers asked for is started', recordOf({
+		runs: [...recordOf().runs, eventOf('start', 1050, {of: '0000000000000002.0.0.0'}), eventOf('end', 1060, {of: '0000000000000002.0.0.0'})],
+	})],
+	['another payload', 'only what callers asked for is started', recordOf({runs: [eventOf('start', 1050, {payload: '51'}), eventOf('end', 1100)]})],
+	['an exit', 'no process ends by itself and nothing runs on for nobody', recordOf({exits: ['a ended']})],
+	['an error at the top', 'no process ends by itself and nothing runs on for nobody', recordOf({defects: ['a: errorUnhandled']})],
+	['something left', 'no process ends by itself and nothing runs on for nobody', recordOf({leftovers: [task]})],
+	['a new route denied', 'a configuration is in force in time and never goes back', recordOf({publications, probes: [probeOf(12_500, 404)]})],
+	['a route that was taken back', 'a configuration is in force in time and never goes back', recordOf({publications, probes: [probeOf(11_000, 200), probeOf(11_500, 404)]})],
+	['work for a leaving worker', 'a leaving worker gets no new tasks after the drain time', recordOf({
+		drains: [{worker: 'i-1', ackedAt: 1000}], runs: [eventOf('start', 3100), eventOf('end', 3150)], jobs: jobOf(attemptOf(complete, {sentAt: 3000, endedAt: 3200})),
+	})],
+	['a request cut by a stop', 'a graceful shutdown cuts no request', recordOf({
+		jobs: jobOf(attemptOf({kind: 'broken', detail: 'reset'})), disturbances: [disturbanceOf('entry-stop', 900, 4000, {entry: 'a', isPlanned: true})],
+	})],
+	['no answer', 'a sound entry answers every caller in time', recordOf({jobs: jobOf(attemptOf({kind: 'expired'}, {endedAt: 2650}))})],
+	['no service afterwards', 'service is back after the last fault', recordOf({jobs: jobOf(attemptOf({kind: 'answer', status: 503, state: undefined}, {sentAt: 20_000, endedAt: 20_100})), runs: []})],
+];
+
+for (const [name, broken, record] of breaking) {
+	test(`a soak notices: ${name}`, () => {
+		assert.deepEqual(brokenBy(record), [broken]);
+	});
+}
+
+test('what a fault explains is no violation', () => {
+	const cut = disturbanceOf('store-cut', 9000, 12_000, {entry: 'a', isOfStore: true});
+	assert.deepEqual(brokenBy(recordOf({publications, probes: [probeOf(12_500, 404)], disturbances: [cut]})), []);
+	const killed = disturbanceOf('entry-kill', 900, 1300, {entry: 'a'});
+	const stopped = disturbanceOf('entry-stop', 900, 4000, {entry: 'a', isPlanned: true});
+	assert.deepEqual(brokenBy(recordOf({jobs: jobOf(attemptOf({kind: 'broken', detail: 'reset'})), disturbances: [stopped, killed]})), []);
+	assert.deepEqual(brokenBy(recordOf({jobs: jobOf(attemptOf({kind: 'expired'}, {endedAt: 2650})), disturbances: [killed]})), []);
+});
+
+test('a retry that is refused after a loss is no false refusal', () => {
+	const lost = attemptOf({kind: 'broken', detail: 'reset'});
+	assert.deepEqual(brokenBy(recordOf({jobs: jobOf(lost, attemptOf({kind: 'answer', status: 429, state: undefined}))})), []);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,12 +1,13 @@
 /** Folders that the files of a folder may not import from: a layer imports only from itself and from what lies below. */
 const forbidden = {
-	platform: ['entries', 'standins', 'fleet', 'bench', 'test'],
-	'src/base': ['platform', 'features', 'entries', 'standins', 'fleet', 'bench', 'test'],
-	'src/platform': ['features', 'entries', 'standins', 'fleet', 'bench', 'test'],
-	'src/features': ['platform', 'entries', 'standins', 'fleet', 'bench', 'test'],
-	'src/entries': ['standins', 'fleet', 'bench', 'test'],
-	standins: ['fleet', 'bench', 'test'],
-	fleet: ['bench', 'test'],
+	platform: ['entries', 'standins', 'fleet', 'bench', 'soak', 'test'],
+	'src/base': ['platform', 'features', 'entries', 'standins', 'fleet', 'bench', 'soak', 'test'],
+	'src/runtime': ['platform', 'features', 'entries', 'standins', 'fleet', 'bench', 'soak', 'test'],
+	'src/features': ['platform', 'entries', 'standins', 'fleet', 'bench', 'soak', 'test'],
+	'src/entries': ['standins', 'fleet', 'bench', 'soak', 'test'],
+	standins: ['fleet', 'bench', 'soak', 'test'],
+	fleet: ['bench', 'soak', 'test'],
+	soak: ['bench', 'test'],
 };
 
 const layers = Object.entries(forbidden).map(([folder, folders]) => ({
@@ -34,7 +35,7 @@
 		},
 	},
 	{
-		files: ['platform/**/*.ts', 'standins/store/*.ts', 'standins/worker/*.ts', 'test/platform/*.ts'],
+		files: ['platform/**/*.ts', 'standins/store/*.ts', 'standins/worker/*.ts', 'standins/*.ts', 'test/platform/*.ts'],
 		rules: {
 			// The names on the wire are the platform's; only the adapter and its stand-ins know them.
 			'@typescript-eslint/naming-convention': 'off',
