SIGHUP is taken before any library is loaded

Ruled out: the daemon's own handler, which was added in time once the libraries were there; a fault of the soak, since the platform may send the signal at any time. What is left is Node.js's own start, in which nothing of ours runs; the soak passes over an end by SIGHUP in the first second.

--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -11,6 +11,11 @@
 
 const main = fileURLToPath(new URL('stepped-edge.js', import.meta.url));
 const heapMegabytes = 96;
+/**
+ * Node.js itself can't take a signal while it starts, which takes tens of milliseconds, and more on a busy machine: an end by
+ * SIGHUP within this time is no defect.
+ */
+const bootMilliseconds = 1000;
 const defectEvent = '"event":"errorUnhandled"';
 
 /** Where an entry lives, and what it needs from around it. */
@@ -116,11 +121,19 @@
 			});
 		}
 
+		const startedAt = performance.now();
 		child.on('exit', (code, signal) => {
-			if (child === this.#child && !this.#isEnding) {
-				this.#child = undefined;
+			if (child !== this.#child || this.#isEnding) {
+				return;
+			}
+
+			this.#child = undefined;
+			if (signal !== 'SIGHUP' || performance.now() - startedAt > bootMilliseconds) {
 				onDefect('exits', `${instance}, life ${life}, ended by itself: ${String(code ?? signal)}`);
 			}
+
+			// The platform starts again what ended.
+			void this.start([]);
 		});
 	}
 }
--- a/soak/stepped-edge.ts
+++ b/soak/stepped-edge.ts
@@ -1,6 +1,8 @@
-/** The edge daemon with a time of day that jumps back or ahead at each SIGUSR2, as a badly kept clock does. */
+/** The edge daemon as it's delivered, with a time of day that jumps back or ahead at each SIGUSR2, as a badly kept clock does. */
 import process from 'node:process';
 
+const bundle = new URL('../../target/savorylock-edge.js', import.meta.url);
+
 const stepMilliseconds = 2000;
 
 const timeOfDay = Date.now.bind(Date);
@@ -9,4 +11,4 @@
 process.on('SIGUSR2', () => {
 	offset = offset === 0 ? stepMilliseconds : (offset > 0 ? -stepMilliseconds : 0);
 });
-await import('../src/entries/edge/main.js');
+await import(bundle.href);
--- a/src/entries/edge/main.ts
+++ b/src/entries/edge/main.ts
@@ -3,6 +3,7 @@
  * The edge daemon, `savorylock-edge [METRICS-PORT] [--advertised-peers IP:PORT]`. Exit codes: 0 stopped, 2 bad settings.
  * Its peers connect to the advertised address, where the daemon is behind a relay; else to where it listens.
  */
+import './early-signals.js';
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
--- a/xo.config.js
+++ b/xo.config.js
@@ -25,7 +25,7 @@
 	{
 		rules: {
 			// Contribution and policy files register themselves when they are imported.
-			'import-x/no-unassigned-import': ['error', {allow: ['**/*.contribution.js', '**/policies/*.js', '**/cases/*.js']}],
+			'import-x/no-unassigned-import': ['error', {allow: ['**/*.contribution.js', '**/policies/*.js', '**/cases/*.js', '**/early-signals.js']}],
 			// The entry points decide how the process ends, and report on standard output.
 			'unicorn/no-process-exit': 'off',
 			// Doubled work is avoided by hand where it matters; sequential awaits are the point of the loops here.
@@ -41,6 +41,13 @@
 			'@typescript-eslint/naming-convention': 'off',
 		},
 	},
+	{
+		files: ['src/entries/edge/main.ts'],
+		rules: {
+			// What is imported first is evaluated first, and signals have to be taken before libraries are loaded.
+			'import-x/order': 'off',
+		},
+	},
 	{
 		files: ['test/**/*.ts'],
 		rules: {
