A job that is submitted again goes on with its former tasks, and never beside them

The caller submitted the job again to the same entry, whose new run had the same task name and attempt. Then the report of the first run's end came (its target had a newer owner), was taken for the second run's, and a third run was begun beside the second.

Ruled out: the workers' stand-in (it runs what it's told), the stop order, and the lease: all did what they should.

A job that is submitted again while it runs goes on, and the latest submitter gets the answer (its runs were stopped and begun again before, so that for the time of a stop a task could run twice). A request for a task that still runs for another entry is answered when that run has ended (never, before). An entry doesn't begin a task that it still runs for another one. What is read within 60 ms after a pause waits for so long, until the ends of connections are read too.

--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -32,12 +32,13 @@
 /** Its peers and its way to the store go through relays; callers and the balancer reach it directly. */
 export class EdgeProcess {
 	life = 0;
-	readonly peers = new Relay(true);
-	readonly store = new Relay(false);
+	readonly peers = new Relay(true, false);
+	readonly store = new Relay(false, false);
 	#child: ChildProcess | undefined;
 	#isEnding = false;
 	#front = '';
 	#ready = '';
+	#advertised = '';
 	readonly #log: WriteStream;
 
 	constructor(readonly place: EdgePlace) {
@@ -60,11 +61,17 @@
 		return this.#child !== undefined && !this.#isEnding;
 	}
 
+	/** Where peers reach this entry. */
+	get advertised(): string {
+		return this.#advertised;
+	}
+
 	/** Opens the relays; returns where peers reach this entry. */
 	async open(): Promise<string> {
 		this.store.leadTo(this.place.storeAddress);
 		await this.store.listen();
-		return this.peers.listen();
+		this.#advertised = await this.peers.listen();
+		return this.#advertised;
 	}
 
 	/** Begins a new life. */
@@ -78,11 +85,11 @@
 		this.#front = settings.front;
 		this.#ready = settings.ready;
 		this.peers.leadTo(settings.control);
-		const advertised = await this.peers.listen();
+		await this.peers.listen();
 		this.life += 1;
 		this.#isEnding = false;
 		const environment = Object.fromEntries([...Object.entries(process.env), ['SAVORYLOCK_SETTINGS', file]]);
-		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, main, '9464', '--advertised-peers', advertised], {
+		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, main, '9464', '--advertised-peers', this.#advertised], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: environment,
 		});
 		this.#child = child;
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -27,10 +27,9 @@
 	async publish(): Promise<void> {
 		const prefixes = [basePrefix, ...churn[this.#publications % churn.length]!];
 		this.#publications += 1;
-		const version = await this.world.operator.publish(prefixes);
-		if (version !== undefined) {
-			this.record.publications.push({version, ackedAt: Date.now(), prefixes: new Set(prefixes)});
-		}
+		const {version, isAccepted} = await this.world.operator.publish(prefixes);
+		// What wasn't acknowledged may be in force, or never be.
+		this.record.publications.push({version, ackedAt: isAccepted ? Date.now() : Number.POSITIVE_INFINITY, prefixes: new Set(prefixes)});
 	}
 
 	async #play(fault: PlannedFault): Promise<void> {
--- a/soak/soak-record.ts
+++ b/soak/soak-record.ts
@@ -19,6 +19,7 @@
 	readonly status: number;
 };
 
+/** `ackedAt` is `Infinity` where the store's answer didn't come: it may be in force, or never be. */
 type Publication = {readonly version: number; readonly ackedAt: number; readonly prefixes: ReadonlySet<string>};
 
 /**
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -49,7 +49,7 @@
 
 	/** Starts a further life of an entry. */
 	async restart(entry: EdgeProcess): Promise<void> {
-		await entry.start(await Promise.all(this.entries.slice(0, 3).map(async seed => seed.open())));
+		await entry.start(this.entries.slice(0, 3).map(seed => seed.advertised));
 	}
 
 	async failStore(fault: Readonly<Record<string, unknown>>): Promise<void> {
@@ -96,7 +96,7 @@
 
 	async #openWorkers(): Promise<void> {
 		for (const [index, port] of this.host.ports.httpPorts!.entries()) {
-			const relay = new Relay(false);
+			const relay = new Relay(false, false);
 			relay.leadTo(`127.0.0.1:${port}`);
 			this.workerRelays.push(relay);
 			const address = await relay.listen();
--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -89,11 +89,14 @@
 			clock,
 			journal,
 		}));
-		this.#front = own.add(new JobFront(this.#entry.dispatcher, this.#routing, journal));
+		const pauses = own.add(new PauseWatch(clock));
+		this.#front = own.add(new JobFront({
+			dispatcher: this.#entry.dispatcher, routing: this.#routing, pauses, journal,
+		}));
 		this.#directory = own.add(new EntryDirectory(store, advertisedPeers, clock, address => {
 			this.#entry.pool.meet([address]);
 		}));
-		own.add(own.add(new PauseWatch(clock)).onDidPause(milliseconds => {
+		own.add(pauses.onDidPause(milliseconds => {
 			// A route may have been added meanwhile: without a new answer by the store its absence can't be told.
 			this.#routing.distrust();
 			journal.record('processPaused', {milliseconds: Math.round(milliseconds)});
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -21,6 +21,7 @@
 import {requestMessageOf} from '../pool/request-message-of.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import {chooseMember} from './choose-member.js';
+import {FormerSubmissions} from './former-submissions.js';
 import type {JobOutcome} from './job-outcome.js';
 import type {QueueOrder} from './queue-order.js';
 import {RunningJob} from './running-job.js';
@@ -57,6 +58,7 @@
  */
 export class Dispatcher implements Disposable {
 	readonly #jobs = new Map<JobId, RunningJob>();
+	readonly #former = new FormerSubmissions();
 	readonly #store = new DisposableStore();
 	#isWaiting = false;
 
@@ -107,23 +109,18 @@
 
 	/** Runs a job; the token is cancelled when its submitter is gone. */
 	async submit(job: BestEffortJob, token: CancellationToken): Promise<Verdict<JobOutcome>> {
-		const earlier = this.#jobs.get(job.id);
-		if (earlier !== undefined) {
-			this.#end(earlier, doubt('stopped', 'submitted again'));
+		if (token.isCancellationRequested) {
+			return {kind: 'notRun', cause: 'notReady', detail: 'the submitter is gone'};
 		}
 
 		return new Promise(resolve => {
-			const {clock, runTimes, journal} = this.parts;
-			const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
-			const running = new RunningJob(job, clock.now(), Math.max(expected, job.shape.declaredMilliseconds), resolve);
-			this.#jobs.set(job.id, running);
-			journal.record('jobAccepted', {
-				job: job.id, queue: job.route.queue, tasks: job.shape.count, expectedMilliseconds: Math.round(running.expectedMilliseconds), patienceMilliseconds: job.patienceMilliseconds,
-			});
-			token.onDidRequestCancellation(() => {
-				this.#end(running, doubt('stopped', 'the submitter is gone'));
-			});
-			this.pump();
+			const submission = {receivedAt: this.parts.clock.now(), settle: resolve};
+			const running = this.#jobs.get(job.id);
+			if (running === undefined) {
+				this.#accept(job, submission, token);
+			} else {
+				this.#rejoin(running, submission, token);
+			}
 		});
 	}
 
@@ -193,6 +190,46 @@
 		}
 	}
 
+	#accept(job: BestEffortJob, submission: RunningJob['submission'], token: CancellationToken): void {
+		const {runTimes, journal} = this.parts;
+		const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
+		const former = this.#former.take(job.id);
+		const running = new RunningJob(job, submission, Math.max(expected, job.shape.declaredMilliseconds), former);
+		this.#jobs.set(job.id, running);
+		journal.record('jobAccepted', {
+			job: job.id,
+			queue: job.route.queue,
+			tasks: job.shape.count,
+			expectedMilliseconds: Math.round(running.expectedMilliseconds),
+			patienceMilliseconds: job.patienceMilliseconds,
+			isResubmitted: former !== undefined,
+		});
+		this.#watchSubmitter(running, token);
+		if (running.isComplete) {
+			this.#end(running, {kind: 'answered', answer: 'complete'});
+		} else {
+			this.pump();
+		}
+	}
+
+	/** The runs go on: stopping and beginning them again would run each task twice at a time. */
+	#rejoin(running: RunningJob, submission: RunningJob['submission'], token: CancellationToken): void {
+		running.submission.settle(doubt('stopped', 'submitted again'));
+		running.resubmit(submission);
+		this.parts.journal.record('jobRejoined', {job: running.job.id, startedTasks: running.orderedStarts});
+		this.#watchSubmitter(running, token);
+	}
+
+	/** A submitter who is gone ends the job, unless it was submitted again since. */
+	#watchSubmitter(running: RunningJob, token: CancellationToken): void {
+		const {submission} = running;
+		token.onDidRequestCancellation(() => {
+			if (running.submission === submission) {
+				this.#end(running, doubt('stopped', 'the submitter is gone'));
+			}
+		});
+	}
+
 	/** Whether nothing was left waiting. */
 	#placeAll(): boolean {
 		const now = this.parts.clock.now();
@@ -216,6 +253,11 @@
 
 	#place(job: RunningJob, slot: TaskSlot): boolean {
 		const {executor, pool, clock, journal} = this.parts;
+		if (executor.isRunning(slot.id)) {
+			// Its caller submitted here after the loss of another entry, for which the task is still being stopped here.
+			return false;
+		}
+
 		const request = requestOf(job, slot);
 		if (executor.start(request, pool.self) !== undefined) {
 			this.#sent(job, slot, pool.self);
@@ -239,16 +281,20 @@
 	#sent(job: RunningJob, slot: TaskSlot, owner: MemberId): void {
 		job.orderedStarts += 1;
 		slot.owner = owner;
-		slot.sentAt = this.parts.clock.now();
 	}
 
 	#take(task: string, attempt: number, outcome: RunOutcome): void {
 		const found = this.#find(task);
-		if (found?.slot.attempt !== attempt || found.slot.owner === undefined) {
+		if (found === undefined) {
+			this.#takeFormer(task, attempt, outcome);
 			return;
 		}
 
 		const {job, slot} = found;
+		if (slot.attempt !== attempt || slot.owner === undefined) {
+			return;
+		}
+
 		slot.owner = undefined;
 		slot.handedOverAt = undefined;
 		switch (outcome.kind) {
@@ -282,6 +328,19 @@
 		this.#retry(job, slot);
 	}
 
+	/** The end of a run whose job is over here: it counts if the job is submitted again. */
+	#takeFormer(task: string, attempt: number, outcome: RunOutcome): void {
+		const slot = this.#former.find(jobOf(task), task);
+		if (slot?.attempt !== attempt || slot.owner === undefined) {
+			return;
+		}
+
+		slot.owner = undefined;
+		slot.handedOverAt = undefined;
+		slot.isDone = outcome.kind === 'done';
+		slot.attempt += outcome.kind === 'refused' && outcome.cause === 'superseded' ? attemptStep : 1;
+	}
+
 	#takeRefusal(job: RunningJob, slot: TaskSlot, cause: Extract<RunOutcome, {kind: 'refused'}>['cause']): void {
 		if (cause === 'superseded') {
 			// An earlier submission of the job ran there: this one can't be told as not run.
@@ -376,6 +435,10 @@
 
 		job.isOver = true;
 		this.#jobs.delete(job.job.id);
+		if (job.mayHaveRun) {
+			this.#former.keep(job.job.id, job.slots, this.parts.clock.now());
+		}
+
 		for (const slot of job.slots) {
 			if (slot.owner !== undefined) {
 				this.#stopRun(slot.id, slot.attempt, slot.owner, 'its job is over');
@@ -390,7 +453,7 @@
 			tookMilliseconds: Math.round(this.parts.clock.now() - job.receivedAt),
 			expectedMilliseconds: Math.round(job.expectedMilliseconds),
 		});
-		job.settle(verdict);
+		job.submission.settle(verdict);
 	}
 
 	#stopRun(task: string, attempt: number, owner: MemberId, cause: string): void {
@@ -405,12 +468,17 @@
 	}
 
 	#find(task: string): {readonly job: RunningJob; readonly slot: TaskSlot} | undefined {
-		const job = this.#jobs.get(task.slice(0, task.indexOf('.')) as JobId);
+		const job = this.#jobs.get(jobOf(task));
 		const slot = job?.slots.find(candidate => candidate.id === task);
 		return job === undefined || slot === undefined ? undefined : {job, slot};
 	}
 }
 
+/** A task is named after its job. */
+function jobOf(task: string): JobId {
+	return task.slice(0, task.indexOf('.')) as JobId;
+}
+
 function requestOf({job, expectedMilliseconds}: RunningJob, slot: TaskSlot): RunRequest {
 	return {
 		task: slot.id,
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -1,10 +1,14 @@
 /** A job between its submission and its answer. */
+import type {JobId} from '../../base/job-id.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import type {JobOutcome} from './job-outcome.js';
 import type {TaskSlot} from './task-slot.js';
 
+/** Who waits for a job since when. */
+type Submission = {readonly receivedAt: number; readonly settle: (verdict: Verdict<JobOutcome>) => void};
+
 /** Holds the tasks' states and the times that decide the order; the dispatcher moves it on. */
 export class RunningJob {
 	readonly slots: readonly TaskSlot[];
@@ -12,16 +16,34 @@
 	orderedStarts = 0;
 	isOver = false;
 
+	#submission: Submission;
+
+	/** With the tasks of a former submission, the job goes on from where they are. */
 	constructor(
 		readonly job: BestEffortJob,
-		readonly receivedAt: number,
+		submission: Submission,
 		/** What one task is expected to take, in milliseconds. */
 		readonly expectedMilliseconds: number,
-		readonly settle: (verdict: Verdict<JobOutcome>) => void,
+		former?: readonly TaskSlot[],
 	) {
-		this.slots = Array.from({length: job.shape.count}, (_, index) => ({
-			id: `${job.id}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, sentAt: 0, handedOverAt: undefined, isDone: false, avoid: new Set<string>(),
-		}));
+		this.#submission = submission;
+		this.slots = former?.length === job.shape.count ? former : Array.from({length: job.shape.count}, (_, index) => newSlot(job.id, index));
+		// It was begun before, so that it can't be told as not run now.
+		this.orderedStarts = former === undefined ? 0 : 1;
+	}
+
+	get receivedAt(): number {
+		return this.#submission.receivedAt;
+	}
+
+	/** The submitter whom the answer goes to. */
+	get submission(): Submission {
+		return this.#submission;
+	}
+
+	/** The job was submitted again while it runs: the former submitter isn't there any more, or won't be. */
+	resubmit(submission: Submission): void {
+		this.#submission = submission;
 	}
 
 	/** When the answer is due for the job to be of full worth. */
@@ -64,5 +86,11 @@
 	}
 }
 
+function newSlot(job: JobId, index: number): TaskSlot {
+	return {
+		id: `${job}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, handedOverAt: undefined, isDone: false, avoid: new Set<string>(),
+	};
+}
+
 /** Answers up to three objectives late still have some worth to the submitters, by their own statement. */
 const lateFactor = 3;
--- a/src/features/dispatch/task-slot.ts
+++ b/src/features/dispatch/task-slot.ts
@@ -11,7 +11,6 @@
 	attempt: number;
 	failures: number;
 	owner: MemberId | undefined;
-	sentAt: number;
 	/** When the owner gave the run's target up; none while its owner is known. */
 	handedOverAt: number | undefined;
 	isDone: boolean;
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -7,6 +7,7 @@
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
 import type {Resources} from '../../base/resources.js';
+import type {TaskId} from '../../base/task-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
@@ -136,6 +137,17 @@
 		});
 	}
 
+	/** Whether any attempt of a task runs here, or may run. */
+	isRunning(task: TaskId): boolean {
+		for (const session of this.#sessions.values()) {
+			if (session.hasRunOf(task)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** Starts a run on the fullest target that has room for it; returns the target, or nothing where none has room. */
 	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
 		const session = this.#choose(request);
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
 import type {Resources} from '../../base/resources.js';
+import type {TaskId} from '../../base/task-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {RenewalReply} from '../targets/renewal-reply.js';
@@ -97,6 +98,16 @@
 		return this.#runs.values();
 	}
 
+	hasRunOf(task: TaskId): boolean {
+		for (const run of this.#runs.values()) {
+			if (run.request.task === task) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** Whether new tasks may be started: the target answers, isn't draining, and holds nothing unknown or overdue. */
 	get isOpen(): boolean {
 		const isOurs = !this.#isClosed && !this.#isPaused && this.#isLooked && this.#strangers.size === 0;
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -16,6 +16,8 @@
 
 type Remembered = {
 	readonly requester: MemberId;
+	/** Another entry asked for the same run: its caller submitted again there. It's told when this one has ended. */
+	successor: MemberId | undefined;
 	readonly at: number;
 	/** What its requester has to know: that it was adopted, then how it ended. */
 	report: OutgoingPoolMessage | undefined;
@@ -40,7 +42,7 @@
 		this.#store.add(executor.onDidAdopt(({requester, request}) => {
 			const adopted: OutgoingPoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
 			this.#remembered.set(runKeyOf(request), {
-				requester, at: clock.now(), report: adopted, isEnded: false,
+				requester, successor: undefined, at: clock.now(), report: adopted, isEnded: false,
 			});
 			pool.send(requester, adopted);
 		}));
@@ -77,16 +79,13 @@
 		const key = runKeyOf(request);
 		const known = this.#remembered.get(key);
 		if (known !== undefined) {
-			if (known.report !== undefined) {
-				this.pool.send(from, known.report);
-			}
-
+			this.#repeat(from, request, known);
 			return;
 		}
 
 		this.#forgetOld();
 		this.#remembered.set(key, {
-			requester: from, at: this.clock.now(), report: undefined, isEnded: false,
+			requester: from, successor: undefined, at: this.clock.now(), report: undefined, isEnded: false,
 		});
 		if (this.executor.start(request, from) === undefined) {
 			this.#report({
@@ -95,6 +94,29 @@
 		}
 	}
 
+	/**
+	 * A request that was seen before: sent again after a lost connection, or by another entry, to which the caller of a lost
+	 * one has submitted again. The latter has to wait for the former run's end, and take a higher attempt then.
+	 */
+	#repeat(from: MemberId, request: RunRequest, known: Remembered): void {
+		if (known.requester !== from) {
+			known.successor = from;
+			if (known.isEnded) {
+				this.#tellSuccessor(known, request.task, request.attempt);
+			}
+		} else if (known.report !== undefined) {
+			this.pool.send(from, known.report);
+		}
+	}
+
+	#tellSuccessor(known: Remembered, task: string, attempt: number): void {
+		if (known.successor !== undefined) {
+			this.pool.send(known.successor, {
+				kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
+			});
+		}
+	}
+
 	#report({requester, task, attempt, outcome}: ExecutionReport): void {
 		if (requester === this.pool.self) {
 			return;
@@ -107,6 +129,7 @@
 		if (known !== undefined) {
 			known.report = report;
 			known.isEnded = true;
+			this.#tellSuccessor(known, task, attempt);
 		}
 
 		this.pool.send(requester, report);
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -250,7 +250,7 @@
 		fields: ['target', 'runs', 'ranMilliseconds', 'expectedMilliseconds'],
 	},
 	jobAccepted: {
-		number: 800, level: 'detail', meaning: 'A job waits for room', fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'patienceMilliseconds'],
+		number: 800, level: 'detail', meaning: 'A job waits for room', fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'patienceMilliseconds', 'isResubmitted'],
 	},
 	taskSent: {
 		number: 801, level: 'detail', meaning: 'A task goes to another entry\'s targets', fields: ['task', 'attempt', 'owner', 'heardAgoMilliseconds'],
@@ -267,4 +267,7 @@
 	callerGone: {
 		number: 805, level: 'detail', meaning: 'A caller\'s connection broke', fields: ['detail'],
 	},
+	jobRejoined: {
+		number: 806, level: 'detail', meaning: 'A job was submitted again while it runs here; its latest submitter gets the answer', fields: ['job', 'startedTasks'],
+	},
 } as const satisfies Readonly<Record<string, EventDescription>>;
--- a/src/runtime/pause-watch.ts
+++ b/src/runtime/pause-watch.ts
@@ -3,11 +3,15 @@
 import type {Disposable} from '../base/disposable.js';
 import {Emitter} from '../base/emitter.js';
 import {repeat} from '../base/repeat.js';
+import {wait} from '../base/wait.js';
 
 const checkMilliseconds = 100;
 /** Above what a busy event loop or a slow machine delays a timer by, below the time after which others take an entry as lost. */
 const pauseMilliseconds = 500;
 
+/** Some rounds of the event loop of a slow machine that has much to read: what had arrived during the pause is read by then. */
+const wakingMilliseconds = 60;
+
 /**
  * Compares both clocks with the timer's period. A machine that is suspended stops its steady clock, and only the time of day
  * shows the gap; a stopped process shows it on both. A time of day that was set forward looks the same as a suspension, and
@@ -16,17 +20,15 @@
 export class PauseWatch implements Disposable {
 	readonly #pause = new Emitter<number>();
 	readonly #timer: Disposable;
+	#steady: number;
+	#wall: number;
+	#wokeAt = Number.NEGATIVE_INFINITY;
 
-	constructor(clock: Clock) {
-		let steady = clock.now();
-		let wall = clock.wallTime();
+	constructor(private readonly clock: Clock) {
+		this.#steady = clock.now();
+		this.#wall = clock.wallTime();
 		this.#timer = repeat(clock, checkMilliseconds, () => {
-			const elapsed = Math.max(clock.now() - steady, clock.wallTime() - wall);
-			steady = clock.now();
-			wall = clock.wallTime();
-			if (elapsed > pauseMilliseconds) {
-				this.#pause.fire(elapsed);
-			}
+			this.#look();
 		});
 	}
 
@@ -35,8 +37,30 @@
 		return this.#pause.event;
 	}
 
+	/**
+	 * Resolves at once, but some time after a pause. What is read just after a pause may have been sent long before: whoever
+	 * sent it may have given up since, which shows when the end of the connection is read as well.
+	 */
+	async whenAwake(): Promise<void> {
+		this.#look();
+		const left = this.#wokeAt + wakingMilliseconds - this.clock.now();
+		if (left > 0) {
+			await wait(this.clock, left);
+		}
+	}
+
 	dispose(): void {
 		this.#timer.dispose();
 		this.#pause.dispose();
 	}
+
+	#look(): void {
+		const elapsed = Math.max(this.clock.now() - this.#steady, this.clock.wallTime() - this.#wall);
+		this.#steady = this.clock.now();
+		this.#wall = this.clock.wallTime();
+		if (elapsed > pauseMilliseconds) {
+			this.#wokeAt = this.clock.now();
+			this.#pause.fire(elapsed);
+		}
+	}
 }
--- a/standins/operator.ts
+++ b/standins/operator.ts
@@ -2,17 +2,22 @@
 import {Buffer} from 'node:buffer';
 import {request} from 'undici';
 
+/** An answer of the store may be lost. */
+const callMilliseconds = 700;
 const lengthBytes = 4;
 const key = 'config';
 
-/** Publishes configurations on a store; `undefined` where the store didn't accept. */
+/** A published configuration. It may be in force also where the store's answer didn't come. */
+type Published = {readonly version: number; readonly isAccepted: boolean};
+
+/** Publishes configurations on a store. */
 export class Operator {
 	#version = 0;
 
 	constructor(private readonly storeAddress: string, private readonly service: string, private readonly host: string) {}
 
-	/** Replaces the configuration by one with these path prefixes; returns its version once the store has accepted it. */
-	async publish(prefixes: readonly string[]): Promise<number | undefined> {
+	/** Replaces the configuration by one with these path prefixes. */
+	async publish(prefixes: readonly string[]): Promise<Published> {
 		this.#version += 3;
 		const version = this.#version;
 		const value = JSON.stringify({
@@ -25,11 +30,11 @@
 		const record = Buffer.concat([Buffer.alloc(lengthBytes), Buffer.from([key.length]), Buffer.from(key), Buffer.from(value)]);
 		record.writeUInt32BE(record.length - lengthBytes, 0);
 		try {
-			const response = await request(`http://${this.storeAddress}/log-append?topic=keyed.op&part=0`, {method: 'POST', body: record});
+			const response = await request(`http://${this.storeAddress}/log-append?topic=keyed.op&part=0`, {method: 'POST', body: record, headersTimeout: callMilliseconds});
 			await response.body.dump();
-			return response.statusCode === 200 ? version : undefined;
+			return {version, isAccepted: response.statusCode === 200};
 		} catch {
-			return undefined;
+			return {version, isAccepted: false};
 		}
 	}
 }
--- a/standins/relay.ts
+++ b/standins/relay.ts
@@ -24,8 +24,11 @@
 	#delayMilliseconds = 0;
 	#port = 0;
 
-	/** With `isPeer`, the source of a connection is the zone that its first frame names. */
-	constructor(private readonly isPeer: boolean) {
+	/**
+	 * With `isPeer`, the source of a connection is the zone that its first frame names. A relay that ends with its destination
+	 * refuses connections for good once that has refused one; else each connection is broken as long as it does.
+	 */
+	constructor(private readonly isPeer: boolean, private readonly endsWithDestination = true) {
 		this.#server = createServer(near => {
 			this.#accept(near);
 		});
@@ -34,7 +37,8 @@
 	/** Listens where it did before, the first time at a port that the system gives. */
 	async listen(): Promise<string> {
 		if (!this.#server.listening) {
-			await new Promise<void>(resolve => {
+			await new Promise<void>((resolve, reject) => {
+				this.#server.once('error', reject);
 				this.#server.listen(this.#port, '127.0.0.1', resolve);
 			});
 			this.#port = (this.#server.address() as AddressInfo).port;
@@ -151,7 +155,7 @@
 		});
 		near.on('error', () => undefined);
 		far.on('error', (error: NodeJS.ErrnoException) => {
-			if (error.code === 'ECONNREFUSED') {
+			if (error.code === 'ECONNREFUSED' && this.endsWithDestination) {
 				this.#server.close();
 			}
 		});
--- a/standins/worker/worker-host.ts
+++ b/standins/worker/worker-host.ts
@@ -14,6 +14,8 @@
 const lapseMilliseconds = 3 * heartbeatMilliseconds;
 /** How long a draining worker goes on after the store has accepted its report. */
 const drainMilliseconds = 3000;
+/** An answer of the store may be lost. */
+const callMilliseconds = 700;
 const lengthBytes = 4;
 
 type Place = {service: WorkerService; life: number; sequence: number; state: 'ready' | 'draining'; address: string | undefined; readonly zone: string};
@@ -130,7 +132,7 @@
 		const record = Buffer.concat([Buffer.alloc(lengthBytes), Buffer.from([Buffer.byteLength(id)]), Buffer.from(id), Buffer.from(value)]);
 		record.writeUInt32BE(record.length - lengthBytes, 0);
 		try {
-			const response = await request(`http://${this.storeAddress}/log-append?topic=keyed.servers&part=0`, {method: 'POST', body: record});
+			const response = await request(`http://${this.storeAddress}/log-append?topic=keyed.servers&part=0`, {method: 'POST', body: record, headersTimeout: callMilliseconds});
 			await response.body.dump();
 			return response.statusCode === 200;
 		} catch {
--- a/test/features/dispatch/reachable-objective.test.ts
+++ b/test/features/dispatch/reachable-objective.test.ts
@@ -21,9 +21,12 @@
 			count: tasks, need: Resources.none, declaredMilliseconds: expected, label: undefined,
 		},
 		patienceMilliseconds: 5000,
-	}, receivedAt, expected, () => {
-		// Nobody waits for it here.
-	});
+	}, {
+		receivedAt,
+		settle() {
+			// Nobody waits for it here.
+		},
+	}, expected);
 	for (const slot of job.slots.slice(0, started)) {
 		slot.isDone = true;
 		job.orderedStarts += 1;
--- a/test/platform/job-front.test.ts
+++ b/test/platform/job-front.test.ts
@@ -6,6 +6,7 @@
 import type {ProfileName} from '../../src/base/profile-name.js';
 import type {ServiceName} from '../../src/base/service-name.js';
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
+import {PauseWatch} from '../../src/runtime/pause-watch.js';
 import {PooledWorld} from '../support/pooled-world.js';
 import {snapshotsOf} from '../support/snapshots.js';
 
@@ -19,7 +20,10 @@
 	const world = new PooledWorld(['a-1'], 2);
 	await world.start();
 	const routing = new RoutingTable(1500, world.clock, world.journal);
-	const front = new JobFront(world.entries.get('a-1')!.dispatcher, routing, world.journal);
+	const pauses = new PauseWatch(world.clock);
+	const front = new JobFront({
+		dispatcher: world.entries.get('a-1')!.dispatcher, routing, pauses, journal: world.journal,
+	});
 	await front.listen(`127.0.0.1:${port}`);
 	after(() => {
 		front.dispose();
--- a/test/runtime/pause-watch.test.ts
+++ b/test/runtime/pause-watch.test.ts
@@ -33,3 +33,25 @@
 	clock.advance(100);
 	assert.deepEqual(pauses, [6100]);
 });
+
+// An entry is stopped for seconds. A request that arrived in that time is read before the end of its connection is, and its
+// caller has submitted the job to another entry since: begun at once, its tasks would run twice at a time.
+test('what is read just after a pause has to wait, whether the timer has fired or not', async () => {
+	const clock = new FakeClock();
+	const watch = new PauseWatch(clock);
+	const passed: string[] = [];
+	const read = async (name: string) => {
+		await watch.whenAwake();
+		passed.push(name);
+	};
+
+	await read('before');
+	clock.jumpWall(3000);
+	const reading = read('after');
+	await Promise.resolve();
+	assert.deepEqual(passed, ['before']);
+	clock.advance(60);
+	await reading;
+	await read('later');
+	assert.deepEqual(passed, ['before', 'after', 'later']);
+});
