--- a/src/base/json-value-schema.ts
+++ b/src/base/json-value-schema.ts
@@ -1,5 +1,5 @@
 /** Checks data that JSON can carry. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {JsonValue} from './json-value.js';
 
 /** Any JSON value, unread. */
--- a/src/entries/command/fleet-view.ts
+++ b/src/entries/command/fleet-view.ts
@@ -1,6 +1,6 @@
 /** The entries as an operator sees them. */
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const listTimeoutMilliseconds = 3000;
 const statusTimeoutMilliseconds = 1000;
--- a/src/entries/command/read-log-lines.ts
+++ b/src/entries/command/read-log-lines.ts
@@ -1,7 +1,7 @@
 /** Reads logs. */
 import type {Readable} from 'node:stream';
 import {createInterface} from 'node:readline';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {LogLine} from './log-line.js';
 
 const lineSchema = z.looseObject({at: z.number(), event: z.string()});
--- a/src/entries/edge/main.ts
+++ b/src/entries/edge/main.ts
@@ -7,7 +7,8 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {bootSettings, type BootSettings} from '../../../platform/boot-settings.js';
+import type {BootSettings} from '../../../platform/boot-settings.js';
+import {readBootSettings} from '../../../platform/read-boot-settings.js';
 import {SystemClock} from '../../base/system-clock.js';
 import {CountingJournal} from '../../runtime/journal/counting-journal.js';
 import {LineJournal} from '../../runtime/journal/line-journal.js';
@@ -54,7 +55,7 @@
 
 function readSettings(): BootSettings {
 	try {
-		return bootSettings.parse(readFileSync(file, 'utf8'));
+		return readBootSettings(readFileSync(file, 'utf8'));
 	} catch (error) {
 		process.stderr.write(`savorylock-edge: ${settingsVariable}=${file}: ${(error as Error).message}\n`);
 		process.exit(exitSettings);
@@ -64,7 +65,7 @@
 /** What a running process could take over from the file is only where it finds the others; those it finds by itself. */
 function reload(): void {
 	try {
-		bootSettings.parse(readFileSync(file, 'utf8'));
+		readBootSettings(readFileSync(file, 'utf8'));
 		journal.record('settingsReloaded', {outcome: 'valid', detail: 'in force from the next start'});
 	} catch (error) {
 		journal.record('settingsReloaded', {outcome: 'invalid', detail: (error as Error).message});
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -12,7 +12,7 @@
 import type {Handover} from '../../features/execution/handover.js';
 import {Ownership} from '../../features/ownership/ownership.js';
 import type {PartitionGroup} from '../../features/ownership/partition-group.js';
-import {RunTimes} from '../../features/placement/run-times.js';
+import {MeanRunTimes} from '../../features/placement/mean-run-times.js';
 import {TargetHealth} from '../../features/placement/target-health.js';
 import {Pool} from '../../features/pool/pool.js';
 import {RemoteRuns} from '../../features/pool/remote-runs.js';
@@ -52,7 +52,6 @@
 	readonly dispatcher: Dispatcher;
 	readonly #store = new DisposableStore();
 	#isLeaving = false;
-	#covered: ReadonlySet<AvailabilityZone> = new Set();
 
 	constructor(private readonly parts: PooledEntryParts) {
 		const {zone, member, leaseMilliseconds, network, group, catalogue, orders, clock, journal} = parts;
@@ -70,7 +69,7 @@
 			pool: this.pool,
 			order: new ReachableObjective(),
 			leaseMilliseconds,
-			runTimes: new RunTimes(),
+			runTimes: new MeanRunTimes(),
 			random: new Random(hashText(member)),
 			clock,
 			journal,
@@ -131,9 +130,7 @@
 		return {
 			isLeaving: this.#isLeaving,
 			routingVersion: this.parts.routing.version,
-			ownedTargets: this.executor.ownedTargets,
 			waitingTasks: this.dispatcher.waitingTasks,
-			zones: [...this.#covered],
 			room: this.executor.room.map(({service, labels, room}) => ({
 				service, labels: [...labels], room: [room.cpuMillis, room.memoryMegabytes, room.accelerators] as [number, number, number],
 			})),
@@ -147,7 +144,6 @@
 
 		const zones = [...this.parts.catalogue.targets.values()].map(target => target.zone);
 		const covered = zonesToCover(zones, {id: this.pool.self, zone: this.parts.zone, isLeaving: false}, this.pool.members);
-		this.#covered = covered;
 		this.ownership.cover(covered);
 	}
 }
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -15,7 +15,7 @@
 import type {Executor} from '../execution/executor.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
-import type {RunTimes} from '../placement/run-times.js';
+import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
 import {requestMessageOf} from '../pool/request-message-of.js';
@@ -46,7 +46,7 @@
 	readonly order: QueueOrder;
 	/** The longest lease that a target grants. */
 	readonly leaseMilliseconds: number;
-	readonly runTimes: RunTimes;
+	readonly runTimes: MeanRunTimes;
 	readonly random: Random;
 	readonly clock: Clock;
 	readonly journal: Journal;
--- a/src/features/execution/run-outcome.ts
+++ b/src/features/execution/run-outcome.ts
@@ -11,5 +11,5 @@
 export type RunOutcome =
 	| {readonly kind: 'done'; readonly target: string; readonly ranMilliseconds: number}
 	| {readonly kind: 'failed'; readonly target: string; readonly isTargetSuspect: boolean}
-	| {readonly kind: 'refused'; readonly cause: 'noRoom' | 'superseded' | 'targetRefused' | 'notOwned'}
+	| {readonly kind: 'refused'; readonly cause: 'noRoom' | 'superseded' | 'targetRefused'}
 	| {readonly kind: 'gone'; readonly target: string; readonly cause: string};
--- a/src/features/intake/job-body-schema.ts
+++ b/src/features/intake/job-body-schema.ts
@@ -1,5 +1,5 @@
 /** The body of a job's submission. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {jsonValueSchema} from '../../base/json-value-schema.js';
 import type {ProfileName} from '../../base/profile-name.js';
 
--- a/src/features/membership/listed-membership.ts
+++ b/src/features/membership/listed-membership.ts
@@ -1,5 +1,5 @@
 /** The membership from the instance list, the peer connections and farewells. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
--- /dev/null
+++ b/src/features/placement/mean-run-times.ts
@@ -0,0 +1,21 @@
+/** Learned mean run times. */
+import type {ProfileName} from '../../base/profile-name.js';
+import {LearnedSamples} from './learned-samples.js';
+import {MeanSample} from './mean-sample.js';
+
+/**
+ * For an entry that needs no quantiles: the histograms of `RunTimes` take 4.5 MB of resident memory to load (measured in a
+ * trial), which is dear on small machines.
+ */
+export class MeanRunTimes {
+	readonly #samples = new LearnedSamples(() => new MeanSample());
+
+	record(profile: ProfileName, milliseconds: number): void {
+		this.#samples.record(profile, milliseconds);
+	}
+
+	/** In milliseconds; the declared time while too few tasks were measured. */
+	mean(profile: ProfileName, declaredMilliseconds: number): number {
+		return this.#samples.trusted(profile)?.mean ?? declaredMilliseconds;
+	}
+}
--- a/src/features/placement/placement-reply-schema.ts
+++ b/src/features/placement/placement-reply-schema.ts
@@ -1,5 +1,5 @@
 /** What the arbiter of a zone tells entries. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {TicketId} from '../../base/ticket-id.js';
--- a/src/features/placement/placement-request-schema.ts
+++ b/src/features/placement/placement-request-schema.ts
@@ -1,5 +1,5 @@
 /** What entries ask of the arbiter of a zone. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
 import type {SubmissionId} from '../../base/submission-id.js';
--- a/src/features/placement/run-time-sample.ts
+++ b/src/features/placement/run-time-sample.ts
@@ -1,5 +1,6 @@
 /** Measured run times of one profile. */
 import {build, type Histogram} from 'hdr-histogram-js';
+import {MeanSample} from './mean-sample.js';
 
 const highestMilliseconds = 600_000;
 const significantDigits = 2;
@@ -8,39 +9,27 @@
 
 type KnownQuantile = {readonly value: number; readonly samples: number};
 
-/** A histogram with its running mean, which the histogram itself would work out by walking over all its buckets. */
-export class RunTimeSample {
+/** A histogram beside the running mean, which the histogram itself would work out by walking over all its buckets. */
+export class RunTimeSample extends MeanSample {
 	readonly #histogram: Histogram = build({
 		lowestDiscernibleValue: 1, highestTrackableValue: highestMilliseconds, numberOfSignificantValueDigits: significantDigits, bitBucketSize: 32,
 	});
 
 	readonly #quantiles = new Map<number, KnownQuantile>();
-	#sum = 0;
-	#count = 0;
-
-	get count(): number {
-		return this.#count;
-	}
-
-	get mean(): number {
-		return this.#sum / this.#count;
-	}
-
-	record(milliseconds: number): void {
+	override record(milliseconds: number): void {
+		super.record(milliseconds);
 		this.#histogram.recordValue(Math.min(highestMilliseconds, Math.max(1, Math.round(milliseconds))));
-		this.#sum += milliseconds;
-		this.#count += 1;
 	}
 
 	/** The time in milliseconds that a share of the tasks stays under. */
 	quantile(share: number): number {
 		const known = this.#quantiles.get(share);
-		if (known !== undefined && this.#count - known.samples < samplesPerQuantile) {
+		if (known !== undefined && this.count - known.samples < samplesPerQuantile) {
 			return known.value;
 		}
 
 		const value = this.#histogram.getValueAtPercentile(Math.min(100, share * 100));
-		this.#quantiles.set(share, {value, samples: this.#count});
+		this.#quantiles.set(share, {value, samples: this.count});
 		return value;
 	}
 }
--- a/src/features/placement/tenure-message-schema.ts
+++ b/src/features/placement/tenure-message-schema.ts
@@ -1,5 +1,5 @@
 /** How entries agree on the arbiter of a zone. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
--- a/src/features/placement/wanted-task.ts
+++ b/src/features/placement/wanted-task.ts
@@ -1,5 +1,5 @@
 /** A task that waits for a slot. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {TicketId} from '../../base/ticket-id.js';
 
--- a/src/features/placement/zone-placement.ts
+++ b/src/features/placement/zone-placement.ts
@@ -1,5 +1,5 @@
 /** This entry's part in the placement: its desk, its zone's office, and the arbiter while it holds that. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
--- a/src/features/pool/pool-member.ts
+++ b/src/features/pool/pool-member.ts
@@ -1,5 +1,4 @@
 /** Another entry, as this one last heard of it. */
-import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Member} from '../../runtime/peers/member.js';
 import type {RoomShare} from '../execution/room-share.js';
 
@@ -9,9 +8,7 @@
 	heardAt: number;
 	isLeaving: boolean;
 	routingVersion: number;
-	ownedTargets: number;
 	/** Tasks that wait there for room on any entry's targets. */
 	waitingTasks: number;
-	zones: readonly AvailabilityZone[];
 	room: RoomShare[];
 };
--- a/src/features/pool/pool-message-schema.ts
+++ b/src/features/pool/pool-message-schema.ts
@@ -1,6 +1,5 @@
 /** What entries of a pool say to each other. */
-import {z} from 'zod';
-import type {AvailabilityZone} from '../../base/availability-zone.js';
+import * as z from 'zod';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
@@ -26,7 +25,7 @@
 const outcomeSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('done'), target: z.string(), ranMilliseconds: z.number()}),
 	z.object({kind: z.literal('failed'), target: z.string(), isTargetSuspect: z.boolean()}),
-	z.object({kind: z.literal('refused'), cause: z.enum(['noRoom', 'superseded', 'targetRefused', 'notOwned'])}),
+	z.object({kind: z.literal('refused'), cause: z.enum(['noRoom', 'superseded', 'targetRefused'])}),
 	z.object({kind: z.literal('gone'), target: z.string(), cause: z.string()}),
 ]);
 
@@ -47,10 +46,7 @@
 		kind: z.literal('state'),
 		isLeaving: z.boolean(),
 		routingVersion: z.number(),
-		ownedTargets: z.number(),
 		waitingTasks: z.number(),
-		/** Zones whose groups the sender has joined. */
-		zones: z.array(z.string().transform(zone => zone as AvailabilityZone)),
 		room: z.array(z.object({service: z.string().transform(name => name as ServiceName), labels: z.array(z.string()), room: resourcesSchema})),
 	}),
 	z.object({kind: z.literal('addresses'), addresses: z.array(z.string())}),
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -224,7 +224,7 @@
 		this.meet([member.peerAddress]);
 		this.#met.set(member.id, member);
 		this.#members.set(member.id, {
-			member, heardAt: this.clock.now(), isLeaving: false, routingVersion: 0, ownedTargets: 0, waitingTasks: 0, zones: [], room: [],
+			member, heardAt: this.clock.now(), isLeaving: false, routingVersion: 0, waitingTasks: 0, room: [],
 		});
 		this.journal.record('poolMemberMet', {member: member.id, zone: member.zone});
 		this.network.send(member, {channel, body: {kind: 'addresses', addresses: [...this.#addresses]}});
@@ -247,7 +247,7 @@
 		const message = checked.data;
 		if (message.kind === 'state') {
 			Object.assign(known, {
-				isLeaving: message.isLeaving, routingVersion: message.routingVersion, ownedTargets: message.ownedTargets, waitingTasks: message.waitingTasks, zones: message.zones, room: message.room,
+				isLeaving: message.isLeaving, routingVersion: message.routingVersion, waitingTasks: message.waitingTasks, room: message.room,
 			});
 			this.#room.fire();
 		} else if (message.kind === 'addresses') {
--- a/src/features/profiles/configuration-message-schema.ts
+++ b/src/features/profiles/configuration-message-schema.ts
@@ -1,5 +1,5 @@
 /** What entries tell each other of the configuration. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {jsonValueSchema} from '../../base/json-value-schema.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
 import {configurationRecordSchema} from './configuration-record-schema.js';
--- a/src/features/profiles/configuration-record-schema.ts
+++ b/src/features/profiles/configuration-record-schema.ts
@@ -1,5 +1,5 @@
 /** The records of the configuration stream. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ProfileName} from '../../base/profile-name.js';
 import type {Revision} from '../../base/revision.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
--- a/src/features/profiles/profile-schema.ts
+++ b/src/features/profiles/profile-schema.ts
@@ -1,5 +1,5 @@
 /** The shape of a profile, as its TOML document and its records in the log have it. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ProfileName} from '../../base/profile-name.js';
 
 const label = z.string().regex(/^[\w.\-]{1,64}$/v);
--- a/src/features/submissions/registry-message-schema.ts
+++ b/src/features/submissions/registry-message-schema.ts
@@ -1,5 +1,5 @@
 /** What the registry's parts tell each other. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {MemberId} from '../../base/member-id.js';
 import type {SubmissionId} from '../../base/submission-id.js';
 import {verdictSchema} from './verdict-schema.js';
--- a/src/features/submissions/verdict-schema.ts
+++ b/src/features/submissions/verdict-schema.ts
@@ -1,5 +1,5 @@
 /** Checks verdicts that peers send. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {DoubtCause} from '../../base/doubt-cause.js';
 import type {JobAnswer} from '../../base/job-answer.js';
 import {jsonValueSchema} from '../../base/json-value-schema.js';
--- a/src/features/submissions/zone-births.ts
+++ b/src/features/submissions/zone-births.ts
@@ -1,5 +1,5 @@
 /** Whether a zone had entries before. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {Clock} from '../../base/clock.js';
--- a/src/runtime/instances/http-instance-list.ts
+++ b/src/runtime/instances/http-instance-list.ts
@@ -1,6 +1,6 @@
 /** The instance list over HTTP; docs/INTERFACES.md gives the protocol. */
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {abortSignalOf} from '../../base/abort-signal-of.js';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import {CancellationSource} from '../../base/cancellation-source.js';
--- a/src/runtime/peers/peer-frame.ts
+++ b/src/runtime/peers/peer-frame.ts
@@ -1,5 +1,5 @@
 /** The frames of a peer connection. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
--- a/src/runtime/settings/entry-settings.ts
+++ b/src/runtime/settings/entry-settings.ts
@@ -1,5 +1,5 @@
 /** The settings of an entry daemon. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {InstanceId} from '../../base/instance-id.js';
 
--- a/src/runtime/stream/http-log-stream.ts
+++ b/src/runtime/stream/http-log-stream.ts
@@ -1,6 +1,6 @@
 /** The log service over HTTP; docs/INTERFACES.md gives the protocol. */
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {abortSignalOf} from '../../base/abort-signal-of.js';
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {JsonValue} from '../../base/json-value.js';
--- a/src/runtime/targets/http-target-driver.ts
+++ b/src/runtime/targets/http-target-driver.ts
@@ -1,7 +1,7 @@
 /** Targets over HTTP/1.1; docs/INTERFACES.md gives the protocol. */
 import {Buffer} from 'node:buffer';
 import {errors, Pool, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {Disposable} from '../../base/disposable.js';
 import {jsonValueSchema} from '../../base/json-value-schema.js';
--- a/test/features/pool/pool.test.ts
+++ b/test/features/pool/pool.test.ts
@@ -33,7 +33,7 @@
 	const clock = new FakeClock();
 	const network = new CountingNetwork(clock);
 	const pools = Array.from({length: count}, (_, index) => new Pool(network.join(`entry-${index}`, 'a'), () => ({
-		isLeaving: false, routingVersion: 0, ownedTargets: 8, waitingTasks, zones: [], room: [],
+		isLeaving: false, routingVersion: 0, waitingTasks, room: [],
 	}), clock, new RecordingJournal()));
 	for (const pool of pools) {
 		pool.start();
--- a/test/platform/boot-settings.test.ts
+++ b/test/platform/read-boot-settings.test.ts
@@ -1,7 +1,7 @@
 /** The settings file of the prepared machines. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {bootSettings} from '../../platform/boot-settings.js';
+import {readBootSettings} from '../../platform/read-boot-settings.js';
 import {snapshotsOf} from '../support/snapshots.js';
 
 const matches = snapshotsOf(import.meta.url);
@@ -27,13 +27,13 @@
 `;
 
 test('the file\'s fields have the project\'s names, and unknown fields are ignored', () => {
-	matches('settings', bootSettings.parse(text));
+	matches('settings', readBootSettings(text));
 });
 
 test('a missing and a wrong field are named', () => {
-	assert.throws(() => bootSettings.parse(text.replace('zone=a\n', '').replace('parts=24', 'parts=many')), /platform\.parts: .*; zone: |zone: .*; platform\.parts: /v);
+	assert.throws(() => readBootSettings(text.replace('zone=a\n', '').replace('parts=24', 'parts=many')), /platform\.parts: .*; zone: |zone: .*; platform\.parts: /v);
 });
 
 test('without an address for peers they meet at the first free port', () => {
-	assert.equal(bootSettings.parse(text.replace(/listen\.control=.*\n/v, '')).peers, '10.1.0.13:7720');
+	assert.equal(readBootSettings(text.replace(/listen\.control=.*\n/v, '')).peers, '10.1.0.13:7720');
 });
