A run that was adopted is told as gone only when every owner's lease has passed

Ten entries had lost their targets while the store turned them away, and the groups were dealt anew a dozen times within 300 ms. An owner that had adopted a run and lost the target before it renewed anything took its lease as passed, since it reckoned only with its own renewals, and told the run's entry that it was gone; the entry began the task elsewhere while the run went on under the former owner's lease. A target that didn't answer its new owner's first renewal had the same effect.

Ruled out: the entry's own limit for runs that nobody adopted (1.32 s: later than what was seen), a lost start (the run was reported running), and the resubmission of the job (1.17 s after its first submission, before its caller sends again).

Before: two tests fail; after: they pass. An adopted run whose entry isn't heard by its new owner is stopped at once (its test was not seen failing first: without the change there's no such stop to look for).

--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -30,10 +30,15 @@
 			return undefined;
 		}
 
-		this.#certainEnd = Math.max(this.#certainEnd, now + (this.leaseMilliseconds * (1 + clockDrift)) + travelMilliseconds);
+		this.noteRenewal(now);
 		return Math.floor(this.#clock + (now - this.#clockReadAt) + this.leaseMilliseconds) as TargetTime;
 	}
 
+	/** The lease may have been renewed at a monotonic time, by this owner or by a former one. */
+	noteRenewal(at: number): void {
+		this.#certainEnd = Math.max(this.#certainEnd, at + (this.leaseMilliseconds * (1 + clockDrift)) + travelMilliseconds);
+	}
+
 	/** When whatever ran there has ended, if nobody else renews it; monotonic. */
 	get certainEnd(): number {
 		return this.#certainEnd;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -154,6 +154,9 @@
 	adopt(handover: Handover): void {
 		this.#acknowledged = Math.max(this.#acknowledged, handover.acknowledged);
 		const now = this.parts.clock.now();
+		// The former owner may have renewed the lease until it gave its word. Without this, a run that is lost before this
+		// owner renews anything would be told as gone at once, and be begun elsewhere beside itself.
+		this.#lease.noteRenewal(now);
 		for (const {request, requester} of handover.runs) {
 			const run: Run = {
 				request, requester, state: 'running', startedAt: now, confirmedAt: now, stopConfirmedAt: undefined, stopCause: undefined,
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -120,6 +120,11 @@
 		return heartbeatsToMiss * this.#heartbeatPeriod;
 	}
 
+	/** Whether an entry was heard lately. */
+	hears(id: MemberId): boolean {
+		return this.#members.has(id);
+	}
+
 	start(): void {
 		this.#store.add(repeat(this.clock, heartbeatMilliseconds, () => {
 			this.#dropSilent();
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -40,6 +40,12 @@
 			this.#report(report);
 		}));
 		this.#store.add(executor.onDidAdopt(({requester, request}) => {
+			if (requester !== pool.self && !pool.hears(requester)) {
+				// It can't be told that the run goes on, and begins the task elsewhere once the lease should have passed.
+				executor.stop(request.task, request.attempt, 'its entry is not heard here');
+				return;
+			}
+
 			const adopted: OutgoingPoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
 			this.#remembered.set(runKeyOf(request), {
 				requester, successor: undefined, at: clock.now(), report: adopted, isEnded: false,
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -7,6 +7,7 @@
 import {Resources} from '../../../src/base/resources.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
 import type {TaskId} from '../../../src/base/task-id.js';
+import type {RunRequest} from '../../../src/features/execution/run-request.js';
 import {requestMessageOf} from '../../../src/features/pool/request-message-of.js';
 import {PooledWorld} from '../../support/pooled-world.js';
 
@@ -299,7 +300,7 @@
 	await world.start();
 	const poolOf = (name: string) => world.entries.get(name)!.pool;
 	const owner = poolOf('b-1').self;
-	const request = firstTaskOfJob();
+	const request = requestMessageOf(firstTaskOfJob());
 
 	const reports: string[] = [];
 	poolOf('c-1').onDidReceive(({message}) => {
@@ -326,7 +327,7 @@
 	await world.start();
 	const {pool} = world.entries.get('a-1')!;
 	const owner = world.entries.get('b-1')!.pool.self;
-	pool.send(owner, {kind: 'run', request: firstTaskOfJob()});
+	pool.send(owner, {kind: 'run', request: requestMessageOf(firstTaskOfJob())});
 	await world.pass(50);
 	world.submit('b-1', '00000000000000aa', {payload: '3000', declared: 3000, patience: 9000});
 	await world.pass(50);
@@ -338,9 +339,26 @@
 	assert.deepEqual([world.orders.mostAtOnce, world.running()], [1, ['00000000000000aa.0.0.0']]);
 });
 
+// An owner gives up a target whose run belongs to an entry that the next owner doesn't hear. Kept alive there, the run would go
+// on beside the next attempt, which its entry begins elsewhere since nobody tells it of the adoption.
+test('a run that was adopted for an entry that is not heard is stopped', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 1);
+	await world.start();
+	const requester = world.entries.get('b-1')!.pool.self;
+	world.kill('b-1');
+	const {executor} = world.entries.get('a-1')!;
+	executor.expect({
+		target: 'a-target-0' as InstanceId,
+		acknowledged: 0,
+		runs: [{requester, request: firstTaskOfJob()}],
+	});
+	await world.pass(50);
+	assert.deepEqual(world.journal.named('runStopped').map(({cause}) => cause), ['its entry is not heard here']);
+});
+
 /** As another entry asks for it. */
-function firstTaskOfJob() {
-	return requestMessageOf({
+function firstTaskOfJob(): RunRequest {
+	return {
 		task: '00000000000000aa.0.0.0' as TaskId,
 		attempt: 1,
 		payload: '3000',
@@ -351,5 +369,5 @@
 		avoid: [],
 		jobTasks: 1,
 		expectedMilliseconds: 3000,
-	});
+	};
 }
--- a/test/features/execution/executor.test.ts
+++ b/test/features/execution/executor.test.ts
@@ -200,3 +200,50 @@
 	assign(first.executor, target, 3);
 	assert.equal(first.executor.ownedTargets, 1);
 });
+
+// A group is dealt anew several times within a second: a target goes from its first owner to a second one, and to a third
+// before the second has renewed anything. The second one told at once that the run was gone, and its task was begun elsewhere
+// while it went on under the first owner's lease.
+test('a run that was adopted is reported gone only when the former owner\'s lease has passed as well', async () => {
+	const {clock, orders, executorOf, assign} = worldOf();
+	const [first, second, third] = [executorOf(), executorOf(), executorOf()];
+	const target = targetNamed('target');
+	assign(first.executor, target, 1);
+	await passTime(clock, 20);
+	first.executor.start(requestOf('task', '5000'), entry);
+	await passTime(clock, 300);
+	const handovers = await first.executor.release(new Set([target.id]));
+	assign(third.executor, target, 3);
+	await passTime(clock, 5);
+	for (const handover of handovers) {
+		second.executor.expect(handover);
+	}
+
+	assign(second.executor, target, 2);
+	await passTime(clock, 200);
+	assert.deepEqual([second.executor.ownedTargets, second.reports.length], [0, 0]);
+	await passTime(clock, 1200);
+	assert.deepEqual([second.reports.map(({outcome}) => outcome.kind), orders.running(target.id)], [['gone'], []]);
+});
+
+// As above, but the target doesn't answer the second owner at all.
+test('a run that was adopted on a silent target is reported gone only after its lease', async () => {
+	const {clock, orders, executorOf, assign} = worldOf();
+	const [first, second] = [executorOf(), executorOf()];
+	const target = targetNamed('target');
+	assign(first.executor, target, 1);
+	await passTime(clock, 20);
+	first.executor.start(requestOf('task', '5000'), entry);
+	await passTime(clock, 300);
+	const handovers = await first.executor.release(new Set([target.id]));
+	orders.behaviour.set(target.id, 'silent');
+	for (const handover of handovers) {
+		second.executor.expect(handover);
+	}
+
+	assign(second.executor, target, 2);
+	await passTime(clock, 900);
+	assert.equal(second.reports.length, 0);
+	await passTime(clock, 600);
+	assert.deepEqual([second.reports.map(({outcome}) => outcome.kind), orders.running(target.id)], [['gone'], []]);
+});
