--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -14,23 +14,21 @@
 import type {Handover} from '../execution/handover.js';
 import type {Executor} from '../execution/executor.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
-import type {RunRequest} from '../execution/run-request.js';
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
 import {requestMessageOf} from '../pool/request-message-of.js';
 import type {BestEffortJob} from './best-effort-job.js';
-import {chooseMember} from './choose-member.js';
 import {FormerSubmissions} from './former-submissions.js';
 import type {JobOutcome} from './job-outcome.js';
 import type {QueueOrder} from './queue-order.js';
+import {requestOf} from './request-of.js';
 import {RunningJob} from './running-job.js';
+import {TaskPlacer} from './task-placer.js';
 import type {TaskSlot} from './task-slot.js';
 
 /** How often waiting jobs are checked for having become useless. */
 const checkMilliseconds = 20;
-/** After so many tasks that fit nowhere the rest of the queue is left for the next change of room. */
-const missesToGiveUp = 6;
 /** The next attempt after a target said that it knows a later one: above those of an earlier submission of the job. */
 const attemptStep = 16;
 
@@ -59,11 +57,13 @@
 export class Dispatcher implements Disposable {
 	readonly #jobs = new Map<JobId, RunningJob>();
 	readonly #former = new FormerSubmissions();
+	readonly #placer: TaskPlacer;
 	readonly #store = new DisposableStore();
 	#isWaiting = false;
 
 	constructor(private readonly parts: DispatcherParts) {
 		const {executor, pool, clock} = parts;
+		this.#placer = new TaskPlacer(parts);
 		this.#store.add(executor.onDidReport(({requester, task, attempt, outcome}) => {
 			if (requester === pool.self) {
 				this.#take(task, attempt, outcome);
@@ -146,7 +146,7 @@
 
 	/** Places what can be placed now, in order. */
 	pump(): void {
-		const isWaiting = !this.#placeAll();
+		const isWaiting = !this.#placer.placeAll(this.#jobs.values());
 		if (isWaiting && !this.#isWaiting) {
 			// The others tell of their room at once while they know that somebody waits.
 			this.parts.pool.tellChange();
@@ -230,59 +230,6 @@
 		});
 	}
 
-	/** Whether nothing was left waiting. */
-	#placeAll(): boolean {
-		const now = this.parts.clock.now();
-		const waiting = [...this.#jobs.values()].filter(job => job.waiting.length > 0);
-		const ranked = waiting.map(job => ({job, rank: this.parts.order.rank(job, now)}));
-		ranked.sort((left, right) => left.rank - right.rank);
-		let misses = 0;
-		for (const {job} of ranked) {
-			misses += this.#placeTasksOf(job) ? 0 : 1;
-			if (misses >= missesToGiveUp) {
-				break;
-			}
-		}
-
-		return misses === 0;
-	}
-
-	#placeTasksOf(job: RunningJob): boolean {
-		return job.waiting.every(slot => this.#place(job, slot));
-	}
-
-	#place(job: RunningJob, slot: TaskSlot): boolean {
-		const {executor, pool, clock, journal} = this.parts;
-		if (executor.isRunning(slot.id)) {
-			// Its caller submitted here after the loss of another entry, for which the task is still being stopped here.
-			return false;
-		}
-
-		const request = requestOf(job, slot);
-		if (executor.start(request, pool.self) !== undefined) {
-			this.#sent(job, slot, pool.self);
-			return true;
-		}
-
-		const choice = chooseMember(pool.members, request, this.parts.random, clock.now() - pool.freshMilliseconds);
-		if (choice === undefined) {
-			return false;
-		}
-
-		pool.reserve(choice.member, choice.share, request.need);
-		pool.send(choice.member.member.id, {kind: 'run', request: requestMessageOf(request)});
-		journal.record('taskSent', {
-			task: slot.id, attempt: slot.attempt, owner: choice.member.member.id, heardAgoMilliseconds: Math.round(clock.now() - choice.member.heardAt),
-		});
-		this.#sent(job, slot, choice.member.member.id);
-		return true;
-	}
-
-	#sent(job: RunningJob, slot: TaskSlot, owner: MemberId): void {
-		job.orderedStarts += 1;
-		slot.owner = owner;
-	}
-
 	#take(task: string, attempt: number, outcome: RunOutcome): void {
 		const found = this.#find(task);
 		if (found === undefined) {
@@ -367,7 +314,7 @@
 
 	#retry(job: RunningJob, slot: TaskSlot): void {
 		if (!job.isOver) {
-			this.#place(job, slot);
+			this.#placer.place(job, slot);
 		}
 	}
 
@@ -479,21 +426,6 @@
 	return task.slice(0, task.indexOf('.')) as JobId;
 }
 
-function requestOf({job, expectedMilliseconds}: RunningJob, slot: TaskSlot): RunRequest {
-	return {
-		task: slot.id,
-		attempt: slot.attempt,
-		payload: job.payload,
-		need: job.shape.need,
-		queue: job.route.queue,
-		service: job.route.service,
-		label: job.shape.label,
-		avoid: [...slot.avoid],
-		jobTasks: job.shape.count,
-		expectedMilliseconds,
-	};
-}
-
 function doubt(cause: DoubtCause, detail: string): Verdict<JobOutcome> {
 	return {kind: 'mayHaveRun', cause, detail};
 }
--- /dev/null
+++ b/src/features/execution/overdue-of.ts
@@ -0,0 +1,33 @@
+/** Which runs take much longer than they should. */
+import type {Run} from './run.js';
+
+/**
+ * A run over so many times what it's expected to take makes its target suspect. Of runs on sound targets 0.6% take more
+ * than 2.2 times as long (measured over 20,000 runs of the users' three kinds of task, with times learned by kind).
+ */
+const suspectFactor = 2.2;
+/** A single run that is over by so much is put down to its target: on sound ones less than one in 500. */
+const overdueFactor = 3;
+/** So many suspect runs at a time on one target are no chance. */
+const overdueToBlame = 2;
+/** Added to the expected time, so that the way to the target and back isn't taken for slowness of very short tasks. */
+const overdueSlackMilliseconds = 20;
+
+/** What a report of a target says of its runs at the time when it came. */
+type Findings = {
+	/** Runs that are over their expected time by far: any of them may just be long. */
+	readonly suspects: readonly Run[];
+	/** Runs that are put down to their target: several at a time, or one that is over by very far. */
+	readonly overdue: readonly Run[];
+};
+
+/** Only what was running at the time of the report counts, and only by how long it had run then. */
+export function overdueOf(runs: Iterable<Run>, reportedAt: number): Findings {
+	const suspects = [...runs].filter(run => run.state === 'running' && isOver(run, reportedAt, suspectFactor));
+	const overdue = suspects.length >= overdueToBlame ? suspects : suspects.filter(run => isOver(run, reportedAt, overdueFactor));
+	return {suspects, overdue};
+}
+
+function isOver(run: Run, reportedAt: number, factor: number): boolean {
+	return reportedAt - run.startedAt > (factor * run.request.expectedMilliseconds) + overdueSlackMilliseconds;
+}
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -13,6 +13,7 @@
 import type {TargetRecord} from '../targets/target-record.js';
 import type {Handover} from './handover.js';
 import {LeaseSchedule} from './lease-schedule.js';
+import {overdueOf} from './overdue-of.js';
 import {runKeyOf} from './run-key-of.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
@@ -35,18 +36,6 @@
 /** How long runs that this owner doesn't know may go on while the former owner's word of them may still come. */
 const strangerMilliseconds = 250;
 
-/**
- * A run over so many times what it's expected to take makes its target suspect. Of runs on sound targets 0.6% take more
- * than 2.2 times as long (measured over 20,000 runs of the users' three kinds of task, with times learned by kind).
- */
-const suspectFactor = 2.2;
-/** A single run that is over by so much is put down to its target: on sound ones less than one in 500. */
-const overdueFactor = 3;
-/** So many suspect runs at a time on one target are no chance. */
-const overdueToBlame = 2;
-/** Added to the expected time, so that the way to the target and back isn't taken for slowness of very short tasks. */
-const overdueSlackMilliseconds = 20;
-
 /** What a session works with. */
 type SessionParts = {
 	readonly target: TargetRecord;
@@ -124,9 +113,9 @@
 	 * Only what the target itself has reported counts: while its answers are lost, runs that have ended seem to go on.
 	 */
 	findOverdue(): readonly Run[] {
-		const overdue = [...this.#runs.values()].filter(run => run.state === 'running' && isOver(run, this.#reportedAt, suspectFactor));
-		this.#hasOverdue = overdue.length > 0;
-		return overdue.length >= overdueToBlame ? overdue : overdue.filter(run => isOver(run, this.#reportedAt, overdueFactor));
+		const {suspects, overdue} = overdueOf(this.#runs.values(), this.#reportedAt);
+		this.#hasOverdue = suspects.length > 0;
+		return overdue;
 	}
 
 	/** What is left of the target's capacity. */
@@ -514,7 +503,3 @@
 		});
 	}
 }
-
-function isOver(run: Run, reportedAt: number, factor: number): boolean {
-	return reportedAt - run.startedAt > (factor * run.request.expectedMilliseconds) + overdueSlackMilliseconds;
-}
