A zone whose last entry left is covered by another zone at once; one whose targets can't be reached is left alone

Ruled out: the hand-over itself (the runs were handed over, to nobody), the store (it answered within 10 ms), and the time to wait before covering.

The stand-in answers as the store does now, and an answer that can't be read is logged. Since zones are covered now, a zone that is cut off from the store too must not be: an entry first asks three of its targets for a sign.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -62,7 +62,7 @@
 		this.pool = own.add(new Pool(network, () => this.#state(), clock, journal));
 		own.add(new RemoteRuns(this.pool, this.executor, clock));
 		this.ownership = own.add(new Ownership({
-			zone, member, store: group, catalogue, executor: this.executor, clock, journal,
+			zone, member, store: group, catalogue, executor: this.executor, orders, clock, journal,
 		}));
 		this.dispatcher = own.add(new Dispatcher({
 			executor: this.executor,
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -11,6 +11,7 @@
 import type {Executor} from '../execution/executor.js';
 import type {Handover} from '../execution/handover.js';
 import type {TargetCatalogue} from '../targets/target-catalogue.js';
+import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import {GroupMember} from './group-member.js';
 import type {PartitionGroup} from './partition-group.js';
@@ -18,6 +19,11 @@
 /** How often the store is asked whether a zone that can't be heard has entries of its own. */
 const considerMilliseconds = 500;
 
+/** So many targets of a zone are asked for a sign before it's covered: one of them may be down by itself. */
+const targetsToTry = 3;
+/** A target that has had an owner rejects it, which is as good a sign as any answer. */
+const lowestToken = 0 as FencingToken;
+
 /** What ownership works with. */
 type OwnershipParts = {
 	readonly zone: AvailabilityZone;
@@ -26,6 +32,7 @@
 	readonly store: PartitionGroup;
 	readonly catalogue: TargetCatalogue;
 	readonly executor: Executor;
+	readonly orders: TargetOrders;
 	readonly clock: Clock;
 	readonly journal: Journal;
 };
@@ -110,6 +117,10 @@
 			return;
 		}
 
+		if (member === undefined && !await this.#reaches(zone)) {
+			return;
+		}
+
 		journal.record('zoneCovered', {zone, isCovered: !isStaffed, holders: holders?.size});
 		if (member === undefined) {
 			this.#join(zone);
@@ -118,6 +129,23 @@
 		}
 	}
 
+	/**
+	 * Whether a target of the zone answers. A zone that is cut off from the store as well as from the other zones loses its
+	 * places in its group, but its entries go on with their targets, which nobody else reaches.
+	 */
+	async #reaches(zone: AvailabilityZone): Promise<boolean> {
+		const {catalogue, orders} = this.parts;
+		const targets = [...catalogue.targets.values()].filter(target => target.zone === zone).slice(0, targetsToTry);
+		const answers = await Promise.all(targets.map(async target => {
+			const reply = await orders.renew(target, {
+				fence: lowestToken, acknowledged: 0, leaseUntil: undefined, waitMilliseconds: 0,
+			});
+			orders.forget(target);
+			return reply.kind !== 'unreachable' && reply.kind !== 'unanswered';
+		}));
+		return answers.some(Boolean);
+	}
+
 	#join(zone: AvailabilityZone): void {
 		const {member, store, clock, journal} = this.parts;
 		const joined = new GroupMember({
--- a/standins/store/member-group.ts
+++ b/standins/store/member-group.ts
@@ -35,8 +35,9 @@
 		}
 	}
 
+	/** A row for each partition; one that nobody holds has an empty name. */
 	get owners(): ReadonlyArray<readonly [number, string]> {
-		return [...this.#holders];
+		return Array.from({length: this.partitionCount}, (_, partition) => [partition, this.#holders.get(partition) ?? ''] as const);
 	}
 
 	#expire(now: number): void {
--- a/standins/store/store-service.ts
+++ b/standins/store/store-service.ts
@@ -46,7 +46,7 @@
 		routes.get('/log-read', async context => this.#read(context));
 		routes.post('/log-append', async context => this.#append(context));
 		routes.post('/log-join', async context => this.#join(await context.req.json()));
-		routes.get('/log-owners', context => context.json({parts: (this.#groups.get(context.req.query('group') ?? '')?.owners ?? []).map(([partition, member]) => ['topic', partition, member, 0])}));
+		routes.get('/log-owners', context => this.#owners(context));
 		routes.post('/log-leave', async context => this.#leave(await context.req.json()));
 		return routes;
 	}
@@ -118,6 +118,12 @@
 		return this.#replyOrLoseIt(Response.json({generation: known.generation, ttl_ms: timeToLive, parts: partitions.map(partition => [topics[0], partition, 0])}));
 	}
 
+	#owners(context: Context): Response {
+		const name = context.req.query('group') ?? '';
+		const group = this.#groups.get(name);
+		return context.json({generation: group?.generation ?? 0, parts: (group?.owners ?? []).map(([partition, member]) => [name, partition, member, 0])});
+	}
+
 	#leave({group, member}: {readonly group: string; readonly member: string}): Response {
 		this.#groups.get(group)?.leave(member);
 		return Response.json({});
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -212,6 +212,21 @@
 	assert.deepEqual(['a-1', 'b-1'].map(name => world.entries.get(name)!.executor.ownedTargets), [2, 2]);
 });
 
+// A zone is cut off from the others and from the store, so that its entries' places in their group lapse. Covered from
+// another zone, its targets would meet a newer owner when the cut heals, and everything on them would end.
+test('a zone whose targets can\'t be reached is not covered, though its group is empty', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 2);
+	await world.start();
+	await world.pass(1000);
+	world.network.isolate('a-1', true);
+	world.orders.behaviour.set('a-target-0' as InstanceId, 'refuses');
+	world.orders.behaviour.set('a-target-1' as InstanceId, 'refuses');
+	world.entries.get('a-1')!.ownership.dispose();
+	world.group.expire('targets.a' as OwnershipGroupName, 'a/a-1');
+	await world.pass(3000);
+	assert.equal(world.entries.get('b-1')!.executor.ownedTargets, 2);
+});
+
 // An owner gives its targets up and its word of them is lost on the way, as when a cut heals at that moment. Nobody renews
 // the runs' lease any more and nobody tells their jobs, which would wait until their callers give up.
 test('runs that were handed over to nobody are begun again once their lease has passed', async () => {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -136,3 +136,19 @@
 	assert.equal(journal.named('answerUnreadable').length, 2);
 	client.dispose();
 });
+
+// The last entry of a zone is stopped, and nobody takes its targets over: they stand idle until one is back. The store answers
+// with a row for each partition, also for those that nobody holds, and with the group's generation beside the rows.
+test('a group whose last member left has no holders, and one with a member has that one', async () => {
+	const {service, journal, client} = await storeOf();
+	const group = new StoreGroup(client, 24, 1500);
+	const name = 'targets.z' as OwnershipGroupName;
+	await group.join(name, 'a', 0);
+	assert.deepEqual(await group.holders(name), new Set(['a']));
+	await group.leave(name, 'a');
+	assert.deepEqual(await group.holders(name), new Set());
+	service.fail({isGarbled: true});
+	assert.equal(await group.holders(name), undefined);
+	assert.equal(journal.named('answerUnreadable').length, 1);
+	client.dispose();
+});
