--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -1,4 +1,5 @@
 /** The owner's side of one target. */
+import {match} from 'ts-pattern';
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
@@ -18,6 +19,7 @@
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {SessionListener} from './session-listener.js';
+import {StrangerRuns} from './stranger-runs.js';
 
 /**
  * How long a target waits for an end before it answers a renewal: a tenth of the lease. A lost renewal hides the target's
@@ -33,8 +35,6 @@
 const stopRetryMilliseconds = 120;
 /** While there are runs that this owner doesn't know, their ends are looked for often. */
 const strangerWaitMilliseconds = 50;
-/** How long runs that this owner doesn't know may go on while the former owner's word of them may still come. */
-const strangerMilliseconds = 250;
 
 /** What a session works with. */
 type SessionParts = {
@@ -64,14 +64,13 @@
 	#hasOverdue = false;
 	/** When the latest report came: what is still in `#runs` was running then. */
 	#reportedAt = 0;
-	readonly #openedAt: number;
-	#strangers: ReadonlySet<string> = new Set();
+	readonly #strangers: StrangerRuns;
 	#wake: Disposable | undefined;
 
 	constructor(private readonly parts: SessionParts) {
 		this.#target = parts.target;
 		this.#fence = parts.fence;
-		this.#openedAt = parts.clock.now();
+		this.#strangers = new StrangerRuns(parts.clock.now());
 		this.#lease = new LeaseSchedule(parts.leaseMilliseconds);
 	}
 
@@ -99,7 +98,7 @@
 
 	/** Whether new tasks may be started: the target answers, isn't draining, and holds nothing unknown or overdue. */
 	get isOpen(): boolean {
-		const isOurs = !this.#isClosed && !this.#isPaused && this.#isLooked && this.#strangers.size === 0;
+		const isOurs = !this.#isClosed && !this.#isPaused && this.#isLooked && !this.#strangers.areThere;
 		return isOurs && this.isReachable && !this.#target.isDraining && !this.#hasOverdue;
 	}
 
@@ -153,7 +152,7 @@
 			this.#runs.set(runKeyOf(request), run);
 		}
 
-		this.#strangers = new Set([...this.#strangers].filter(key => !this.#runs.has(key)));
+		this.#strangers.forget(this.#runs);
 	}
 
 	/** Orders a start; the caller has checked that there's room. */
@@ -234,53 +233,31 @@
 	}
 
 	#takeStartReply(run: Run, reply: StartReply): void {
-		switch (reply.kind) {
-			case 'started': {
+		match(reply)
+			.with({kind: 'started'}, () => {
 				run.confirmedAt = this.parts.clock.now();
-				if (run.state === 'starting') {
-					run.state = 'running';
-				}
-
-				break;
-			}
-
-			case 'noRoom': {
-				this.#refuse(run, 'noRoom');
-				break;
-			}
-
-			case 'superseded': {
-				this.#refuse(run, 'superseded');
-				break;
-			}
-
-			case 'expired': {
+				run.state = run.state === 'starting' ? 'running' : run.state;
+			})
+			.with({kind: 'noRoom'}, {kind: 'superseded'}, ({kind}) => {
+				this.#refuse(run, kind);
+			})
+			.with({kind: 'expired'}, () => {
 				this.#refuse(run, 'targetRefused');
-				break;
-			}
-
-			case 'unanswered': {
+			})
+			.with({kind: 'unanswered'}, () => {
 				// The start may be carried out later: only a stop of the same attempt proves that it won't.
 				this.#beginStop(run, 'start without an answer');
-				break;
-			}
-
-			case 'fenced':
-			case 'replaced': {
-				this.#finish(reply);
-				break;
-			}
-
-			case 'unhealthy':
-			case 'unreachable':
-			case 'rejected': {
+			})
+			.with({kind: 'fenced'}, {kind: 'replaced'}, failure => {
+				this.#finish(failure);
+			})
+			.with({kind: 'unhealthy'}, {kind: 'unreachable'}, {kind: 'rejected'}, ({kind, detail}) => {
 				this.parts.journal.record('startRefused', {
-					target: this.#target.id, task: run.request.task, attempt: run.request.attempt, kind: reply.kind, detail: reply.detail,
+					target: this.#target.id, task: run.request.task, attempt: run.request.attempt, kind, detail,
 				});
 				this.#refuse(run, 'targetRefused');
-				break;
-			}
-		}
+			})
+			.exhaustive();
 	}
 
 	#refuse(run: Run, cause: 'noRoom' | 'superseded' | 'targetRefused'): void {
@@ -349,7 +326,7 @@
 			return 0;
 		}
 
-		if (this.#strangers.size > 0) {
+		if (this.#strangers.areThere) {
 			return strangerWaitMilliseconds;
 		}
 
@@ -358,7 +335,7 @@
 
 	/** Nothing is renewed while something may run there that nobody asked for, or whose stop isn't confirmed. */
 	#leaseWanted(now: number) {
-		if (!this.#isLooked || this.#strangers.size > 0) {
+		if (!this.#isLooked || this.#strangers.areThere) {
 			return undefined;
 		}
 
@@ -387,7 +364,7 @@
 
 		const running = new Set(report.running.map(run => runKeyOf(run)));
 		this.#dropMissing(running, sentAt);
-		this.#takeStrangers(report, now);
+		this.#stopStrangers(report, now);
 		this.#isLooked = true;
 		this.parts.listener.onDidChange();
 	}
@@ -426,15 +403,8 @@
 		}
 	}
 
-	/** Runs of a former owner: its word of them may still come; after that they're stopped. */
-	#takeStrangers(report: Extract<RenewalReply, {kind: 'report'}>, now: number): void {
-		const strangers = report.running.filter(run => !this.#runs.has(runKeyOf(run)));
-		this.#strangers = new Set(strangers.map(run => runKeyOf(run)));
-		if (strangers.length === 0 || now - this.#openedAt < strangerMilliseconds) {
-			return;
-		}
-
-		for (const {task, attempt} of strangers) {
+	#stopStrangers(report: Extract<RenewalReply, {kind: 'report'}>, now: number): void {
+		for (const {task, attempt} of this.#strangers.take(report.running, this.#runs, now)) {
 			this.parts.journal.record('strangerStopped', {target: this.#target.id, task, attempt});
 			void this.parts.orders.stop(this.#target, {task, attempt, fence: this.#fence});
 		}
