The soak is a load test where it has no faults

--no-faults sends traffic only; each line tells the median of what answers took beyond their jobs' own run times.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -12,6 +12,7 @@
 import {allInvariants} from './all-invariants.js';
 import {drawPlan} from './draw-plan.js';
 import {runSoak} from './run-soak.js';
+import type {SoakRecord} from './soak-record.js';
 
 const shownViolations = 8;
 
@@ -24,6 +25,7 @@
 	.option('entries', {type: 'number', default: 2, describe: 'in each zone'})
 	.option('workers', {type: 'number', default: 4, describe: 'in each zone'})
 	.option('rate', {type: 'number', default: 25, describe: 'jobs a second'})
+	.option('faults', {type: 'boolean', default: true, describe: 'without them it is a load test'})
 	.option('timed', {type: 'boolean', default: true, describe: 'checks the promises that name a time, which a busy machine can break'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'for the entries\' logs'})
 	.version(version)
@@ -42,16 +44,17 @@
 	const folder = join(options.folder, String(seed));
 	mkdirSync(folder, {recursive: true});
 	const milliseconds = options.seconds * 1000;
-	const {zones, entries: entriesPerZone, workers: workersPerZone, rate: jobsPerSecond} = options;
+	const {zones, entries: entriesPerZone, workers: workersPerZone, rate: jobsPerSecond, faults: hasFaults} = options;
 	const record = await runSoak({
-		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond,
+		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
 		.filter(({isTimed}) => options.timed || !isTimed)
 		.map(invariant => ({name: invariant.name, violations: invariant.violations(record)}))
 		.filter(({violations}) => violations.length > 0);
-	const counts = `${drawPlan(seed, milliseconds).length} faults, ${record.jobs.length} jobs, ${served} served, ${record.runs.length} run events`;
+	const faults = hasFaults ? drawPlan(seed, milliseconds).length : 0;
+	const counts = `${faults} faults, ${record.jobs.length} jobs, ${served} served, median wait ${medianWait(record)} ms, ${record.runs.length} run events`;
 	print(`seed ${seed}: ${counts}, ${found.length === 0 ? 'all promises held' : 'BROKEN'}`);
 	for (const {name, violations} of found) {
 		print(`  not: ${name} (${violations.length})`);
@@ -67,6 +70,14 @@
 	return found.length > 0;
 }
 
+/** The time to the answer beyond the job's own run time, in milliseconds. */
+function medianWait({jobs}: SoakRecord): number {
+	const waits = jobs.flatMap(({payload, attempts}) => attempts
+		.filter(({outcome}) => outcome?.kind === 'answer' && outcome.state === 'complete')
+		.map(({sentAt, endedAt}) => (endedAt ?? sentAt) - sentAt - Number(payload)));
+	return waits.sort((left, right) => left - right)[Math.floor(waits.length / 2)] ?? 0;
+}
+
 function print(line: string): void {
 	process.stdout.write(`${line}\n`);
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -27,7 +27,7 @@
 		}
 
 		const playing = callers.play(plan.milliseconds, plan.jobsPerSecond);
-		await injector.play(drawPlan(plan.seed, plan.milliseconds), Date.now());
+		await injector.play(plan.hasFaults ? drawPlan(plan.seed, plan.milliseconds) : [], Date.now());
 		await playing;
 		await new Promise(resolve => {
 			setTimeout(resolve, settleMilliseconds);
--- a/soak/soak-plan.ts
+++ b/soak/soak-plan.ts
@@ -6,4 +6,6 @@
 	readonly entriesPerZone: number;
 	readonly workersPerZone: number;
 	readonly jobsPerSecond: number;
+	/** Without faults a soak is a load test. */
+	readonly hasFaults: boolean;
 };
