--- a/src/features/dispatch/former-submissions.ts
+++ b/src/features/dispatch/former-submissions.ts
@@ -17,7 +17,10 @@
 export class FormerSubmissions {
 	readonly #former = new Map<JobId, Former>();
 
-	/** Keeps a job's tasks. A run without an owner that tells of its end counts as handed over to nobody from now on. */
+	/**
+	 * Keeps a job's tasks. Runs that are still under way count as handed over to nobody from now on: if nothing is heard of
+	 * them, they have ended with their lease.
+	 */
 	keep(id: JobId, slots: readonly TaskSlot[], now: number): void {
 		this.#forgetOld(now);
 		for (const slot of slots) {
