An entry that is leaving covers no zone; a try with room in the own zone first, reverted

An entry that decided to cover a zone just before it was stopped could join the zone's group while it left, and keep its targets idle for the 1.5 s of a place. It looks again after it has asked the targets. No test: found in reading.

--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -117,7 +117,8 @@
 			return;
 		}
 
-		if (member === undefined && !await this.#reaches(zone)) {
+		const isReached = member !== undefined || await this.#reaches(zone);
+		if (!isReached || this.#isLeaving) {
 			return;
 		}
 
