Jobs that can never be done take no sound target out

The failures were those of jobs that can't be done: each fails several times on one target and on several targets, and three failures in a row took a target out.

A failure counts against a target only if it's the first of its job in a row and the task hasn't failed or been lost elsewhere before. A target that fails everything is out after the first attempts of three jobs.

Before: two tests fail (one was run on the code before); after: they pass.

--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import type {DoubtCause} from '../../base/doubt-cause.js';
 import type {JobId} from '../../base/job-id.js';
+import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
 import type {Random} from '../../base/random.js';
@@ -277,7 +278,7 @@
 
 	/** The end of a run whose job is over here: it counts if the job is submitted again. */
 	#takeFormer(task: string, attempt: number, outcome: RunOutcome): void {
-		const slot = this.#former.find(jobOf(task), task);
+		const slot = this.#former.find(jobOfTask(task), task);
 		if (slot?.attempt !== attempt || slot.owner === undefined) {
 			return;
 		}
@@ -415,17 +416,12 @@
 	}
 
 	#find(task: string): {readonly job: RunningJob; readonly slot: TaskSlot} | undefined {
-		const job = this.#jobs.get(jobOf(task));
+		const job = this.#jobs.get(jobOfTask(task));
 		const slot = job?.slots.find(candidate => candidate.id === task);
 		return job === undefined || slot === undefined ? undefined : {job, slot};
 	}
 }
 
-/** A task is named after its job. */
-function jobOf(task: string): JobId {
-	return task.slice(0, task.indexOf('.')) as JobId;
-}
-
 function doubt(cause: DoubtCause, detail: string): Verdict<JobOutcome> {
 	return {kind: 'mayHaveRun', cause, detail};
 }
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -4,6 +4,7 @@
 import {Emitter} from '../../base/emitter.js';
 import type {FencingToken} from '../../base/fencing-token.js';
 import type {InstanceId} from '../../base/instance-id.js';
+import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
 import type {Resources} from '../../base/resources.js';
@@ -311,7 +312,12 @@
 		const {id} = session.target;
 		const now = clock.now();
 		const end = {
-			target: id, profile: run.request.queue, runMilliseconds: now - run.startedAt, expectedMilliseconds: run.request.expectedMilliseconds,
+			target: id,
+			profile: run.request.queue,
+			runMilliseconds: now - run.startedAt,
+			expectedMilliseconds: run.request.expectedMilliseconds,
+			job: jobOfTask(run.request.task),
+			hasFailedElsewhere: run.request.avoid.length > 0,
 		};
 		if (outcome.kind === 'done') {
 			health.report({...end, outcome: 'result'}, now);
--- a/src/features/placement/target-health.ts
+++ b/src/features/placement/target-health.ts
@@ -29,10 +29,16 @@
 	readonly outcome: Outcome;
 	readonly runMilliseconds: number;
 	readonly expectedMilliseconds: number;
+	/** The task's job, where it's known: several failures of one job in a row say no more than one. */
+	readonly job?: string;
+	/** The task has failed or been lost on another target before: this failure says more of the task than of the target. */
+	readonly hasFailedElsewhere?: boolean;
 };
 
 type State = {
 	failureStreak: number;
+	/** The job of the latest failure of the streak. */
+	failedJob: string | undefined;
 	ejections: number;
 	ejectedUntil: number;
 	isOut: boolean;
@@ -99,7 +105,8 @@
 	}
 
 	/** Takes the end of a task. */
-	report({target, profile, outcome, runMilliseconds, expectedMilliseconds}: TaskEnd, now: number): void {
+	report(end: TaskEnd, now: number): void {
+		const {target, profile, outcome, runMilliseconds, expectedMilliseconds, job} = end;
 		const state = this.#stateOf(target);
 		const isGood = outcome === 'result';
 		noteOutcome(state, profile, isGood);
@@ -109,12 +116,13 @@
 		}
 
 		// A failing task says nothing about its target when the same profile fails on the others too.
-		if (outcome === 'failure' && this.#failsElsewhere(target, profile)) {
+		if (outcome === 'failure' && (this.#failsElsewhere(target, profile) || isDoubtful(state, end))) {
 			state.isProbing = false;
 			return;
 		}
 
 		state.failureStreak += 1;
+		state.failedJob = job;
 		if (state.isProbing || (!state.isOut && state.failureStreak >= failuresToEject)) {
 			this.#eject(target, state, outcome, now);
 		}
@@ -122,6 +130,7 @@
 
 	#good(target: InstanceId, state: State, ratio: number): void {
 		state.failureStreak = 0;
+		state.failedJob = undefined;
 		state.samples += 1;
 		state.slowness += smoothing * (ratio - state.slowness);
 		if (!state.isOut || !state.isProbing) {
@@ -168,13 +177,22 @@
 		}
 
 		const state: State = {
-			failureStreak: 0, ejections: 0, ejectedUntil: 0, isOut: false, isProbing: false, slowness: 1, samples: 0, failureShares: new Map(),
+			failureStreak: 0, failedJob: undefined, ejections: 0, ejectedUntil: 0, isOut: false, isProbing: false, slowness: 1, samples: 0, failureShares: new Map(),
 		};
 		this.#states.set(target, state);
 		return state;
 	}
 }
 
+/**
+ * Jobs that can never be done fail at once, several tasks on one target and each of them on several targets. Charged to the
+ * targets, three such jobs take a zone's sound targets out for seconds. A target that fails everything is found out all the
+ * same, by the first attempts of three jobs.
+ */
+function isDoubtful(state: State, {job, hasFailedElsewhere}: TaskEnd): boolean {
+	return hasFailedElsewhere === true || (job !== undefined && job === state.failedJob);
+}
+
 /** The first samples weigh more: a profile that fails everywhere is known for it after a task on each target. */
 function noteOutcome(state: State, profile: ProfileName, isGood: boolean): void {
 	const known = state.failureShares.get(profile) ?? {share: 0, samples: 0};
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -354,6 +354,26 @@
 	assert.deepEqual([world.orders.mostAtOnce, world.running()], [1, ['00000000000000aa.0.0.0']]);
 });
 
+// A few jobs that can never be done are handed in, each of several tasks with three attempts. Their failures, one after the
+// other on sound targets, look like those of targets that fail everything: the targets are taken out for seconds, and jobs
+// that could be done are refused for want of room.
+test('a job that can never be done takes no sound target out', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 2);
+	await world.start();
+	for (let job = 0; job < 10; job += 1) {
+		world.submit('a-1', `00000000000000b${job}`, {tasks: 8, payload: '20', declared: 20});
+		await world.pass(100);
+	}
+
+	for (let job = 0; job < 2; job += 1) {
+		const hopeless = world.submit('a-1', `00000000000000a${job}`, {tasks: 8, payload: 'fails'});
+		await world.pass(200);
+		assert.deepEqual(hopeless.verdict, {kind: 'answered', answer: 'failed'});
+	}
+
+	assert.deepEqual(world.journal.named('targetEjected'), []);
+});
+
 // An owner gives up a target whose run belongs to an entry that the next owner doesn't hear. Kept alive there, the run would go
 // on beside the next attempt, which its entry begins elsewhere since nobody tells it of the adoption.
 test('a run that was adopted for an entry that is not heard is stopped', async () => {
--- a/test/features/placement/target-health.test.ts
+++ b/test/features/placement/target-health.test.ts
@@ -79,3 +79,31 @@
 	report(ids[0]!, 'result', 20, {runMilliseconds: 500});
 	assert.equal(health.condition(ids[0]!, 100), 'slow');
 });
+
+// Jobs that can never be done fail on sound targets, each of them many times in a row; a target that fails everything fails the
+// first attempts of many jobs.
+test('failures of one job, and of tasks that failed elsewhere, take no target out; those of three jobs do', () => {
+	const {health} = healthOf();
+	const profile = 'flight-desk' as ProfileName;
+	const fail = (job: string, hasFailedElsewhere: boolean) => {
+		health.report({
+			target: ids[0]!, profile, outcome: 'failure', runMilliseconds: 1, expectedMilliseconds: 100, job, hasFailedElsewhere,
+		}, 0);
+	};
+
+	for (const id of ids) {
+		health.report({
+			target: id, profile, outcome: 'result', runMilliseconds: 100, expectedMilliseconds: 100,
+		}, 0);
+	}
+
+	for (let failures = 0; failures < 8; failures += 1) {
+		fail('hopeless', false);
+		fail('other hopeless', true);
+	}
+
+	assert.equal(health.condition(ids[0]!, 0), 'fit');
+	fail('second', false);
+	fail('third', false);
+	assert.equal(health.condition(ids[0]!, 0), 'out');
+});
