Soak and stand-ins: one way to write a keyed record, one to wait; the tests' hand-over stands once

The operator's and the workers' stand-ins had the same encoding and call; the soak had four copies of a wait that Node.js has; three tests of adopted runs began with the same lines.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,5 +1,6 @@
 /** The callers of a soak. */
 import {Agent, request} from 'node:http';
+import {setTimeout as wait} from 'node:timers/promises';
 import type {Random} from '../src/base/random.js';
 import {jobBody} from '../standins/job-body.js';
 import type {Attempt} from './attempt.js';
@@ -46,7 +47,7 @@
 		const endsAt = Date.now() + milliseconds;
 		while (Date.now() < endsAt) {
 			this.#open.add(this.#submit());
-			await pause(this.random.below(2000 / jobsPerSecond));
+			await wait(this.random.below(2000 / jobsPerSecond));
 		}
 
 		await Promise.all(this.#open);
@@ -63,7 +64,7 @@
 				return true;
 			}
 
-			await pause(readinessMilliseconds);
+			await wait(readinessMilliseconds);
 		}
 
 		return false;
@@ -100,7 +101,7 @@
 				return;
 			}
 
-			await pause(soakBounds.resubmission);
+			await wait(soakBounds.resubmission);
 		}
 	}
 
@@ -113,7 +114,7 @@
 		while (!this.#isOver) {
 			const ready = await Promise.all(this.entries.map(async entry => this.#isReady(entry)));
 			this.#ready = this.entries.filter((_, index) => ready[index]);
-			await pause(readinessMilliseconds);
+			await wait(readinessMilliseconds);
 		}
 	}
 
@@ -134,7 +135,7 @@
 					});
 				}
 			}));
-			await pause(probeMilliseconds);
+			await wait(probeMilliseconds);
 		}
 	}
 }
@@ -198,9 +199,3 @@
 		outgoing.end(body);
 	});
 }
-
-async function pause(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -1,4 +1,5 @@
 /** Plays a plan of faults, and notes what was disturbed when. */
+import {setTimeout as wait} from 'node:timers/promises';
 import type {FaultStrike} from './fault-strike.js';
 import type {PlannedFault} from './planned-fault.js';
 import type {SoakRecord} from './soak-record.js';
@@ -59,7 +60,5 @@
 }
 
 async function until(time: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, Math.max(0, time - Date.now()));
-	});
+	await wait(Math.max(0, time - Date.now()));
 }
--- a/soak/fault-strike.ts
+++ b/soak/fault-strike.ts
@@ -1,4 +1,5 @@
 /** Carries one planned fault out, and heals it. */
+import {setTimeout as wait} from 'node:timers/promises';
 import {match} from 'ts-pattern';
 import type {EdgeProcess} from './edge-process.js';
 import type {PlannedFault} from './planned-fault.js';
@@ -140,9 +141,7 @@
 		entry.signal('SIGCONT');
 		await entry.end('SIGTERM');
 		return async () => {
-			await new Promise(resolve => {
-				setTimeout(resolve, restartMilliseconds);
-			});
+			await wait(restartMilliseconds);
 			await this.world.restart(entry);
 		};
 	}
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -1,4 +1,5 @@
 /** Plays one soak from its start to its record. */
+import {setTimeout as wait} from 'node:timers/promises';
 import {Random} from '../src/base/random.js';
 import {Callers} from './callers.js';
 import {drawPlan} from './draw-plan.js';
@@ -29,9 +30,7 @@
 		const playing = callers.play(plan.milliseconds, plan.jobsPerSecond);
 		await injector.play(plan.hasFaults ? drawPlan(plan.seed, plan.milliseconds) : [], Date.now());
 		await playing;
-		await new Promise(resolve => {
-			setTimeout(resolve, settleMilliseconds);
-		});
+		await wait(settleMilliseconds);
 		record.leftovers = await world.running();
 		record.runs = await world.truth();
 	} finally {
--- a/standins/operator.ts
+++ b/standins/operator.ts
@@ -1,10 +1,7 @@
 /** What the platform's operator writes. */
-import {Buffer} from 'node:buffer';
-import {request} from 'undici';
+import {appendKeyed} from './append-keyed.js';
 
-/** An answer of the store may be lost. */
-const callMilliseconds = 700;
-const lengthBytes = 4;
+const topic = 'keyed.op';
 const key = 'config';
 
 /** A published configuration. It may be in force also where the store's answer didn't come. */
@@ -27,14 +24,6 @@
 			})),
 			limits: {max_body_bytes: 262_144},
 		});
-		const record = Buffer.concat([Buffer.alloc(lengthBytes), Buffer.from([key.length]), Buffer.from(key), Buffer.from(value)]);
-		record.writeUInt32BE(record.length - lengthBytes, 0);
-		try {
-			const response = await request(`http://${this.storeAddress}/log-append?topic=keyed.op&part=0`, {method: 'POST', body: record, headersTimeout: callMilliseconds});
-			await response.body.dump();
-			return {version, isAccepted: response.statusCode === 200};
-		} catch {
-			return {version, isAccepted: false};
-		}
+		return {version, isAccepted: await appendKeyed(this.storeAddress, {topic, key, value})};
 	}
 }
--- a/standins/worker/worker-host.ts
+++ b/standins/worker/worker-host.ts
@@ -1,8 +1,7 @@
 /** Several workers' stand-ins in one process, which register themselves in the store. */
-import {Buffer} from 'node:buffer';
 import {serve} from '@hono/node-server';
 import {Hono} from 'hono';
-import {request} from 'undici';
+import {appendKeyed} from '../append-keyed.js';
 import type {RunEvent} from './run-event.js';
 import {WorkerService} from './worker-service.js';
 
@@ -14,9 +13,7 @@
 const lapseMilliseconds = 3 * heartbeatMilliseconds;
 /** How long a draining worker goes on after the store has accepted its report. */
 const drainMilliseconds = 3000;
-/** An answer of the store may be lost. */
-const callMilliseconds = 700;
-const lengthBytes = 4;
+const topic = 'keyed.servers';
 
 type Place = {service: WorkerService; life: number; sequence: number; state: 'ready' | 'draining'; address: string | undefined; readonly zone: string};
 
@@ -128,16 +125,8 @@
 		}));
 	}
 
+	/** Where the store didn't accept, the next heartbeat registers the worker again. */
 	async #write(id: string, value: string): Promise<boolean> {
-		const record = Buffer.concat([Buffer.alloc(lengthBytes), Buffer.from([Buffer.byteLength(id)]), Buffer.from(id), Buffer.from(value)]);
-		record.writeUInt32BE(record.length - lengthBytes, 0);
-		try {
-			const response = await request(`http://${this.storeAddress}/log-append?topic=keyed.servers&part=0`, {method: 'POST', body: record, headersTimeout: callMilliseconds});
-			await response.body.dump();
-			return response.statusCode === 200;
-		} catch {
-			// The store is away: the next heartbeat registers the worker again.
-			return false;
-		}
+		return appendKeyed(this.storeAddress, {topic, key: id, value});
 	}
 }
--- a/test/features/execution/executor.test.ts
+++ b/test/features/execution/executor.test.ts
@@ -72,6 +72,16 @@
 	};
 }
 
+/** An owner starts a run on the target named `target`, and gives the target up 300 ms later. */
+async function releaseDuringRun({clock, assign}: ReturnType<typeof worldOf>, owner: Executor, payload: string) {
+	const target = targetNamed('target');
+	assign(owner, target, 1);
+	await passTime(clock, 20);
+	owner.start(requestOf('task', payload), entry);
+	await passTime(clock, 300);
+	return owner.release(new Set([target.id]));
+}
+
 test('two tasks of 27 cores fit into a target of 64, a third finds no room until one has ended', async () => {
 	const {clock, executorOf, assign} = worldOf();
 	const {executor, reports} = executorOf();
@@ -140,15 +150,12 @@
 // An entry leaves while its targets work. The next owner gets its word of them before it owns them, and goes on: no task is
 // stopped or begun again.
 test('tasks go on under the next owner of their target', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const world = worldOf();
+	const {clock, orders, executorOf, assign} = world;
 	const first = executorOf();
 	const second = executorOf();
 	const target = targetNamed('target');
-	assign(first.executor, target, 1);
-	await passTime(clock, 20);
-	first.executor.start(requestOf('task', '1500'), entry);
-	await passTime(clock, 300);
-	const handovers = await first.executor.release(new Set([target.id]));
+	const handovers = await releaseDuringRun(world, first.executor, '1500');
 	for (const handover of handovers) {
 		second.executor.expect(handover);
 	}
@@ -205,14 +212,11 @@
 // before the second has renewed anything. The second one told at once that the run was gone, and its task was begun elsewhere
 // while it went on under the first owner's lease.
 test('a run that was adopted is reported gone only when the former owner\'s lease has passed as well', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const world = worldOf();
+	const {clock, orders, executorOf, assign} = world;
 	const [first, second, third] = [executorOf(), executorOf(), executorOf()];
 	const target = targetNamed('target');
-	assign(first.executor, target, 1);
-	await passTime(clock, 20);
-	first.executor.start(requestOf('task', '5000'), entry);
-	await passTime(clock, 300);
-	const handovers = await first.executor.release(new Set([target.id]));
+	const handovers = await releaseDuringRun(world, first.executor, '5000');
 	assign(third.executor, target, 3);
 	await passTime(clock, 5);
 	for (const handover of handovers) {
@@ -228,14 +232,11 @@
 
 // As above, but the target doesn't answer the second owner at all.
 test('a run that was adopted on a silent target is reported gone only after its lease', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const world = worldOf();
+	const {clock, orders, executorOf, assign} = world;
 	const [first, second] = [executorOf(), executorOf()];
 	const target = targetNamed('target');
-	assign(first.executor, target, 1);
-	await passTime(clock, 20);
-	first.executor.start(requestOf('task', '5000'), entry);
-	await passTime(clock, 300);
-	const handovers = await first.executor.release(new Set([target.id]));
+	const handovers = await releaseDuringRun(world, first.executor, '5000');
 	orders.behaviour.set(target.id, 'silent');
 	for (const handover of handovers) {
 		second.executor.expect(handover);
