--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -25,6 +25,7 @@
 	readonly address: string;
 	readonly storeAddress: string;
 	readonly folder: string;
+	readonly profileFolder: string | undefined;
 	/** Told of a process that ended though nobody ended it, and of errors that reached its top. */
 	readonly onDefect: (kind: 'exits' | 'defects', detail: string) => void;
 };
@@ -76,7 +77,7 @@
 
 	/** Begins a new life. */
 	async start(seeds: readonly string[]): Promise<void> {
-		const {instance, zone, address, folder} = this.place;
+		const {instance, zone, address, folder, profileFolder} = this.place;
 		const settings = edgeSettings({
 			instance, zone, address, storeAddress: await this.store.listen(), seeds,
 		});
@@ -89,7 +90,8 @@
 		this.life += 1;
 		this.#isEnding = false;
 		const environment = Object.fromEntries([...Object.entries(process.env), ['SAVORYLOCK_SETTINGS', file]]);
-		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, main, '9464', '--advertised-peers', this.#advertised], {
+		const profiling = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
+		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, ...profiling, main, '9464', '--advertised-peers', this.#advertised], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: environment,
 		});
 		this.#child = child;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -27,6 +27,7 @@
 	.option('rate', {type: 'number', default: 25, describe: 'jobs a second'})
 	.option('faults', {type: 'boolean', default: true, describe: 'without them it is a load test'})
 	.option('timed', {type: 'boolean', default: true, describe: 'checks the promises that name a time, which a busy machine can break'})
+	.option('profile', {type: 'string', describe: 'a folder for V8 processor profiles of the entries, which are then ended gracefully'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'for the entries\' logs'})
 	.version(version)
 	.strict()
@@ -46,7 +47,7 @@
 	const milliseconds = options.seconds * 1000;
 	const {zones, entries: entriesPerZone, workers: workersPerZone, rate: jobsPerSecond, faults: hasFaults} = options;
 	const record = await runSoak({
-		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults,
+		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults, profileFolder: options.profile,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
--- a/soak/soak-plan.ts
+++ b/soak/soak-plan.ts
@@ -8,4 +8,6 @@
 	readonly jobsPerSecond: number;
 	/** Without faults a soak is a load test. */
 	readonly hasFaults: boolean;
+	/** Where each entry leaves a V8 processor profile when it ends; none are taken where absent. */
+	readonly profileFolder: string | undefined;
 };
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -21,7 +21,7 @@
 		const zones = Array.from({length: plan.zones}, (_, index) => `zone-${index + 1}`);
 		const workerZones = zones.flatMap(zone => Array.from({length: plan.workersPerZone}, () => zone));
 		const host = await Program.start('standins/worker/main.js', ['--store', storeAddress, '--service', service, '--zones', workerZones.join(',')]);
-		const world = new SoakWorld(store, host, storeAddress, entriesOf(plan, {
+		const world = new SoakWorld(plan, store, host, entriesOf(plan, {
 			zones, folder, storeAddress, record,
 		}));
 		try {
@@ -38,9 +38,11 @@
 
 	readonly workerRelays: Relay[] = [];
 	readonly operator: Operator;
+	readonly storeAddress: string;
 
-	private constructor(private readonly store: Program, private readonly host: Program, readonly storeAddress: string, readonly entries: readonly EdgeProcess[]) {
-		this.operator = new Operator(storeAddress, service, soakHost);
+	private constructor(private readonly plan: SoakPlan, private readonly store: Program, private readonly host: Program, readonly entries: readonly EdgeProcess[]) {
+		this.storeAddress = `127.0.0.1:${store.ports.httpPort}`;
+		this.operator = new Operator(this.storeAddress, service, soakHost);
 	}
 
 	get workerCount(): number {
@@ -83,7 +85,9 @@
 			entry.signal('SIGCONT');
 		}
 
-		await Promise.all(this.entries.map(async entry => entry.end('SIGKILL')));
+		// A profile is written only by a process that ends by itself.
+		const signal = this.plan.profileFolder === undefined ? 'SIGKILL' : 'SIGTERM';
+		await Promise.all(this.entries.map(async entry => entry.end(signal)));
 		await Promise.all([this.store, this.host].map(async program => program.end('SIGKILL')));
 		for (const relay of this.workerRelays) {
 			relay.close();
@@ -127,6 +131,7 @@
 		address: `127.${network + 10}.${zoneIndex + 1}.${index + 1}`,
 		storeAddress,
 		folder,
+		profileFolder: plan.profileFolder,
 		onDefect(kind, detail) {
 			record[kind].push(detail);
 		},
--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -3,6 +3,11 @@
 
 /** A source of time and timers. Everything that waits or compares times takes one. */
 export abstract class Clock {
+	/** Calls back once everything that is being handled now has been handled, without a wait. */
+	defer(callback: () => void): void {
+		this.schedule(0, callback);
+	}
+
 	/** Monotonic time in milliseconds from an arbitrary start; goes on while the process is paused. */
 	abstract now(): number;
 
--- a/src/base/system-clock.ts
+++ b/src/base/system-clock.ts
@@ -13,6 +13,10 @@
 		return Date.now();
 	}
 
+	override defer(callback: () => void): void {
+		setImmediate(callback);
+	}
+
 	override schedule(delayMilliseconds: number, callback: () => void): Disposable {
 		const timer = setTimeout(callback, Math.max(0, delayMilliseconds));
 		return {
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -9,14 +9,13 @@
 import {Dispatcher} from '../../features/dispatch/dispatcher.js';
 import {ReachableObjective} from '../../features/dispatch/reachable-objective.js';
 import {Executor} from '../../features/execution/executor.js';
-import type {Handover} from '../../features/execution/handover.js';
 import {Ownership} from '../../features/ownership/ownership.js';
 import type {PartitionGroup} from '../../features/ownership/partition-group.js';
 import {MeanRunTimes} from '../../features/placement/mean-run-times.js';
 import {TargetHealth} from '../../features/placement/target-health.js';
+import type {EntryState} from '../../features/pool/entry-state.js';
 import {Pool} from '../../features/pool/pool.js';
 import {RemoteRuns} from '../../features/pool/remote-runs.js';
-import {requestMessageOf} from '../../features/pool/request-message-of.js';
 import {zonesToCover} from '../../features/pool/zone-cover.js';
 import type {RoutingTable} from '../../features/routing/routing-table.js';
 import type {TargetCatalogue} from '../../features/targets/target-catalogue.js';
@@ -108,7 +107,7 @@
 		}));
 		own.add(this.ownership.onDidHandOver(handovers => {
 			this.dispatcher.noteHandovers(handovers);
-			this.pool.broadcast({kind: 'handover', handovers: handovers.map(handover => messageOf(handover))});
+			this.pool.broadcast({kind: 'handover', handovers});
 		}));
 		own.add(routing.onDidChange(() => {
 			this.pool.tellChange();
@@ -116,24 +115,19 @@
 		own.add(this.pool.onDidReceive(({from, message}) => {
 			if (message.kind === 'handover') {
 				this.ownership.renew();
-			} else if (message.kind === 'state' && message.routingVersion > routing.version) {
+			} else if (message.kind === 'state' && message.state.routingVersion > routing.version) {
 				this.pool.send(from.id, {kind: 'wantRouting'});
 			} else if (message.kind === 'wantRouting' && routing.configuration !== undefined) {
-				this.pool.send(from.id, {kind: 'routing', configuration: {...routing.configuration, routes: [...routing.configuration.routes]}});
+				this.pool.send(from.id, {kind: 'routing', configuration: routing.configuration});
 			} else if (message.kind === 'routing') {
 				routing.offer(message.configuration, 'peer');
 			}
 		}));
 	}
 
-	#state() {
+	#state(): EntryState {
 		return {
-			isLeaving: this.#isLeaving,
-			routingVersion: this.parts.routing.version,
-			waitingTasks: this.dispatcher.waitingTasks,
-			room: this.executor.room.map(({service, labels, room}) => ({
-				service, labels: [...labels], room: [room.cpuMillis, room.memoryMegabytes, room.accelerators] as [number, number, number],
-			})),
+			isLeaving: this.#isLeaving, routingVersion: this.parts.routing.version, wanted: this.dispatcher.wanted, room: this.executor.room,
 		};
 	}
 
@@ -147,11 +141,3 @@
 		this.ownership.cover(covered);
 	}
 }
-
-function messageOf({target, acknowledged, runs}: Handover) {
-	return {
-		target: target as string,
-		acknowledged,
-		runs: runs.map(({request, requester}) => ({request: requestMessageOf(request), requester})),
-	};
-}
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -9,16 +9,17 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
 import type {Random} from '../../base/random.js';
+import type {TaskId} from '../../base/task-id.js';
 import {repeat} from '../../base/repeat.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {Handover} from '../execution/handover.js';
 import type {Executor} from '../execution/executor.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
+import type {WantedRoom} from '../execution/wanted-room.js';
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
-import {requestMessageOf} from '../pool/request-message-of.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import {FormerSubmissions} from './former-submissions.js';
 import type {JobOutcome} from './job-outcome.js';
@@ -61,6 +62,7 @@
 	readonly #placer: TaskPlacer;
 	readonly #store = new DisposableStore();
 	#isWaiting = false;
+	#isPumpDue = false;
 
 	constructor(private readonly parts: DispatcherParts) {
 		const {executor, pool, clock} = parts;
@@ -85,10 +87,10 @@
 			this.#repeatRequests(member);
 		}));
 		this.#store.add(pool.onDidChangeRoom(() => {
-			this.pump();
+			this.#pumpSoon();
 		}));
 		this.#store.add(executor.onDidChangeRoom(() => {
-			this.pump();
+			this.#pumpSoon();
 		}));
 		this.#store.add(repeat(clock, checkMilliseconds, () => {
 			this.#check();
@@ -108,6 +110,21 @@
 		return waiting;
 	}
 
+	/** The least that a waiting task of each service needs; empty where none waits. */
+	get wanted(): readonly WantedRoom[] {
+		const least = new Map<string, WantedRoom>();
+		for (const {job, waiting} of this.#jobs.values()) {
+			const {service} = job.route;
+			const {need} = job.shape;
+			const known = least.get(service);
+			if (waiting.length > 0 && (known === undefined || need.cpuMillis < known.need.cpuMillis)) {
+				least.set(service, {service, need});
+			}
+		}
+
+		return [...least.values()];
+	}
+
 	/** Runs a job; the token is cancelled when its submitter is gone. */
 	async submit(job: BestEffortJob, token: CancellationToken): Promise<Verdict<JobOutcome>> {
 		if (token.isCancellationRequested) {
@@ -177,6 +194,19 @@
 		this.#store.dispose();
 	}
 
+	/** One report of a target or one batch of messages changes room several times: the queue is gone through once for all. */
+	#pumpSoon(): void {
+		if (this.#isPumpDue || this.#jobs.size === 0) {
+			return;
+		}
+
+		this.#isPumpDue = true;
+		this.parts.clock.defer(() => {
+			this.#isPumpDue = false;
+			this.pump();
+		});
+	}
+
 	#receive(from: MemberId, message: PoolMessage): void {
 		if (message.kind === 'report') {
 			this.#take(message.task, message.attempt, message.outcome);
@@ -319,7 +349,7 @@
 		}
 	}
 
-	#adopted(task: string, attempt: number, owner: MemberId): void {
+	#adopted(task: TaskId, attempt: number, owner: MemberId): void {
 		const found = this.#find(task);
 		if (found?.slot.attempt === attempt && found.slot.owner !== undefined) {
 			found.slot.owner = owner;
@@ -344,7 +374,7 @@
 		for (const job of this.#jobs.values()) {
 			for (const slot of job.slots) {
 				if (slot.owner === member) {
-					this.parts.pool.send(member, {kind: 'run', request: requestMessageOf(requestOf(job, slot))});
+					this.parts.pool.send(member, {kind: 'run', request: requestOf(job, slot)});
 				}
 			}
 		}
@@ -404,7 +434,7 @@
 		job.submission.settle(verdict);
 	}
 
-	#stopRun(task: string, attempt: number, owner: MemberId, cause: string): void {
+	#stopRun(task: TaskId, attempt: number, owner: MemberId, cause: string): void {
 		const {executor, pool} = this.parts;
 		if (owner === pool.self) {
 			executor.stop(task, attempt, cause);
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -5,7 +5,6 @@
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {Executor} from '../execution/executor.js';
 import type {Pool} from '../pool/pool.js';
-import {requestMessageOf} from '../pool/request-message-of.js';
 import {chooseMember} from './choose-member.js';
 import type {QueueOrder} from './queue-order.js';
 import {requestOf} from './request-of.js';
@@ -66,7 +65,7 @@
 		}
 
 		pool.reserve(choice.member, choice.share, request.need);
-		pool.send(choice.member.member.id, {kind: 'run', request: requestMessageOf(request)});
+		pool.send(choice.member.member.id, {kind: 'run', request});
 		journal.record('taskSent', {
 			task: slot.id, attempt: slot.attempt, owner: choice.member.member.id, heardAgoMilliseconds: Math.round(clock.now() - choice.member.heardAt),
 		});
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -13,6 +13,7 @@
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
+import {AnswerTimes} from './answer-times.js';
 import type {ExecutionReport} from './execution-report.js';
 import type {Handover} from './handover.js';
 import type {RoomShare} from './room-share.js';
@@ -54,6 +55,7 @@
 	readonly #adopt = new Emitter<{readonly requester: MemberId; readonly request: RunRequest}>();
 	readonly #change = new Emitter<void>();
 
+	readonly #answerTimes = new AnswerTimes();
 	readonly #watch: Disposable;
 
 	constructor(private readonly parts: ExecutorParts) {
@@ -166,7 +168,7 @@
 			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.room.cpuMillis, requester,
 		});
 		session.start({
-			request, requester, state: 'starting', startedAt: clock.now(), confirmedAt: undefined, stopConfirmedAt: undefined, stopCause: undefined,
+			request, requester, state: 'starting', startedAt: clock.now(), confirmedAtStep: undefined, stopConfirmedAtStep: undefined, stopCause: undefined,
 		});
 		return target.id;
 	}
@@ -234,7 +236,7 @@
 	#open(id: InstanceId, target: TargetRecord, fence: FencingToken): void {
 		const {leaseMilliseconds, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, orders, clock, journal, listener: {
+			target, fence, leaseMilliseconds, orders, answerTimes: this.#answerTimes, clock, journal, listener: {
 				onDidEndRun: (run, outcome) => {
 					this.#ended(session, run, outcome);
 				},
--- a/src/features/execution/run.ts
+++ b/src/features/execution/run.ts
@@ -5,7 +5,7 @@
 /**
  * - `starting`: the order is under way, and its answer isn't there.
  * - `running`: the target confirmed it.
- * - `stopping`: it's to end; `stopConfirmedAt` is set once the target has accepted the stop.
+ * - `stopping`: it's to end; `stopConfirmedAtStep` is set once the target has accepted the stop.
  */
 export type Run = {
 	readonly request: RunRequest;
@@ -13,8 +13,8 @@
 	readonly requester: MemberId;
 	state: 'starting' | 'running' | 'stopping';
 	startedAt: number;
-	/** When the target's confirmation came; none before it. */
-	confirmedAt: number | undefined;
-	stopConfirmedAt: number | undefined;
+	/** The step of its session at which the target's confirmation came; none before it. */
+	confirmedAtStep: number | undefined;
+	stopConfirmedAtStep: number | undefined;
 	stopCause: string | undefined;
 };
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -10,8 +10,10 @@
 import type {RenewalReply} from '../targets/renewal-reply.js';
 import type {RunEnd} from '../targets/run-end.js';
 import type {StartReply} from '../targets/start-reply.js';
+import type {StopReply} from '../targets/stop-reply.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
+import type {AnswerTimes} from './answer-times.js';
 import type {Handover} from './handover.js';
 import {LeaseSchedule} from './lease-schedule.js';
 import {overdueOf} from './overdue-of.js';
@@ -32,7 +34,8 @@
 const retryMilliseconds = 100;
 /** So many renewals in a row without an answer, and the target gets no new tasks. */
 const unansweredToSuspend = 2;
-const stopRetryMilliseconds = 120;
+/** Between two tries to stop a run; beside the time limit of the first it's the shorter part. */
+const stopRetryMilliseconds = 40;
 /** While there are runs that this owner doesn't know, their ends are looked for often. */
 const strangerWaitMilliseconds = 50;
 
@@ -42,6 +45,8 @@
 	readonly fence: FencingToken;
 	readonly leaseMilliseconds: number;
 	readonly orders: TargetOrders;
+	/** Of all targets together: what is slow about an entry is slow for each of them. */
+	readonly answerTimes: AnswerTimes;
 	readonly clock: Clock;
 	readonly journal: Journal;
 	readonly listener: SessionListener;
@@ -62,6 +67,11 @@
 	#isClosed = false;
 	#isPaused = false;
 	#hasOverdue = false;
+	#room: Resources | undefined;
+	/** Counts what is sent and what is confirmed: times can't tell before from after within one millisecond. */
+	#step = 0;
+	/** The target's time of the latest report; a report that was overtaken says nothing of what runs now. */
+	#reportClock = 0;
 	/** When the latest report came: what is still in `#runs` was running then. */
 	#reportedAt = 0;
 	readonly #strangers: StrangerRuns;
@@ -119,12 +129,8 @@
 
 	/** What is left of the target's capacity. */
 	get room(): Resources {
-		let room = this.#target.capacity;
-		for (const run of this.#runs.values()) {
-			room = room.minus(run.request.need);
-		}
-
-		return room;
+		this.#room ??= this.#roomLeft();
+		return this.#room;
 	}
 
 	/** Begins to look and to renew. */
@@ -136,6 +142,7 @@
 	update(target: TargetRecord, fence: FencingToken): void {
 		this.#target = target;
 		this.#fence = fence;
+		this.#room = undefined;
 	}
 
 	/** Takes the former owner's runs as its own; the next report shows which of them still run. */
@@ -147,9 +154,9 @@
 		this.#lease.noteRenewal(now);
 		for (const {request, requester} of handover.runs) {
 			const run: Run = {
-				request, requester, state: 'running', startedAt: now, confirmedAt: now, stopConfirmedAt: undefined, stopCause: undefined,
+				request, requester, state: 'running', startedAt: now, confirmedAtStep: this.#nextStep(), stopConfirmedAtStep: undefined, stopCause: undefined,
 			};
-			this.#runs.set(runKeyOf(request), run);
+			this.#add(run);
 		}
 
 		this.#strangers.forget(this.#runs);
@@ -157,7 +164,7 @@
 
 	/** Orders a start; the caller has checked that there's room. */
 	start(run: Run): void {
-		this.#runs.set(runKeyOf(run.request), run);
+		this.#add(run);
 		void this.#startRun(run);
 	}
 
@@ -177,7 +184,7 @@
 		this.#close();
 		const runs = [...this.#runs.values()].filter(run => run.state === 'running');
 		for (const run of runs) {
-			this.#runs.delete(runKeyOf(run.request));
+			this.#remove(run);
 		}
 
 		this.#endAllWithLease('released by its owner');
@@ -208,6 +215,25 @@
 		this.#close();
 	}
 
+	#roomLeft(): Resources {
+		let room = this.#target.capacity;
+		for (const run of this.#runs.values()) {
+			room = room.minus(run.request.need);
+		}
+
+		return room;
+	}
+
+	#add(run: Run): void {
+		this.#runs.set(runKeyOf(run.request), run);
+		this.#room = undefined;
+	}
+
+	#remove(run: Run): void {
+		this.#runs.delete(runKeyOf(run.request));
+		this.#room = undefined;
+	}
+
 	#close(): void {
 		this.#isClosed = true;
 		this.#wake?.dispose();
@@ -222,9 +248,9 @@
 		}
 
 		const {task, attempt, payload} = run.request;
-		const reply = await orders.start(this.#target, {
-			task, attempt, payload, fence: this.#fence, leaseUntil,
-		});
+		const reply = await this.#timed(async limitMilliseconds => orders.start(this.#target, {
+			task, attempt, payload, fence: this.#fence, leaseUntil, limitMilliseconds,
+		}));
 		if (this.#isClosed || !this.#isCurrent(run)) {
 			return;
 		}
@@ -235,7 +261,7 @@
 	#takeStartReply(run: Run, reply: StartReply): void {
 		match(reply)
 			.with({kind: 'started'}, () => {
-				run.confirmedAt = this.parts.clock.now();
+				run.confirmedAtStep = this.#nextStep();
 				run.state = run.state === 'starting' ? 'running' : run.state;
 			})
 			.with({kind: 'noRoom'}, {kind: 'superseded'}, ({kind}) => {
@@ -278,12 +304,11 @@
 	}
 
 	async #stopLoop(run: Run): Promise<void> {
-		const {orders, clock} = this.parts;
-		while (!this.#isClosed && this.#isCurrent(run) && run.stopConfirmedAt === undefined) {
-			const {task, attempt} = run.request;
-			const reply = await orders.stop(this.#target, {task, attempt, fence: this.#fence});
+		while (!this.#isClosed && this.#isCurrent(run) && run.stopConfirmedAtStep === undefined) {
+			const reply = await this.#orderStop(run.request);
 			if (reply.kind === 'accepted') {
-				run.stopConfirmedAt = clock.now();
+				run.stopConfirmedAtStep = this.#nextStep();
+				void this.#look();
 				return;
 			}
 
@@ -296,22 +321,61 @@
 		}
 	}
 
+	/**
+	 * Asks at once whether a run that was stopped is there: if the target has never got its start, nothing else would say so
+	 * before the wait of the renewal that is under way is over, and its task would wait as long for another target.
+	 */
+	async #look(): Promise<void> {
+		const sentAtStep = this.#nextStep();
+		const reply = await this.#timed(async limitMilliseconds => this.parts.orders.renew(this.#target, {
+			fence: this.#fence, acknowledged: this.#acknowledged, leaseUntil: undefined, waitMilliseconds: 0, limitMilliseconds,
+		}));
+		// Whatever else comes of it, the renewals find out themselves.
+		if (!this.#isClosed && reply.kind === 'report') {
+			this.#takeReport(reply, sentAtStep);
+		}
+	}
+
+	async #orderStop({task, attempt}: {readonly task: TaskId; readonly attempt: number}): Promise<StopReply> {
+		return this.#timed(async limitMilliseconds => this.parts.orders.stop(this.#target, {
+			task, attempt, fence: this.#fence, limitMilliseconds,
+		}));
+	}
+
+	/** Gives an order its time limit, and learns from the answer. */
+	async #timed<Reply extends {readonly kind: string}>(order: (limitMilliseconds: number) => Promise<Reply>): Promise<Reply> {
+		const {answerTimes, clock} = this.parts;
+		const sentAt = clock.now();
+		const reply = await order(answerTimes.limitMilliseconds);
+		if (reply.kind !== 'unanswered' && reply.kind !== 'unreachable') {
+			answerTimes.record(clock.now() - sentAt);
+		}
+
+		return reply;
+	}
+
+	#nextStep(): number {
+		this.#step += 1;
+		return this.#step;
+	}
+
 	async #renewLoop(): Promise<void> {
-		const {orders, clock} = this.parts;
+		const {orders, clock, answerTimes} = this.parts;
 		while (!this.#isClosed) {
-			const sentAt = clock.now();
+			const sentAtStep = this.#nextStep();
 			const reply = await orders.renew(this.#target, {
 				fence: this.#fence,
 				acknowledged: this.#acknowledged,
-				leaseUntil: this.#leaseWanted(sentAt),
+				leaseUntil: this.#leaseWanted(clock.now()),
 				waitMilliseconds: this.#waitWanted(),
+				limitMilliseconds: answerTimes.limitMilliseconds,
 			});
 			if (this.#isClosed) {
 				return;
 			}
 
 			if (reply.kind === 'report') {
-				this.#takeReport(reply, sentAt);
+				this.#takeReport(reply, sentAtStep);
 			} else if (reply.kind === 'fenced' || reply.kind === 'replaced') {
 				this.#finish(reply);
 			} else {
@@ -345,11 +409,11 @@
 			return undefined;
 		}
 
-		const hasOverdueStop = [...this.#runs.values()].some(run => run.state === 'stopping' && run.stopConfirmedAt === undefined && this.#unanswered > 0);
+		const hasOverdueStop = [...this.#runs.values()].some(run => run.state === 'stopping' && run.stopConfirmedAtStep === undefined && this.#unanswered > 0);
 		return hasOverdueStop || this.#runs.size === 0 ? undefined : this.#lease.renewal(now);
 	}
 
-	#takeReport(report: Extract<RenewalReply, {kind: 'report'}>, sentAt: number): void {
+	#takeReport(report: Extract<RenewalReply, {kind: 'report'}>, sentAtStep: number): void {
 		const now = this.parts.clock.now();
 		if (this.#unanswered >= unansweredToSuspend) {
 			this.parts.journal.record('targetAnswers', {target: this.#target.id, unanswered: this.#unanswered});
@@ -362,9 +426,12 @@
 			this.#takeEnd(end);
 		}
 
-		const running = new Set(report.running.map(run => runKeyOf(run)));
-		this.#dropMissing(running, sentAt);
-		this.#stopStrangers(report, now);
+		if (report.clock >= this.#reportClock) {
+			this.#reportClock = report.clock;
+			this.#dropMissing(new Set(report.running.map(run => runKeyOf(run))), sentAtStep);
+			this.#stopStrangers(report, now);
+		}
+
 		this.#isLooked = true;
 		this.parts.listener.onDidChange();
 	}
@@ -394,10 +461,10 @@
 	 * A run that was confirmed before the report was asked for and is in neither of its lists has ended. A report that left
 	 * before the start was carried out says nothing of it.
 	 */
-	#dropMissing(running: ReadonlySet<string>, sentAt: number): void {
+	#dropMissing(running: ReadonlySet<string>, sentAtStep: number): void {
 		for (const [key, run] of this.#runs) {
-			const settledAt = run.stopConfirmedAt ?? run.confirmedAt;
-			if (settledAt !== undefined && settledAt < sentAt && !running.has(key)) {
+			const settledAtStep = run.stopConfirmedAtStep ?? run.confirmedAtStep;
+			if (settledAtStep !== undefined && settledAtStep < sentAtStep && !running.has(key)) {
 				this.#end(run, {kind: 'gone', target: this.#target.id, cause: run.stopCause ?? 'missing from the report'});
 			}
 		}
@@ -406,7 +473,7 @@
 	#stopStrangers(report: Extract<RenewalReply, {kind: 'report'}>, now: number): void {
 		for (const {task, attempt} of this.#strangers.take(report.running, this.#runs, now)) {
 			this.parts.journal.record('strangerStopped', {target: this.#target.id, task, attempt});
-			void this.parts.orders.stop(this.#target, {task, attempt, fence: this.#fence});
+			void this.#orderStop({task, attempt});
 		}
 	}
 
@@ -459,7 +526,7 @@
 	}
 
 	#end(run: Run, outcome: RunOutcome): void {
-		this.#runs.delete(runKeyOf(run.request));
+		this.#remove(run);
 		this.parts.listener.onDidEndRun(run, outcome);
 	}
 
--- /dev/null
+++ b/src/features/execution/wanted-room.ts
@@ -0,0 +1,9 @@
+/** Room that an entry waits for. */
+import type {Resources} from '../../base/resources.js';
+import type {ServiceName} from '../../base/service-name.js';
+
+/** The least that one of the waiting tasks of a service needs. */
+export type WantedRoom = {
+	readonly service: ServiceName;
+	readonly need: Resources;
+};
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -21,6 +21,8 @@
 
 /** So many targets of a zone are asked for a sign before it's covered: one of them may be down by itself. */
 const targetsToTry = 3;
+/** A target that is reached answers within a few milliseconds, at a small entry's busiest moments within this. */
+const signLimitMilliseconds = 120;
 /** A target that has had an owner rejects it, which is as good a sign as any answer. */
 const lowestToken = 0 as FencingToken;
 
@@ -139,7 +141,7 @@
 		const targets = [...catalogue.targets.values()].filter(target => target.zone === zone).slice(0, targetsToTry);
 		const answers = await Promise.all(targets.map(async target => {
 			const reply = await orders.renew(target, {
-				fence: lowestToken, acknowledged: 0, leaseUntil: undefined, waitMilliseconds: 0,
+				fence: lowestToken, acknowledged: 0, leaseUntil: undefined, waitMilliseconds: 0, limitMilliseconds: signLimitMilliseconds,
 			});
 			orders.forget(target);
 			return reply.kind !== 'unreachable' && reply.kind !== 'unanswered';
--- /dev/null
+++ b/src/features/pool/decode-messages.ts
@@ -0,0 +1,182 @@
+/** Reads messages of the pool. */
+import * as z from 'zod';
+import type {InstanceId} from '../../base/instance-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {ProfileName} from '../../base/profile-name.js';
+import {Resources} from '../../base/resources.js';
+import type {ServiceName} from '../../base/service-name.js';
+import type {TaskId} from '../../base/task-id.js';
+import type {RunOutcome} from '../execution/run-outcome.js';
+import type {RunRequest} from '../execution/run-request.js';
+import type {EntryState} from './entry-state.js';
+import {EncodedValues} from './encoded-values.js';
+import {messageCode} from './message-code.js';
+import type {PoolMessage} from './pool-message.js';
+
+const refusals = ['noRoom', 'superseded', 'targetRefused'] as const;
+
+/** Comes seldom and decides for all jobs from then on: checked by schema. */
+const configurationSchema = z.object({
+	version: z.number(),
+	bodyLimitBytes: z.number(),
+	routes: z.array(z.object({
+		queue: z.string().transform(name => name as ProfileName),
+		host: z.string(),
+		pathPrefix: z.string(),
+		service: z.string().transform(name => name as ServiceName),
+		priority: z.number(),
+		attempts: z.number(),
+		stretch: z.number(),
+		slackMilliseconds: z.number(),
+	})),
+});
+
+/** The messages of a batch; throws a `TypeError` that says what can't be read. */
+export function decodeMessages(body: unknown): readonly PoolMessage[] {
+	let previous: RunRequest | undefined;
+	return new EncodedValues([body]).lists(values => {
+		const message = decode(values, previous);
+		if (message.kind === 'run') {
+			previous = message.request;
+		}
+
+		return message;
+	});
+}
+
+function decode(values: EncodedValues, previous: RunRequest | undefined): PoolMessage {
+	const code = values.number();
+	switch (code) {
+		case messageCode.state: {
+			return {kind: 'state', state: decodeState(values)};
+		}
+
+		case messageCode.addresses: {
+			return {kind: 'addresses', addresses: values.texts()};
+		}
+
+		case messageCode.run: {
+			return {kind: 'run', request: decodeRequest(values)};
+		}
+
+		case messageCode.nextRun: {
+			return {kind: 'run', request: decodeNextRequest(values, previous)};
+		}
+
+		case messageCode.report: {
+			return {
+				kind: 'report', task: values.text<TaskId>(), attempt: values.number(), outcome: decodeOutcome(values),
+			};
+		}
+
+		case messageCode.stop: {
+			return {
+				kind: 'stop', task: values.text<TaskId>(), attempt: values.number(), cause: values.text(),
+			};
+		}
+
+		case messageCode.handover: {
+			return {
+				kind: 'handover', handovers: values.lists(handover => ({
+					target: handover.text<InstanceId>(),
+					acknowledged: handover.number(),
+					runs: handover.lists(run => ({requester: run.text<MemberId>(), request: decodeRequest(run)})),
+				})),
+			};
+		}
+
+		case messageCode.adopted: {
+			return {kind: 'adopted', task: values.text<TaskId>(), attempt: values.number()};
+		}
+
+		case messageCode.wantRouting: {
+			return {kind: 'wantRouting'};
+		}
+
+		case messageCode.routing: {
+			return {kind: 'routing', configuration: decodeConfiguration(values.any())};
+		}
+
+		default: {
+			throw new TypeError(`no message has the code ${code}`);
+		}
+	}
+}
+
+function decodeState(values: EncodedValues): EntryState {
+	return {
+		isLeaving: values.flag(),
+		routingVersion: values.number(),
+		wanted: values.lists(wanted => ({service: wanted.text<ServiceName>(), need: decodeAmounts(wanted)})),
+		room: values.lists(share => ({service: share.text<ServiceName>(), room: decodeAmounts(share), labels: share.rest()})),
+	};
+}
+
+function decodeRequest(values: EncodedValues): RunRequest {
+	return {
+		task: values.text<TaskId>(),
+		attempt: values.number(),
+		payload: values.text(),
+		need: decodeAmounts(values),
+		queue: values.text<ProfileName>(),
+		service: values.text<ServiceName>(),
+		label: values.optionalText(),
+		avoid: values.texts(),
+		jobTasks: values.number(),
+		expectedMilliseconds: values.number(),
+	};
+}
+
+function decodeNextRequest(values: EncodedValues, previous: RunRequest | undefined): RunRequest {
+	if (previous === undefined) {
+		throw new TypeError('a run of the same job as the one before it, which is not there');
+	}
+
+	return {
+		...previous, task: values.text<TaskId>(), attempt: values.number(), avoid: values.texts(),
+	};
+}
+
+function decodeOutcome(values: EncodedValues): RunOutcome {
+	const kind = values.text();
+	switch (kind) {
+		case 'done': {
+			return {kind, target: values.text(), ranMilliseconds: values.number()};
+		}
+
+		case 'failed': {
+			return {kind, target: values.text(), isTargetSuspect: values.flag()};
+		}
+
+		case 'refused': {
+			const cause = values.text();
+			const known = refusals.find(refusal => refusal === cause);
+			if (known === undefined) {
+				throw new TypeError(`no refusal has the cause ${cause}`);
+			}
+
+			return {kind, cause: known};
+		}
+
+		case 'gone': {
+			return {kind, target: values.text(), cause: values.text()};
+		}
+
+		default: {
+			throw new TypeError(`no run ends as ${kind}`);
+		}
+	}
+}
+
+function decodeAmounts(values: EncodedValues): Resources {
+	return new Resources(values.number(), values.number(), values.number());
+}
+
+function decodeConfiguration(value: unknown) {
+	const checked = configurationSchema.safeParse(value);
+	if (!checked.success) {
+		throw new TypeError(`the configuration: ${checked.error.issues[0]?.message}`);
+	}
+
+	return checked.data;
+}
--- /dev/null
+++ b/src/features/pool/encode-messages.ts
@@ -0,0 +1,92 @@
+/** Messages of the pool as they travel. */
+import {match} from 'ts-pattern';
+import type {Resources} from '../../base/resources.js';
+import type {RunOutcome} from '../execution/run-outcome.js';
+import type {RunRequest} from '../execution/run-request.js';
+import type {EntryState} from './entry-state.js';
+import {messageCode} from './message-code.js';
+import type {PoolMessage} from './pool-message.js';
+
+/** Numbers, texts and lists only. */
+type Encoded = readonly unknown[];
+
+/**
+ * A batch for one entry, as lists without names of fields. Tasks of one job that go to the same entry carry the job's payload
+ * once: it makes most of their bytes, and bytes between zones are paid for.
+ */
+export function encodeMessages(messages: readonly PoolMessage[]): readonly Encoded[] {
+	let previous: RunRequest | undefined;
+	return messages.map(message => {
+		if (message.kind !== 'run') {
+			return encode(message);
+		}
+
+		const {request} = message;
+		const isSameJob = previous !== undefined && haveJobInCommon(previous, request);
+		previous = request;
+		return isSameJob ? [messageCode.nextRun, request.task, request.attempt, request.avoid] : [messageCode.run, ...encodeRequest(request)];
+	});
+}
+
+function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
+	return match(message)
+		.with({kind: 'state'}, ({state}) => [messageCode.state, ...encodeState(state)])
+		.with({kind: 'addresses'}, ({addresses}) => [messageCode.addresses, addresses])
+		.with({kind: 'report'}, ({task, attempt, outcome}) => [messageCode.report, task, attempt, ...encodeOutcome(outcome)])
+		.with({kind: 'stop'}, ({task, attempt, cause}) => [messageCode.stop, task, attempt, cause])
+		.with({kind: 'handover'}, ({handovers}) => [messageCode.handover, handovers.map(({target, acknowledged, runs}) => [
+			target, acknowledged, runs.map(({request, requester}) => [requester, ...encodeRequest(request)]),
+		])])
+		.with({kind: 'adopted'}, ({task, attempt}) => [messageCode.adopted, task, attempt])
+		.with({kind: 'wantRouting'}, () => [messageCode.wantRouting])
+		.with({kind: 'routing'}, ({configuration}) => [messageCode.routing, configuration])
+		.exhaustive();
+}
+
+function encodeState({isLeaving, routingVersion, wanted, room}: EntryState): Encoded {
+	return [
+		isLeaving,
+		routingVersion,
+		wanted.map(({service, need}) => [service, ...amountsOf(need)]),
+		room.map(share => [share.service, ...amountsOf(share.room), ...share.labels]),
+	];
+}
+
+function encodeRequest(request: RunRequest): Encoded {
+	return [
+		request.task,
+		request.attempt,
+		request.payload,
+		...amountsOf(request.need),
+		request.queue,
+		request.service,
+		request.label,
+		request.avoid,
+		request.jobTasks,
+		request.expectedMilliseconds,
+	];
+}
+
+function encodeOutcome(outcome: RunOutcome): Encoded {
+	return match(outcome)
+		.with({kind: 'done'}, ({target, ranMilliseconds}) => ['done', target, ranMilliseconds])
+		.with({kind: 'failed'}, ({target, isTargetSuspect}) => ['failed', target, isTargetSuspect])
+		.with({kind: 'refused'}, ({cause}) => ['refused', cause])
+		.with({kind: 'gone'}, ({target, cause}) => ['gone', target, cause])
+		.exhaustive();
+}
+
+function amountsOf({cpuMillis, memoryMegabytes, accelerators}: Resources): readonly number[] {
+	return [cpuMillis, memoryMegabytes, accelerators];
+}
+
+/** The payload is compared as a whole; within a job it's the same text, so that the comparison ends at once. */
+function haveJobInCommon(left: RunRequest, right: RunRequest): boolean {
+	return left.payload === right.payload
+		&& left.need === right.need
+		&& left.queue === right.queue
+		&& left.service === right.service
+		&& left.label === right.label
+		&& left.jobTasks === right.jobTasks
+		&& left.expectedMilliseconds === right.expectedMilliseconds;
+}
--- /dev/null
+++ b/src/features/pool/message-code.ts
@@ -0,0 +1,16 @@
+/** How messages of the pool are told apart on the wire. */
+
+/** The first element of each encoded message. A number keeps its meaning; a retired one isn't used again. */
+export const messageCode = {
+	state: 0,
+	addresses: 1,
+	run: 2,
+	/** A run of the same job as the run before it in the same batch: only what differs follows. */
+	nextRun: 3,
+	report: 4,
+	stop: 5,
+	handover: 6,
+	adopted: 7,
+	wantRouting: 8,
+	routing: 9,
+} as const;
--- a/src/features/pool/pool-member.ts
+++ b/src/features/pool/pool-member.ts
@@ -1,6 +1,7 @@
 /** Another entry, as this one last heard of it. */
 import type {Member} from '../../runtime/peers/member.js';
 import type {RoomShare} from '../execution/room-share.js';
+import type {WantedRoom} from '../execution/wanted-room.js';
 
 /** `room` is what the member told last, less what was sent there since. */
 export type PoolMember = {
@@ -8,7 +9,7 @@
 	heardAt: number;
 	isLeaving: boolean;
 	routingVersion: number;
-	/** Tasks that wait there for room on any entry's targets. */
-	waitingTasks: number;
-	room: RoomShare[];
+	/** What its waiting tasks need at least, on any entry's targets. */
+	wanted: readonly WantedRoom[];
+	room: readonly RoomShare[];
 };
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -1,6 +1,19 @@
-/** The type of pool messages. */
-import type {z} from 'zod';
-import type {poolMessageSchema} from './pool-message-schema.js';
+/** What entries of a pool say to each other. */
+import type {TaskId} from '../../base/task-id.js';
+import type {Handover} from '../execution/handover.js';
+import type {RunOutcome} from '../execution/run-outcome.js';
+import type {RunRequest} from '../execution/run-request.js';
+import type {RoutingConfiguration} from '../routing/routing-configuration.js';
+import type {EntryState} from './entry-state.js';
 
-/** A checked message of another entry. */
-export type PoolMessage = z.output<typeof poolMessageSchema>;
+/** `state` goes to all regularly and is each entry's heartbeat; the others are for one entry each, but for `handover`. */
+export type PoolMessage =
+	| {readonly kind: 'state'; readonly state: EntryState}
+	| {readonly kind: 'addresses'; readonly addresses: readonly string[]}
+	| {readonly kind: 'run'; readonly request: RunRequest}
+	| {readonly kind: 'report'; readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome}
+	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string}
+	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]}
+	| {readonly kind: 'adopted'; readonly task: TaskId; readonly attempt: number}
+	| {readonly kind: 'wantRouting'}
+	| {readonly kind: 'routing'; readonly configuration: RoutingConfiguration};
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -10,10 +10,12 @@
 import type {Member} from '../../runtime/peers/member.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 import type {RoomShare} from '../execution/room-share.js';
-import type {OutgoingPoolMessage} from './outgoing-pool-message.js';
+import {decodeMessages} from './decode-messages.js';
+import type {EntryState} from './entry-state.js';
+import {Outbox} from './outbox.js';
 import type {PoolMember} from './pool-member.js';
 import type {PoolMessage} from './pool-message.js';
-import {poolMessageSchema} from './pool-message-schema.js';
+import {placesFor} from './places-for.js';
 
 const channel = 'pool';
 /** How often it's considered to send a heartbeat, and the time between two of them in a small fleet. */
@@ -33,20 +35,18 @@
  */
 const changeMilliseconds = 20;
 /**
- * A change of room is told to so many of those that wait, by turns. In a fleet of eight that's all the others. In a larger
- * one the same room isn't offered to everybody, since all but one would be refused, and the messages of an overloaded
- * fleet don't grow with the square of its size.
+ * A change of room is told to so many of those that wait, by turns, and to no more than twice as many as it has places for:
+ * the same room isn't offered to everybody, since all but one would be refused. One that is told may have found room
+ * elsewhere meanwhile, hence the double. The messages of an overloaded fleet don't grow with the square of its size.
  */
 const toldAtOnce = 7;
+const toldForPlace = 2;
 /**
  * An entry that was silent for so long is taken as lost. Clients submit again 1300 ms after a loss: by then its tasks on
  * other entries' targets must have been stopped.
  */
 const silenceMilliseconds = 800;
 
-/** What an entry tells of itself. */
-type OwnState = Omit<Extract<OutgoingPoolMessage, {kind: 'state'}>, 'kind'>;
-
 /** Sends this entry's state to all others, and keeps theirs. */
 export class Pool implements Disposable {
 	readonly #members = new Map<MemberId, PoolMember>();
@@ -58,6 +58,7 @@
 	readonly #lose = new Emitter<MemberId>();
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
+	readonly #outbox: Outbox;
 	#toldAt = 0;
 	#changeToldAt = 0;
 	#toldUpTo = 0;
@@ -66,10 +67,11 @@
 
 	constructor(
 		private readonly network: PeerNetwork,
-		private readonly ownState: () => OwnState,
+		private readonly ownState: () => EntryState,
 		private readonly clock: Clock,
 		private readonly journal: Journal,
 	) {
+		this.#outbox = new Outbox(network, channel, clock);
 		this.#store.add(network.onDidReceive(({from, message}) => {
 			if (message.channel === channel) {
 				this.#receive(from, message.body);
@@ -145,16 +147,16 @@
 		this.network.watch(this.#addresses);
 	}
 
-	send(to: MemberId, message: OutgoingPoolMessage): void {
+	send(to: MemberId, message: PoolMessage): void {
 		const member = this.#met.get(to);
 		if (member !== undefined) {
-			this.network.send(member, {channel, body: message});
+			this.#outbox.put(member, message);
 		}
 	}
 
-	broadcast(message: OutgoingPoolMessage): void {
+	broadcast(message: PoolMessage): void {
 		for (const {member} of this.#members.values()) {
-			this.network.send(member, {channel, body: message});
+			this.#outbox.put(member, message);
 		}
 	}
 
@@ -167,7 +169,7 @@
 	/** Tells of a change of room, if anybody waits for room. */
 	tellRoom(): void {
 		for (const member of this.#members.values()) {
-			if (member.waitingTasks > 0) {
+			if (member.wanted.length > 0) {
 				this.#scheduleChange();
 				return;
 			}
@@ -211,17 +213,24 @@
 		this.#isForAll = false;
 		this.#toldAt = this.clock.now();
 		this.#changeToldAt = this.#toldAt;
-		this.broadcast({kind: 'state', ...this.ownState()});
+		this.broadcast({kind: 'state', state: this.ownState()});
 	}
 
+	/** Room that nobody took is told again to the next ones. */
 	#tellWaiting(): void {
 		this.#changeToldAt = this.clock.now();
-		const waiting = [...this.#members.values()].filter(member => member.waitingTasks > 0);
-		const state: OutgoingPoolMessage = {kind: 'state', ...this.ownState()};
-		for (let told = 0; told < Math.min(toldAtOnce, waiting.length); told += 1) {
+		const state = this.ownState();
+		const waiting = [...this.#members.values()].filter(member => placesFor(member.wanted, state.room) > 0);
+		const places = Math.max(0, ...waiting.map(member => placesFor(member.wanted, state.room)));
+		const told = Math.min(toldAtOnce, toldForPlace * places, waiting.length);
+		for (let count = 0; count < told; count += 1) {
 			this.#toldUpTo += 1;
 			const {member} = waiting[this.#toldUpTo % waiting.length]!;
-			this.network.send(member, {channel, body: state});
+			this.#outbox.put(member, {kind: 'state', state});
+		}
+
+		if (told > 0) {
+			this.#scheduleChange();
 		}
 	}
 
@@ -229,17 +238,16 @@
 		this.meet([member.peerAddress]);
 		this.#met.set(member.id, member);
 		this.#members.set(member.id, {
-			member, heardAt: this.clock.now(), isLeaving: false, routingVersion: 0, waitingTasks: 0, room: [],
+			member, heardAt: this.clock.now(), isLeaving: false, routingVersion: 0, wanted: [], room: [],
 		});
 		this.journal.record('poolMemberMet', {member: member.id, zone: member.zone});
-		this.network.send(member, {channel, body: {kind: 'addresses', addresses: [...this.#addresses]}});
+		this.#outbox.put(member, {kind: 'addresses', addresses: [...this.#addresses]});
 		this.tellChange();
 	}
 
 	#receive(from: Member, body: unknown): void {
-		const checked = poolMessageSchema.safeParse(body);
-		if (!checked.success) {
-			this.journal.record('poolMessageUnreadable', {member: from.id, detail: checked.error.issues[0]?.message});
+		const messages = this.#read(from, body);
+		if (messages.length === 0) {
 			return;
 		}
 
@@ -247,19 +255,33 @@
 			this.#meet(from);
 		}
 
-		const known = this.#members.get(from.id)!;
-		known.heardAt = this.clock.now();
-		const message = checked.data;
-		if (message.kind === 'state') {
-			Object.assign(known, {
-				isLeaving: message.isLeaving, routingVersion: message.routingVersion, waitingTasks: message.waitingTasks, room: message.room,
-			});
-			this.#room.fire();
-		} else if (message.kind === 'addresses') {
+		this.#members.get(from.id)!.heardAt = this.clock.now();
+		for (const message of messages) {
+			this.#take(from, message);
+		}
+	}
+
+	#read(from: Member, body: unknown): readonly PoolMessage[] {
+		try {
+			return decodeMessages(body);
+		} catch (error) {
+			this.journal.record('poolMessageUnreadable', {member: from.id, detail: (error as Error).message});
+			return [];
+		}
+	}
+
+	#take(from: Member, message: PoolMessage): void {
+		if (message.kind === 'addresses') {
 			this.meet(message.addresses);
 			return;
 		}
 
+		if (message.kind === 'state') {
+			// A listener of an earlier message of the batch may have found that the entry is gone.
+			Object.assign(this.#members.get(from.id) ?? {}, message.state);
+			this.#room.fire();
+		}
+
 		this.#message.fire({from, message});
 	}
 
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -3,11 +3,11 @@
 import type {Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import type {MemberId} from '../../base/member-id.js';
+import type {TaskId} from '../../base/task-id.js';
 import type {ExecutionReport} from '../execution/execution-report.js';
 import type {Executor} from '../execution/executor.js';
 import {runKeyOf} from '../execution/run-key-of.js';
 import type {RunRequest} from '../execution/run-request.js';
-import type {OutgoingPoolMessage} from './outgoing-pool-message.js';
 import type {Pool} from './pool.js';
 import type {PoolMessage} from './pool-message.js';
 
@@ -20,7 +20,7 @@
 	successor: MemberId | undefined;
 	readonly at: number;
 	/** What its requester has to know: that it was adopted, then how it ended. */
-	report: OutgoingPoolMessage | undefined;
+	report: PoolMessage | undefined;
 	isEnded: boolean;
 };
 
@@ -46,7 +46,7 @@
 				return;
 			}
 
-			const adopted: OutgoingPoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
+			const adopted: PoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
 			this.#remembered.set(runKeyOf(request), {
 				requester, successor: undefined, at: clock.now(), report: adopted, isEnded: false,
 			});
@@ -115,7 +115,7 @@
 		}
 	}
 
-	#tellSuccessor(known: Remembered, task: string, attempt: number): void {
+	#tellSuccessor(known: Remembered, task: TaskId, attempt: number): void {
 		if (known.successor !== undefined) {
 			this.pool.send(known.successor, {
 				kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
@@ -128,7 +128,7 @@
 			return;
 		}
 
-		const report: OutgoingPoolMessage = {
+		const report: PoolMessage = {
 			kind: 'report', task, attempt, outcome,
 		};
 		const known = this.#remembered.get(runKeyOf({task, attempt}));
--- a/src/features/targets/renewal-order.ts
+++ b/src/features/targets/renewal-order.ts
@@ -11,4 +11,6 @@
 	readonly leaseUntil: TargetTime | undefined;
 	/** How long the target may wait for an end before it answers. */
 	readonly waitMilliseconds: number;
+	/** After so long without an answer, beyond the wait, the order counts as unanswered. */
+	readonly limitMilliseconds: number;
 };
--- a/src/features/targets/start-order.ts
+++ b/src/features/targets/start-order.ts
@@ -10,4 +10,6 @@
 	readonly payload: string;
 	readonly fence: FencingToken;
 	readonly leaseUntil: TargetTime;
+	/** After so long without an answer the order counts as unanswered. */
+	readonly limitMilliseconds: number;
 };
--- a/src/features/targets/stop-order.ts
+++ b/src/features/targets/stop-order.ts
@@ -7,4 +7,6 @@
 	readonly task: TaskId;
 	readonly attempt: number;
 	readonly fence: FencingToken;
+	/** After so long without an answer the order counts as unanswered. */
+	readonly limitMilliseconds: number;
 };
--- /dev/null
+++ b/test/features/execution/answer-times.test.ts
@@ -0,0 +1,44 @@
+/** The time limit of orders. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {AnswerTimes} from '../../../src/features/execution/answer-times.js';
+
+function limitAfter(milliseconds: readonly number[]): number {
+	const times = new AnswerTimes();
+	for (const sample of milliseconds) {
+		times.record(sample);
+	}
+
+	return times.limitMilliseconds;
+}
+
+const repeated = (count: number, ...pattern: readonly number[]) => Array.from({length: count}, (_, index) => pattern[index % pattern.length]!);
+
+test('the limit is long until answers were seen, follows them, and stays between its bounds', () => {
+	assert.deepEqual({
+		unknown: limitAfter([]),
+		few: limitAfter(repeated(10, 2)),
+		quick: limitAfter(repeated(100, 2, 3)),
+		slow: limitAfter(repeated(100, 20, 40)),
+		verySlow: limitAfter(repeated(100, 200, 400)),
+	}, {
+		unknown: 150, few: 150, quick: 40, slow: 73, verySlow: 150,
+	});
+});
+
+// An entry's machine turns five times slower: its own handling makes up most of what it measures. With the limit of before,
+// it would take every order for lost and stop what it has just started.
+test('the limit has followed before a tenth of the orders of a slowed entry were given up', () => {
+	const times = new AnswerTimes();
+	for (const sample of repeated(100, 8, 12)) {
+		times.record(sample);
+	}
+
+	let givenUp = 0;
+	for (const sample of repeated(200, 40, 60)) {
+		givenUp += sample > times.limitMilliseconds ? 1 : 0;
+		times.record(sample);
+	}
+
+	assert.equal(givenUp < 20, true, String(givenUp));
+});
--- /dev/null
+++ b/test/features/pool/messages.test.ts
@@ -0,0 +1,97 @@
+/** Messages of the pool, there and back. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {encode as encodeCbor, decode as decodeCbor} from 'cbor-x';
+import type {InstanceId} from '../../../src/base/instance-id.js';
+import type {MemberId} from '../../../src/base/member-id.js';
+import type {ProfileName} from '../../../src/base/profile-name.js';
+import {Resources} from '../../../src/base/resources.js';
+import type {ServiceName} from '../../../src/base/service-name.js';
+import type {TaskId} from '../../../src/base/task-id.js';
+import type {RunRequest} from '../../../src/features/execution/run-request.js';
+import {decodeMessages} from '../../../src/features/pool/decode-messages.js';
+import {encodeMessages} from '../../../src/features/pool/encode-messages.js';
+import type {PoolMessage} from '../../../src/features/pool/pool-message.js';
+
+const service = 'service' as ServiceName;
+const need = new Resources(27_000, 64, 0);
+const task = 'job.0.0.0' as TaskId;
+const request: RunRequest = {
+	task, attempt: 1, payload: 'x'.repeat(500), need, queue: 'queue' as ProfileName, service, label: undefined, avoid: ['target-1'], jobTasks: 3, expectedMilliseconds: 60,
+};
+const messages: readonly PoolMessage[] = [
+	{
+		kind: 'state', state: {
+			isLeaving: true, routingVersion: 7, wanted: [{service, need}], room: [{service, labels: ['a', 'rack-1'], room: need}, {service, labels: [], room: Resources.none}],
+		},
+	},
+	{kind: 'addresses', addresses: ['10.0.0.1:1']},
+	{kind: 'run', request},
+	{
+		kind: 'run', request: {
+			...request, task: 'job.0.0.1' as TaskId, attempt: 2, avoid: [],
+		},
+	},
+	{
+		kind: 'run', request: {
+			...request, task: 'other.0.0.0' as TaskId, label: 'b', payload: 'other',
+		},
+	},
+	{
+		kind: 'report', task, attempt: 1, outcome: {kind: 'done', target: 'target-1', ranMilliseconds: 61.5},
+	},
+	{
+		kind: 'report', task, attempt: 1, outcome: {kind: 'failed', target: 'target-1', isTargetSuspect: true},
+	},
+	{
+		kind: 'report', task, attempt: 1, outcome: {kind: 'refused', cause: 'noRoom'},
+	},
+	{
+		kind: 'report', task, attempt: 1, outcome: {kind: 'gone', target: 'target-1', cause: 'lapsed'},
+	},
+	{
+		kind: 'stop', task, attempt: 1, cause: 'its job is over',
+	},
+	{kind: 'handover', handovers: [{target: 'target-1' as InstanceId, acknowledged: 4, runs: [{request, requester: 'entry#1' as MemberId}]}]},
+	{kind: 'adopted', task, attempt: 1},
+	{kind: 'wantRouting'},
+	{
+		kind: 'routing', configuration: {
+			version: 3, bodyLimitBytes: 9, routes: [{
+				queue: 'queue' as ProfileName, host: 'host', pathPrefix: '/', service, priority: 0, attempts: 3, stretch: 1.6, slackMilliseconds: 60,
+			}],
+		},
+	},
+];
+
+test('every message comes back from the wire as it was sent', () => {
+	assert.deepEqual(decodeMessages(decodeCbor(encodeCbor(encodeMessages(messages)))), messages);
+});
+
+// Eight tasks of a job go to one entry; its payload makes most of the bytes, and those between zones are paid for.
+test('tasks of one job that travel together carry the payload once', () => {
+	const runOf = (index: number) => ({kind: 'run' as const, request: {...request, task: `job.0.0.${index}` as TaskId}});
+	const bytesOf = (count: number) => encodeCbor(encodeMessages(Array.from({length: count}, (_, index) => runOf(index)))).length;
+	assert.equal(bytesOf(8) < 1.5 * bytesOf(1), true);
+});
+
+test('what is no message is named and has no effect', () => {
+	const detailOf = (body: unknown) => {
+		try {
+			decodeMessages(body);
+			return 'read';
+		} catch (error) {
+			return `${(error as Error).name}: ${(error as Error).message}`;
+		}
+	};
+
+	assert.deepEqual([undefined, 'text', [1], [[99]], [[3, 'task', 1, []]], [[0, 'yes']], [[4, 'task', 1, 'refused', 'bored']]].map(body => detailOf(body)), [
+		'TypeError: value 1 is undefined, not a list',
+		'TypeError: value 1 is string, not a list',
+		'TypeError: value 1 is number, not a list of lists',
+		'TypeError: no message has the code 99',
+		'TypeError: a run of the same job as the one before it, which is not there',
+		'TypeError: value 2 is string, not true or false',
+		'TypeError: no refusal has the cause bored',
+	]);
+});
