savorylock losses: which jobs were not in time, and which part of their way took the time

What the logs lacked: the objective and the age of a submission (jobAccepted), the need of a run (runStarted).

Beside it, in one measurement: heartbeats every 200 ms, between zones of a large fleet every second unless one runs something for the other; renewals wait up to 250 ms for an end; jobs are looked at when the first falls due.

--- a/src/entries/command/main.ts
+++ b/src/entries/command/main.ts
@@ -15,6 +15,7 @@
 import {exitCode} from './exit-code.js';
 import {FleetView} from './fleet-view.js';
 import {OperatorCommands} from './operator-commands.js';
+import {losses} from './losses/losses-command.js';
 import {readLogLines} from './read-log-lines.js';
 import {readProfile} from './read-profile.js';
 import {submitJobs} from './submit-jobs.js';
@@ -107,6 +108,23 @@
 
 		print(story.join('\n'));
 	})
+	.command('losses [files..]', 'say which jobs were not answered in time, and which part of their way took the time, from logs of edge daemons', command => command
+		.positional('files', {
+			type: 'string', array: true, default: [], describe: 'log files; standard input where none is named',
+		})
+		.option('slice', {type: 'number', default: 2, describe: 'length of a slice of time in seconds'})
+		.option('most', {type: 'number', default: 20, describe: 'how many slices are listed, those that lose most first'})
+		.option('plot', {type: 'string', describe: 'an SVG file for a picture of lost jobs by reason'})
+		.check(({slice, most}) => slice > 0 && most >= 0 ? true : '--slice must be above 0, --most at least 0'), async options => {
+		const lines = await losses({
+			files: options.files, sliceSeconds: options.slice, most: options.most, isJson: options.json, plot: options.plot,
+		});
+		if (lines.length === 0) {
+			fail('no line tells of a job', exitCode.failed);
+		}
+
+		print(lines.join('\n'));
+	})
 	.demandCommand(1, 'name a command')
 	.epilogue('Exit codes: 0 done, 1 failed, 2 usage, 3 rejected, 4 accepted but not yet everywhere, 5 unknown; submit: 10 a job failed, 11 not run, 12 may have run.')
 	.version(version)
--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -6,6 +6,7 @@
 import {StoreCatalogue} from '../../../platform/store-catalogue.js';
 import {StoreClient} from '../../../platform/store-client.js';
 import {StoreGroup} from '../../../platform/store-group.js';
+import {StorePatience} from '../../../platform/store-patience.js';
 import {StoreRouting} from '../../../platform/store-routing.js';
 import {TargetClient} from '../../../platform/target-client.js';
 import type {Clock} from '../../base/clock.js';
@@ -26,10 +27,10 @@
 /**
  * Heartbeats come every 100 to 200 ms and take the place of pings. A connection that has gone silent is dialled anew before
  * its entry is taken as lost after 800 ms, and one that can't be made is tried often enough to be there soon after a cut has
- * healed.
+ * healed. Connections to entries that are not close carry a heartbeat a second, and need no pings.
  */
 const peerTiming = {
-	ping: 300, check: 100, silence: 500, connect: 300, redial: 100,
+	ping: 300, check: 100, silence: 500, connect: 300, redial: 100, use: 0,
 };
 /** An entry's place in its groups outlives four lost renewals; the store may ask for more. */
 const membershipMilliseconds = 1500;
@@ -61,6 +62,7 @@
 	readonly #front: JobFront;
 	readonly #directory: EntryDirectory;
 	readonly #storeRouting: StoreRouting;
+	readonly #storePatience: StorePatience;
 	readonly #readiness: ReadinessServer;
 	readonly #metricsServer: StatusServer;
 	#isLeaving = false;
@@ -89,6 +91,7 @@
 			clock,
 			journal,
 		}));
+		this.#storePatience = own.add(new StorePatience(store, this.#entry.patience, clock));
 		const pauses = own.add(new PauseWatch(clock));
 		this.#front = own.add(new JobFront({
 			dispatcher: this.#entry.dispatcher, routing: this.#routing, pauses, journal,
@@ -119,6 +122,7 @@
 		this.#entry.pool.meet(settings.seeds);
 		this.#directory.start();
 		this.#storeRouting.start();
+		this.#storePatience.start();
 		this.#catalogue.start();
 		journal.record('edgeStarted', {
 			instance: settings.instance, zone: settings.zone, intake: settings.intake, peers: settings.peers, version,
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -7,6 +7,7 @@
 import {Random} from '../../base/random.js';
 import {repeat} from '../../base/repeat.js';
 import {Dispatcher} from '../../features/dispatch/dispatcher.js';
+import {PatienceBook} from '../../features/dispatch/patience-book.js';
 import {ReachableObjective} from '../../features/dispatch/reachable-objective.js';
 import {Executor} from '../../features/execution/executor.js';
 import {Ownership} from '../../features/ownership/ownership.js';
@@ -49,6 +50,7 @@
 	readonly ownership: Ownership;
 	readonly pool: Pool;
 	readonly dispatcher: Dispatcher;
+	readonly patience = new PatienceBook();
 	readonly #store = new DisposableStore();
 	#isLeaving = false;
 
@@ -58,17 +60,25 @@
 		this.executor = own.add(new Executor({
 			leaseMilliseconds, orders, health: new TargetHealth(journal), clock, journal,
 		}));
-		this.pool = own.add(new Pool(network, () => this.#state(), clock, journal));
+		this.pool = own.add(new Pool({
+			network,
+			ownState: () => this.#state(),
+			peersInUse: () => new Set([...this.executor.requesters(), ...this.dispatcher.owners()]),
+			clock,
+			journal,
+		}));
 		own.add(new RemoteRuns(this.pool, this.executor, clock));
 		this.ownership = own.add(new Ownership({
 			zone, member, store: group, catalogue, executor: this.executor, orders, clock, journal,
 		}));
 		this.dispatcher = own.add(new Dispatcher({
+			zone,
 			executor: this.executor,
 			pool: this.pool,
 			order: new ReachableObjective(),
 			leaseMilliseconds,
 			runTimes: new MeanRunTimes(),
+			patience: this.patience,
 			random: new Random(hashText(member)),
 			clock,
 			journal,
--- a/src/features/dispatch/choose-share.ts
+++ b/src/features/dispatch/choose-share.ts
@@ -1,15 +1,22 @@
 /** The choice among other entries' targets. */
+import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Random} from '../../base/random.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {OpenShare} from './open-share.js';
 
+/** With fewer choices in the own zone, entries that see the same picture send to the same target too often. */
+const enoughChoices = 8;
+
 /**
  * Picks one of all targets with room at random: entries that see the same picture would otherwise all send to the same
- * target, and all but one be refused.
+ * target, and all but one be refused. Where the own zone offers enough of them it's one of those: within a large fleet that
+ * keeps payloads, and the heartbeats of entries that run something for each other, from crossing between zones.
  */
-export function chooseShare(open: readonly OpenShare[], request: RunRequest, random: Random): OpenShare | undefined {
+export function chooseShare(open: readonly OpenShare[], request: RunRequest, zone: AvailabilityZone, random: Random): OpenShare | undefined {
 	const fitting = open.filter(({share}) => suits(share, request));
-	return fitting.length === 0 ? undefined : fitting[random.below(fitting.length)];
+	const near = fitting.filter(({member}) => member.member.zone === zone);
+	const choices = near.length >= enoughChoices ? near : fitting;
+	return choices.length === 0 ? undefined : choices[random.below(choices.length)];
 }
 
 function suits(share: OpenShare['share'], request: RunRequest): boolean {
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -1,4 +1,5 @@
 /** Jobs of this entry, from submission to answer. */
+import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
@@ -22,14 +23,17 @@
 import type {BestEffortJob} from './best-effort-job.js';
 import {FormerSubmissions} from './former-submissions.js';
 import type {JobOutcome} from './job-outcome.js';
+import type {PatienceBook} from './patience-book.js';
 import type {QueueOrder} from './queue-order.js';
 import {requestOf} from './request-of.js';
 import {RunningJob} from './running-job.js';
 import {TaskPlacer} from './task-placer.js';
 import type {TaskSlot} from './task-slot.js';
 
-/** How often waiting jobs are checked for having become useless. */
+/** Waiting jobs are checked for having become useless no later than this after it, and no more often. */
 const checkMilliseconds = 20;
+/** Unless one falls due sooner. */
+const longestCheckMilliseconds = 200;
 /** The next attempt after a target said that it knows a later one: above those of an earlier submission of the job. */
 const attemptStep = 16;
 
@@ -40,12 +44,15 @@
 
 /** What the dispatcher works with. */
 type DispatcherParts = {
+	/** Where this entry is: its jobs stay there while there's room. */
+	readonly zone: AvailabilityZone;
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
 	/** The longest lease that a target grants. */
 	readonly leaseMilliseconds: number;
 	readonly runTimes: MeanRunTimes;
+	readonly patience: PatienceBook;
 	readonly random: Random;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -63,6 +70,7 @@
 	#isWaiting = false;
 	#isPumpDue = false;
 	#checks: Disposable | undefined;
+	#checkDue = 0;
 
 	constructor(private readonly parts: DispatcherParts) {
 		const {executor, pool} = parts;
@@ -122,6 +130,17 @@
 		return [...least.values()];
 	}
 
+	/** Entries that run tasks of this one's jobs. */
+	* owners(): Iterable<MemberId> {
+		for (const {slots} of this.#jobs.values()) {
+			for (const {owner} of slots) {
+				if (owner !== undefined) {
+					yield owner;
+				}
+			}
+		}
+	}
+
 	/** Runs a job; the token is cancelled when its submitter is gone. */
 	async submit(job: BestEffortJob, token: CancellationToken): Promise<Verdict<JobOutcome>> {
 		if (token.isCancellationRequested) {
@@ -129,7 +148,9 @@
 		}
 
 		return new Promise(resolve => {
-			const submission = {receivedAt: this.parts.clock.now(), settle: resolve};
+			const now = this.parts.clock.now();
+			const ageMilliseconds = this.parts.patience.ageOf(job.route.queue, job.patienceMilliseconds, now);
+			const submission = {receivedAt: now, ageMilliseconds, settle: resolve};
 			const running = this.#jobs.get(job.id);
 			if (running === undefined) {
 				this.#accept(job, submission, token);
@@ -186,7 +207,7 @@
 		const isWaiting = !this.#placer.placeAll(this.#jobs.values());
 		if (isWaiting && !this.#isWaiting) {
 			// The others tell of their room at once while they know that somebody waits.
-			this.parts.pool.tellChange();
+			this.parts.pool.tellWaiting();
 		}
 
 		this.#isWaiting = isWaiting;
@@ -202,6 +223,7 @@
 		this.parts.clock.defer(() => {
 			this.#isPumpDue = false;
 			this.#pump();
+			this.#checkLater();
 		});
 	}
 
@@ -225,21 +247,25 @@
 		const former = this.#former.take(job.id);
 		const running = new RunningJob(job, submission, Math.max(expected, job.shape.declaredMilliseconds), former);
 		this.#jobs.set(job.id, running);
-		this.#checkLater();
 		journal.record('jobAccepted', {
 			job: job.id,
 			queue: job.route.queue,
 			tasks: job.shape.count,
 			expectedMilliseconds: Math.round(running.expectedMilliseconds),
+			objectiveMilliseconds: Math.round(running.objectiveMilliseconds),
 			patienceMilliseconds: job.patienceMilliseconds,
+			ageMilliseconds: Math.round(submission.ageMilliseconds ?? 0),
 			isResubmitted: former !== undefined,
 		});
 		this.#watchSubmitter(running, token);
 		if (running.isComplete) {
 			this.#end(running, {kind: 'answered', answer: 'complete'});
-		} else {
-			this.#pumpSoon();
+			return;
 		}
+
+		// What can be of no use any more is told so at once, and takes no room from those that can.
+		this.#endIfPast(running, submission.receivedAt);
+		this.#pumpSoon();
 	}
 
 	/** The runs go on: stopping and beginning them again would run each task twice at a time. */
@@ -370,9 +396,16 @@
 		}
 	}
 
-	/** Goes on while there are jobs. */
+	/** Goes on while there are jobs: looks when the first of them falls due, which may be sooner than it was. */
 	#checkLater(): void {
-		this.#checks ??= this.parts.clock.schedule(checkMilliseconds, () => {
+		const due = this.parts.clock.now() + this.#untilDue();
+		if (this.#checks !== undefined && due >= this.#checkDue) {
+			return;
+		}
+
+		this.#checks?.dispose();
+		this.#checkDue = due;
+		this.#checks = this.parts.clock.schedule(due - this.parts.clock.now(), () => {
 			this.#checks = undefined;
 			this.#check();
 			if (this.#jobs.size > 0) {
@@ -381,20 +414,34 @@
 		});
 	}
 
+	#untilDue(): number {
+		const now = this.parts.clock.now();
+		let until = longestCheckMilliseconds;
+		for (const job of this.#jobs.values()) {
+			until = Math.min(until, job.giveUpAt - now);
+		}
+
+		return Math.max(checkMilliseconds, until);
+	}
+
 	#check(): void {
 		const now = this.parts.clock.now();
 		for (const job of this.#jobs.values()) {
 			this.#endUnadopted(job, now);
-			if (now <= job.giveUpAt) {
-				continue;
-			}
+			this.#endIfPast(job, now);
+		}
+	}
 
-			this.#end(job, job.mayHaveRun
-				? doubt('waitExpired', 'not ended in time')
-				: {
-					kind: 'notRun', cause: 'deadlineUnreachable', detail: 'no room in time', retryAfterMilliseconds: Math.ceil(job.expectedMilliseconds),
-				});
+	#endIfPast(job: RunningJob, now: number): void {
+		if (now <= job.giveUpAt) {
+			return;
 		}
+
+		this.#end(job, job.mayHaveRun
+			? doubt('waitExpired', 'not ended in time')
+			: {
+				kind: 'notRun', cause: 'deadlineUnreachable', detail: 'no room in time', retryAfterMilliseconds: Math.ceil(job.expectedMilliseconds),
+			});
 	}
 
 	/** Nobody renews the lease of a run that nobody adopted, so that it has ended once the lease has. */
--- a/src/features/dispatch/open-shares.ts
+++ b/src/features/dispatch/open-shares.ts
@@ -1,17 +1,17 @@
 /** Which targets of other entries are worth looking at. */
-import type {PoolMember} from '../pool/pool-member.js';
+import type {Pool} from '../pool/pool.js';
 import type {OpenShare} from './open-share.js';
 
 /**
  * Targets that could take a task of so much processor. Found once for all waiting tasks: in an overload nearly every target is
  * too full for any of them, and searching all of them again for each task finds nothing each time. An
- * entry that wasn't heard since `heardSince` may be gone: what is sent there comes back only when it's taken as lost, which
- * is too late for most tasks.
+ * entry that isn't fresh may be gone: what is sent there comes back only when it's taken as lost, which is too late for
+ * most tasks.
  */
-export function openShares(members: Iterable<PoolMember>, leastCpuMillis: number, heardSince: number): OpenShare[] {
+export function openShares(pool: Pool, leastCpuMillis: number): OpenShare[] {
 	const open: OpenShare[] = [];
-	for (const member of members) {
-		if (member.heardAt < heardSince) {
+	for (const member of pool.members) {
+		if (!pool.isFresh(member)) {
 			continue;
 		}
 
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -7,7 +7,12 @@
 import type {TaskSlot} from './task-slot.js';
 
 /** Who waits for a job since when. */
-type Submission = {readonly receivedAt: number; readonly settle: (verdict: Verdict<JobOutcome>) => void};
+type Submission = {
+	readonly receivedAt: number;
+	/** How long before that its caller submitted it first, as far as it's known. */
+	readonly ageMilliseconds?: number;
+	readonly settle: (verdict: Verdict<JobOutcome>) => void;
+};
 
 /** Holds the tasks' states and the times that decide the order; the dispatcher moves it on. */
 export class RunningJob {
@@ -46,27 +51,30 @@
 		this.#submission = submission;
 	}
 
-	/** When the answer is due for the job to be of full worth. */
+	/** When the answer is due for the job to be of full worth: callers count from their first submission. */
 	get objectiveAt(): number {
-		return this.receivedAt + this.#objectiveMilliseconds;
+		return this.#firstSubmittedAt + this.objectiveMilliseconds;
 	}
 
 	/** After this the submitter has no use for the answer. */
 	get uselessAt(): number {
-		return this.receivedAt + Math.min(lateFactor * this.#objectiveMilliseconds, this.job.patienceMilliseconds);
+		return Math.min(this.#firstSubmittedAt + (lateFactor * this.objectiveMilliseconds), this.receivedAt + this.job.patienceMilliseconds);
 	}
 
 	/**
 	 * When to stop trying. A job of which nothing has begun is refused once it would miss its objective: under overload,
-	 * jobs that are late anyway would make those behind them late as well. One that has begun goes on while its answer is
-	 * of some use; one whose tasks all run, for as long as its submitter waits.
+	 * jobs that are late anyway would make those behind them late as well. One that was late when it came, since it had been
+	 * lost elsewhere, and one that has begun go on while their answers are of some use; one whose tasks all run, for as long
+	 * as its submitter waits.
 	 */
 	get giveUpAt(): number {
 		if (!this.hasWaiting) {
 			return this.receivedAt + this.job.patienceMilliseconds;
 		}
 
-		return (this.mayHaveRun ? this.uselessAt : this.objectiveAt) - this.expectedMilliseconds;
+		const latestStart = this.objectiveAt - this.expectedMilliseconds;
+		const isOfUseLate = this.mayHaveRun || latestStart < this.receivedAt;
+		return isOfUseLate ? this.uselessAt - this.expectedMilliseconds : latestStart;
 	}
 
 	get mayHaveRun(): boolean {
@@ -81,13 +89,18 @@
 		return this.slots.some(slot => slot.owner === undefined && !slot.isDone);
 	}
 
-	get isComplete(): boolean {
-		return this.slots.every(slot => slot.isDone);
+	get #firstSubmittedAt(): number {
+		return this.receivedAt - (this.#submission.ageMilliseconds ?? 0);
 	}
 
-	get #objectiveMilliseconds(): number {
+	/** From the submission to the time when the answer is due. */
+	get objectiveMilliseconds(): number {
 		return (this.job.route.stretch * this.expectedMilliseconds) + this.job.route.slackMilliseconds;
 	}
+
+	get isComplete(): boolean {
+		return this.slots.every(slot => slot.isDone);
+	}
 }
 
 function newSlot(job: JobId, index: number): TaskSlot {
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -1,4 +1,5 @@
 /** Where waiting tasks go. */
+import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Clock} from '../../base/clock.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {Random} from '../../base/random.js';
@@ -19,6 +20,7 @@
 
 /** What the placer works with. */
 type TaskPlacerParts = {
+	readonly zone: AvailabilityZone;
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
@@ -41,7 +43,7 @@
 		}
 
 		const leastCpuMillis = Math.min(...waiting.map(({job}) => job.shape.need.cpuMillis));
-		const open = openShares(pool.members, leastCpuMillis, now - pool.freshMilliseconds);
+		const open = openShares(pool, leastCpuMillis);
 		const ranked = waiting.map(job => ({job, rank: order.rank(job, now)}));
 		ranked.sort((left, right) => left.rank - right.rank);
 		let misses = 0;
@@ -61,7 +63,7 @@
 
 	/** Places one task, on this entry's own targets first; false where it has to wait. */
 	#place(job: RunningJob, slot: TaskSlot, open: readonly OpenShare[]): boolean {
-		const {executor, pool, random} = this.parts;
+		const {zone, executor, pool, random} = this.parts;
 		if (executor.isRunning(slot.id)) {
 			// Its caller submitted here after the loss of another entry, for which the task is still being stopped here.
 			return false;
@@ -73,7 +75,7 @@
 			return true;
 		}
 
-		const choice = chooseShare(open, request, random);
+		const choice = chooseShare(open, request, zone, random);
 		if (choice === undefined) {
 			return false;
 		}
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -82,6 +82,15 @@
 			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.room}));
 	}
 
+	/** The entries whose tasks run here. */
+	* requesters(): Iterable<MemberId> {
+		for (const session of this.#sessions.values()) {
+			for (const {requester} of session.runs) {
+				yield requester;
+			}
+		}
+	}
+
 	/** Opens sessions for targets that came, and updates the others; those that went are dropped with their runs' lease. */
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
 		for (const [id, session] of this.#sessions) {
@@ -156,7 +165,7 @@
 		}
 
 		journal.record('runStarted', {
-			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.room.cpuMillis, requester,
+			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.room.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
 		});
 		session.start({
 			request, requester, state: 'starting', startedAt: clock.now(), confirmedAtStep: undefined, stopConfirmedAtStep: undefined, stopCause: undefined,
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -24,10 +24,11 @@
 import {StrangerRuns} from './stranger-runs.js';
 
 /**
- * How long a target waits for an end before it answers a renewal: a tenth of the lease. A lost renewal hides the target's
- * ends for this and the time limit, and a run that is overdue is known to be so no later than this.
+ * How long a target waits for an end before it answers a renewal: a quarter of the lease. A lost renewal hides the target's
+ * ends for this and the time limit, and a run that is overdue is known to be so no later than this. With 100 ms two renewals in
+ * five ended without telling anything on a target with nine ends a second.
  */
-const busyWaitMilliseconds = 100;
+const busyWaitMilliseconds = 250;
 /** Without runs there's no lease to renew; the wait stays under the lease of a start that comes meanwhile. */
 const idleWaitMilliseconds = 600;
 /** Between renewals of a target that doesn't answer. */
--- a/src/features/pool/pool-member.ts
+++ b/src/features/pool/pool-member.ts
@@ -10,6 +10,10 @@
 export type PoolMember = {
 	readonly member: Member;
 	heardAt: number;
+	/** Whether it's heard often: in a large fleet only those of the zone are, and those that run something for each other. */
+	isClose: boolean;
+	/** When that changed last. */
+	closeSince: number;
 	isLeaving: boolean;
 	routingVersion: number;
 	/** What its waiting tasks need at least, on any entry's targets. */
--- /dev/null
+++ b/src/features/pool/pool-parts.ts
@@ -0,0 +1,15 @@
+/** What a pool works with. */
+import type {Clock} from '../../base/clock.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
+import type {EntryState} from './entry-state.js';
+
+export type PoolParts = {
+	readonly network: PeerNetwork;
+	readonly ownState: () => EntryState;
+	/** Entries that run something for this one, or that this one runs something for. */
+	readonly peersInUse: () => ReadonlySet<MemberId>;
+	readonly clock: Clock;
+	readonly journal: Journal;
+};
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -1,49 +1,27 @@
 /** The entries that share their targets' room. */
-import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Emitter} from '../../base/emitter.js';
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
-import type {Journal} from '../../runtime/journal/journal.js';
 import type {Member} from '../../runtime/peers/member.js';
-import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 import {decodeMessages} from './decode-messages.js';
 import type {EntryState} from './entry-state.js';
+import {heartbeats} from './heartbeats.js';
 import {Outbox} from './outbox.js';
 import type {PoolMember} from './pool-member.js';
 import type {PoolMessage} from './pool-message.js';
-import {placesFor} from './places-for.js';
+import type {PoolParts} from './pool-parts.js';
+import {StateTeller} from './state-teller.js';
 
 const channel = 'pool';
-/** How often it's considered to send a heartbeat, and the time between two of them in a small fleet. */
-const heartbeatMilliseconds = 100;
+/** How often it's looked which heartbeats are due, and who was silent for too long. */
+const lookMilliseconds = 100;
 /**
- * Every entry hears every other one, so that each sends and receives so many heartbeats a second: at about 0.05 ms each
- * way, 100 of them take 1% of a core.
+ * In a fleet of no more others than this everybody is close to everybody. In a larger one those of the same zone are, and those
+ * that run something for each other: heartbeats, and what each entry does for them, would grow with the square of its size.
  */
-const heartbeatsInSecond = 100;
-/** A quarter of the silence that counts as a loss: three heartbeats may be late or lost. */
-const slowestHeartbeatMilliseconds = 200;
-/** An entry that missed two heartbeats and half of the next may be gone; nothing new is sent there. */
-const heartbeatsToMiss = 2.5;
-/**
- * Changes of room are told at most so often, and only while some entry has waiting tasks; else the heartbeat tells them.
- * No later than a small part of a short task, and a few messages where nobody would use them.
- */
-const changeMilliseconds = 20;
-/**
- * A change of room is told to so many of those that wait, by turns, and to no more than twice as many as it has places for:
- * the same room isn't offered to everybody, since all but one would be refused. One that is told may have found room
- * elsewhere meanwhile, hence the double. The messages of an overloaded fleet don't grow with the square of its size.
- */
-const toldAtOnce = 7;
-const toldForPlace = 2;
-/**
- * An entry that was silent for so long is taken as lost. Clients submit again 1300 ms after a loss: by then its tasks on
- * other entries' targets must have been stopped.
- */
-const silenceMilliseconds = 800;
+const smallFleet = 12;
 
 /** Sends this entry's state to all others, and keeps theirs. */
 export class Pool implements Disposable {
@@ -57,19 +35,14 @@
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
 	readonly #outbox: Outbox;
-	#toldAt = 0;
-	#changeToldAt = 0;
-	#toldUpTo = 0;
-	#pending: Disposable | undefined;
-	#isForAll = false;
-
-	constructor(
-		private readonly network: PeerNetwork,
-		private readonly ownState: () => EntryState,
-		private readonly clock: Clock,
-		private readonly journal: Journal,
-	) {
+	readonly #teller: StateTeller;
+
+	constructor(private readonly parts: PoolParts) {
+		const {network, ownState, clock} = parts;
 		this.#outbox = new Outbox(network, channel, clock);
+		this.#teller = this.#store.add(new StateTeller({
+			members: () => this.#members.values(), ownState, outbox: this.#outbox, clock,
+		}));
 		this.#store.add(network.onDidReceive(({from, message}) => {
 			if (message.channel === channel) {
 				this.#receive(from, message.body);
@@ -107,7 +80,7 @@
 	}
 
 	get self(): MemberId {
-		return this.network.self.id;
+		return this.parts.network.self.id;
 	}
 
 	/** All entries that were heard lately, without this one. */
@@ -115,9 +88,10 @@
 		return this.#members.values();
 	}
 
-	/** How long ago a member may have been heard for new tasks to be sent there. */
-	get freshMilliseconds(): number {
-		return heartbeatsToMiss * this.#heartbeatPeriod;
+	/** Whether a member was heard so lately that new tasks may be sent there. */
+	isFresh({heardAt, isClose}: PoolMember): boolean {
+		const limit = isClose ? heartbeats.closeFreshMilliseconds : heartbeats.distantFreshMilliseconds;
+		return this.parts.clock.now() - heardAt <= limit;
 	}
 
 	/** Whether an entry was heard lately. */
@@ -126,23 +100,22 @@
 	}
 
 	start(): void {
-		this.#store.add(repeat(this.clock, heartbeatMilliseconds, () => {
+		this.#store.add(repeat(this.parts.clock, lookMilliseconds, () => {
+			this.#sortMembers();
 			this.#dropSilent();
-			if (this.clock.now() - this.#toldAt >= this.#heartbeatPeriod - (heartbeatMilliseconds / 2)) {
-				this.#tellAll();
-			}
+			this.#teller.beat(lookMilliseconds / 2);
 		}));
 	}
 
 	/** Connects to entries at these addresses, besides those that are known. */
 	meet(addresses: Iterable<string>): void {
 		for (const address of addresses) {
-			if (address !== this.network.self.peerAddress) {
+			if (address !== this.parts.network.self.peerAddress) {
 				this.#addresses.add(address);
 			}
 		}
 
-		this.network.watch(this.#addresses);
+		this.#watch();
 	}
 
 	send(to: MemberId, message: PoolMessage): void {
@@ -160,84 +133,56 @@
 
 	/** Tells all entries of a change, soon. */
 	tellChange(): void {
-		this.#isForAll = true;
-		this.#scheduleChange();
+		this.#teller.tellAll();
+	}
+
+	/** Tells the entries that are close that tasks wait here, soon. */
+	tellWaiting(): void {
+		this.#teller.tellWaiting();
 	}
 
 	/** Tells of a change of room, if anybody waits for room. */
 	tellRoom(): void {
-		if (this.#pending !== undefined) {
-			return;
-		}
-
-		for (const member of this.#members.values()) {
-			if (member.wanted.length > 0) {
-				this.#scheduleChange();
-				return;
-			}
-		}
+		this.#teller.tellRoom();
 	}
 
 	dispose(): void {
-		this.#pending?.dispose();
 		this.#store.dispose();
 	}
 
-	get #heartbeatPeriod(): number {
-		const period = this.#members.size * 1000 / heartbeatsInSecond;
-		return Math.min(slowestHeartbeatMilliseconds, Math.max(heartbeatMilliseconds, period));
-	}
-
-	#scheduleChange(): void {
-		if (this.#pending !== undefined) {
-			return;
-		}
-
-		const due = this.#changeToldAt + changeMilliseconds - this.clock.now();
-		this.#pending = this.clock.schedule(Math.max(0, due), () => {
-			this.#pending = undefined;
-			if (this.#isForAll) {
-				this.#tellAll();
-			} else {
-				this.#tellWaiting();
+	/** Connections to entries that are close are watched; the others are used as they are, and made anew when they're needed. */
+	#sortMembers(): void {
+		const {network, peersInUse, clock} = this.parts;
+		const isSmall = this.#members.size <= smallFleet;
+		const inUse = isSmall ? undefined : peersInUse();
+		let isChanged = false;
+		for (const known of this.#members.values()) {
+			const {member} = known;
+			const isClose = isSmall || member.zone === network.self.zone || inUse!.has(member.id);
+			if (isClose !== known.isClose) {
+				known.isClose = isClose;
+				known.closeSince = clock.now();
+				isChanged = true;
 			}
-		});
-	}
-
-	#tellAll(): void {
-		this.#pending?.dispose();
-		this.#pending = undefined;
-		this.#isForAll = false;
-		this.#toldAt = this.clock.now();
-		this.#changeToldAt = this.#toldAt;
-		this.broadcast({kind: 'state', state: this.ownState()});
-	}
-
-	/** Room that nobody took is told again to the next ones. */
-	#tellWaiting(): void {
-		this.#changeToldAt = this.clock.now();
-		const state = this.ownState();
-		const waiting = [...this.#members.values()].filter(member => placesFor(member.wanted, state.room) > 0);
-		const places = Math.max(0, ...waiting.map(member => placesFor(member.wanted, state.room)));
-		const told = Math.min(toldAtOnce, toldForPlace * places, waiting.length);
-		for (let count = 0; count < told; count += 1) {
-			this.#toldUpTo += 1;
-			const {member} = waiting[this.#toldUpTo % waiting.length]!;
-			this.#outbox.put(member, {kind: 'state', state});
 		}
 
-		if (told > 0) {
-			this.#scheduleChange();
+		if (isChanged) {
+			this.#watch();
 		}
 	}
 
+	#watch(): void {
+		const distant = new Set([...this.#members.values()].filter(({isClose}) => !isClose).map(({member}) => member.peerAddress));
+		this.parts.network.watch(new Set([...this.#addresses].filter(address => !distant.has(address))));
+	}
+
 	#meet(member: Member): void {
 		this.meet([member.peerAddress]);
 		this.#met.set(member.id, member);
 		this.#members.set(member.id, {
-			member, heardAt: this.clock.now(), isLeaving: false, routingVersion: 0, wanted: [], room: [],
+			member, heardAt: this.parts.clock.now(), isClose: true, closeSince: this.parts.clock.now(), isLeaving: false, routingVersion: 0, wanted: [], room: [],
 		});
-		this.journal.record('poolMemberMet', {member: member.id, zone: member.zone});
+		this.parts.journal.record('poolMemberMet', {member: member.id, zone: member.zone});
 		this.#outbox.put(member, {kind: 'addresses', addresses: [...this.#addresses]});
 		this.tellChange();
 	}
@@ -252,7 +197,7 @@
 			this.#meet(from);
 		}
 
-		this.#members.get(from.id)!.heardAt = this.clock.now();
+		this.#members.get(from.id)!.heardAt = this.parts.clock.now();
 		for (const message of messages) {
 			this.#take(from, message);
 		}
@@ -262,7 +207,7 @@
 		try {
 			return decodeMessages(body);
 		} catch (error) {
-			this.journal.record('poolMessageUnreadable', {member: from.id, detail: (error as Error).message});
+			this.parts.journal.record('poolMessageUnreadable', {member: from.id, detail: (error as Error).message});
 			return [];
 		}
 	}
@@ -273,27 +218,48 @@
 			return;
 		}
 
+		if (message.kind === 'adopted') {
+			// The new owner has heard of this entry less often than the former one, and has to know soon that it lives.
+			this.#outbox.put(from, {kind: 'state', state: this.parts.ownState()});
+		}
+
 		if (message.kind === 'state') {
-			// A listener of an earlier message of the batch may have found that the entry is gone.
-			Object.assign(this.#members.get(from.id) ?? {}, message.state);
-			this.#room.fire();
+			this.#takeState(this.#members.get(from.id), message.state);
 		}
 
 		this.#message.fire({from, message});
 	}
 
+	/** The member is gone where a listener of an earlier message of the batch has found it so. */
+	#takeState(known: PoolMember | undefined, state: EntryState): void {
+		if (known === undefined) {
+			return;
+		}
+
+		const beginsToWait = known.wanted.length === 0 && state.wanted.length > 0;
+		Object.assign(known, state);
+		this.#room.fire();
+		if (beginsToWait) {
+			// It may not know of room that is here since the last heartbeat.
+			this.tellRoom();
+		}
+	}
+
 	#dropSilent(): void {
-		const now = this.clock.now();
-		for (const {member, heardAt} of this.#members.values()) {
-			if (now - heardAt > silenceMilliseconds) {
-				this.#drop(member.id, `silent for ${Math.round(now - heardAt)} ms`);
+		const now = this.parts.clock.now();
+		for (const {member, heardAt, isClose, closeSince} of this.#members.values()) {
+			const limit = isClose ? heartbeats.closeSilenceMilliseconds : heartbeats.distantSilenceMilliseconds;
+			// One that has just become close had no reason to be heard more often before.
+			const silence = now - (isClose ? Math.max(heardAt, closeSince) : heardAt);
+			if (silence > limit) {
+				this.#drop(member.id, `silent for ${Math.round(silence)} ms`);
 			}
 		}
 	}
 
 	#drop(id: MemberId, cause: string): void {
 		if (this.#members.delete(id)) {
-			this.journal.record('poolMemberLost', {member: id, cause});
+			this.parts.journal.record('poolMemberLost', {member: id, cause});
 			this.#lose.fire(id);
 		}
 	}
--- /dev/null
+++ b/src/features/pool/state-teller.ts
@@ -0,0 +1,132 @@
+/** When this entry tells its state, and to whom. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import type {EntryState} from './entry-state.js';
+import {heartbeats} from './heartbeats.js';
+import type {Outbox} from './outbox.js';
+import {placesFor} from './places-for.js';
+import type {PoolMember} from './pool-member.js';
+
+/**
+ * Changes of room are told at most so often, and only while some entry has waiting tasks; else the heartbeat tells them.
+ * No later than a small part of a short task, and a few messages where nobody would use them.
+ */
+const changeMilliseconds = 20;
+/**
+ * That tasks begin to wait here is told no sooner after the last state than so long for each entry that's told: an entry under
+ * load begins and ceases to wait all the time, and a large fleet would be told by all of its entries.
+ */
+const waitingMillisecondsForEach = 3;
+/**
+ * A change of room is told to so many of those that wait, by turns, and to no more than twice as many as it has places for:
+ * the same room isn't offered to everybody, since all but one would be refused. One that is told may have found room
+ * elsewhere meanwhile, hence the double. The messages of an overloaded fleet don't grow with the square of its size.
+ */
+const toldAtOnce = 7;
+const toldForPlace = 2;
+
+/** What a teller works with. */
+type StateTellerParts = {
+	readonly members: () => Iterable<PoolMember>;
+	readonly ownState: () => EntryState;
+	readonly outbox: Outbox;
+	readonly clock: Clock;
+};
+
+/** Sends heartbeats, and changes between them. */
+export class StateTeller implements Disposable {
+	#toldCloseAt = Number.NEGATIVE_INFINITY;
+	#toldAllAt = Number.NEGATIVE_INFINITY;
+	#changeToldAt = Number.NEGATIVE_INFINITY;
+	#toldUpTo = 0;
+	#pending: Disposable | undefined;
+	#pendingAll: Disposable | undefined;
+
+	constructor(private readonly parts: StateTellerParts) {}
+
+	/** Sends the heartbeats that are due within the given time. */
+	beat(leewayMilliseconds: number): void {
+		const soon = this.parts.clock.now() + leewayMilliseconds;
+		if (soon - this.#toldAllAt >= heartbeats.distantMilliseconds) {
+			this.#tell(true);
+		} else if (soon - this.#toldCloseAt >= heartbeats.closeMilliseconds) {
+			this.#tell(false);
+		}
+	}
+
+	/** Tells all entries of a change, soon. */
+	tellAll(): void {
+		this.#pendingAll ??= this.parts.clock.schedule(changeMilliseconds, () => {
+			this.#pendingAll = undefined;
+			this.#tell(true);
+		});
+	}
+
+	/** Tells the entries that are close that tasks wait here, soon. */
+	tellWaiting(): void {
+		const told = [...this.parts.members()].filter(({isClose}) => isClose).length;
+		const due = this.#toldCloseAt + (told * waitingMillisecondsForEach) - this.parts.clock.now();
+		this.#pendingAll ??= this.parts.clock.schedule(Math.max(0, due), () => {
+			this.#pendingAll = undefined;
+			this.#tell(false);
+		});
+	}
+
+	/** Tells of a change of room, if anybody waits for room. */
+	tellRoom(): void {
+		if (this.#pending !== undefined) {
+			return;
+		}
+
+		for (const member of this.parts.members()) {
+			if (member.wanted.length > 0) {
+				this.#tellRoomSoon();
+				return;
+			}
+		}
+	}
+
+	dispose(): void {
+		this.#pending?.dispose();
+		this.#pendingAll?.dispose();
+	}
+
+	#tell(isForAll: boolean): void {
+		const {members, ownState, outbox, clock} = this.parts;
+		this.#toldCloseAt = clock.now();
+		this.#toldAllAt = isForAll ? clock.now() : this.#toldAllAt;
+		const state = ownState();
+		for (const {member, isClose} of members()) {
+			if (isForAll || isClose) {
+				outbox.put(member, {kind: 'state', state});
+			}
+		}
+	}
+
+	#tellRoomSoon(): void {
+		const due = this.#changeToldAt + changeMilliseconds - this.parts.clock.now();
+		this.#pending = this.parts.clock.schedule(Math.max(0, due), () => {
+			this.#pending = undefined;
+			this.#tellRoomNow();
+		});
+	}
+
+	/** Room that nobody took is told again to the next ones. */
+	#tellRoomNow(): void {
+		const {members, ownState, outbox, clock} = this.parts;
+		this.#changeToldAt = clock.now();
+		const state = ownState();
+		const waiting = [...members()].filter(member => placesFor(member.wanted, state.room) > 0);
+		const places = Math.max(0, ...waiting.map(member => placesFor(member.wanted, state.room)));
+		const told = Math.min(toldAtOnce, toldForPlace * places, waiting.length);
+		for (let count = 0; count < told; count += 1) {
+			this.#toldUpTo += 1;
+			const {member} = waiting[this.#toldUpTo % waiting.length]!;
+			outbox.put(member, {kind: 'state', state});
+		}
+
+		if (told > 0) {
+			this.#tellRoomSoon();
+		}
+	}
+}
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -232,7 +232,7 @@
 		number: 716, level: 'notice', meaning: 'A run of a former owner is stopped, since nobody handed it over', fields: ['target', 'task', 'attempt'],
 	},
 	runStarted: {
-		number: 720, level: 'detail', meaning: 'A run is ordered from a target with this room left before it', fields: ['task', 'attempt', 'target', 'fence', 'roomCpuMillis', 'requester'],
+		number: 720, level: 'detail', meaning: 'A run is ordered from a target with this room left before it', fields: ['task', 'attempt', 'target', 'fence', 'roomCpuMillis', 'cpuMillis', 'requester'],
 	},
 	startRefused: {
 		number: 721, level: 'detail', meaning: 'A target did not take a start', fields: ['target', 'task', 'attempt', 'kind', 'detail'],
@@ -250,7 +250,10 @@
 		fields: ['target', 'runs', 'ranMilliseconds', 'expectedMilliseconds'],
 	},
 	jobAccepted: {
-		number: 800, level: 'detail', meaning: 'A job waits for room', fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'patienceMilliseconds', 'isResubmitted'],
+		number: 800,
+		level: 'detail',
+		meaning: 'A job waits for room',
+		fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'objectiveMilliseconds', 'patienceMilliseconds', 'ageMilliseconds', 'isResubmitted'],
 	},
 	taskSent: {
 		number: 801, level: 'detail', meaning: 'A task goes to another entry\'s targets', fields: ['task', 'attempt', 'owner', 'heardAgoMilliseconds'],
--- a/src/runtime/peers/outgoing-link.ts
+++ b/src/runtime/peers/outgoing-link.ts
@@ -13,8 +13,6 @@
 import type {PeerTransport} from './peer-transport.js';
 import type {TrafficCounter} from './traffic-counter.js';
 
-/** A connection that nobody watches is pinged for so long after its last use. */
-const useMilliseconds = 1000;
 /** Messages that wait for the connection; older ones are dropped, since their senders send again. */
 const queueLimit = 512;
 
@@ -99,7 +97,7 @@
 	get #isWanted(): boolean {
 		// An address that never answered is dialled until it does or refuses: as long as it does neither, nobody can tell
 		// whether an entry is there, and its zone's newcomers wait.
-		return !this.#hasMet || this.isWatched || this.parts.clock.now() - this.#usedAt < useMilliseconds;
+		return !this.#hasMet || this.isWatched || this.parts.clock.now() - this.#usedAt < this.parts.timing.use;
 	}
 
 	#isQuiet(peer: Member): boolean {
--- a/src/runtime/peers/peer-timing.ts
+++ b/src/runtime/peers/peer-timing.ts
@@ -16,4 +16,6 @@
 	readonly silence: number;
 	readonly connect: number;
 	readonly redial: number;
+	/** A connection that nobody watches is pinged for so long after its last use. */
+	readonly use: number;
 };
