--- a/src/entries/command/losses/attribute-loss.ts
+++ b/src/entries/command/losses/attribute-loss.ts
@@ -41,10 +41,13 @@
 	const attempts = lastAwaited(job);
 	const cpuMillis = cpuOf(job);
 	let reached = job.acceptedAt;
-	for (const attempt of attempts) {
+	for (const [index, attempt] of attempts.entries()) {
 		const begunAt = attempt.sentAt ?? attempt.startedAt ?? reached;
-		parts.push(...waitBetween(reached, begunAt, cpuMillis, surroundings.room), ...partsOfAttempt(job, attempt, job.end.at, surroundings));
-		reached = attempt.endedAt ?? job.end.at;
+		const next = attempts[index + 1];
+		// An attempt that is followed by another one has ended, whether a line tells of it or not.
+		const endedAt = attempt.endedAt ?? next?.sentAt ?? next?.startedAt ?? job.end.at;
+		parts.push(...waitBetween(reached, begunAt, cpuMillis, surroundings.room), ...partsOfAttempt(job, attempt, endedAt, surroundings));
+		reached = endedAt;
 	}
 
 	const isWaiting = attempts.at(-1)?.outcome !== 'done';
@@ -77,8 +80,8 @@
 	return [{reason: 'waitedBesideIdleRoom', milliseconds: beside}, {reason: 'waitedForRoom', milliseconds: whole - beside}];
 }
 
-function partsOfAttempt(job: JobTrace, attempt: Attempt, jobEndedAt: number, {paces}: Surroundings): readonly Part[] {
-	const {sentAt, startedAt, endedAt = jobEndedAt} = attempt;
+function partsOfAttempt(job: JobTrace, attempt: Attempt, endedAt: number, {paces}: Surroundings): readonly Part[] {
+	const {sentAt, startedAt} = attempt;
 	if (startedAt === undefined) {
 		const reason = attempt.outcome === 'refused' ? 'refusedByOwner' : (job.end?.detail.startsWith('executorLost') ? 'ownerLost' : 'onTheWay');
 		return [{reason, milliseconds: endedAt - (sentAt ?? endedAt)}];
--- a/src/entries/command/losses/job-trace.ts
+++ b/src/entries/command/losses/job-trace.ts
@@ -63,6 +63,12 @@
 				return;
 			}
 
+			case 'runRefused': {
+				attempt.endedAt = at;
+				attempt.outcome = 'refused';
+				return;
+			}
+
 			case 'runEnded': {
 				attempt.endedAt = at;
 				attempt.outcome = String(fields.outcome);
--- a/src/entries/command/losses/loss-account.ts
+++ b/src/entries/command/losses/loss-account.ts
@@ -45,6 +45,7 @@
 
 			case 'taskSent':
 			case 'runStarted':
+			case 'runRefused':
 			case 'runStopped':
 			case 'runEnded': {
 				this.#takeTask(line);
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -67,7 +67,7 @@
 			clock,
 			journal,
 		}));
-		own.add(new RemoteRuns(this.pool, this.executor, clock));
+		own.add(new RemoteRuns(this.pool, this.executor, clock, journal));
 		this.ownership = own.add(new Ownership({
 			zone, member, store: group, catalogue, executor: this.executor, orders, clock, journal,
 		}));
--- a/src/features/pool/outbox.ts
+++ b/src/features/pool/outbox.ts
@@ -6,11 +6,12 @@
 import {encodeMessages} from './encode-messages.js';
 import type {PoolMessage} from './pool-message.js';
 
-type Batch = {readonly member: Member; readonly messages: PoolMessage[]};
+type Batch = {readonly member: Member; messages: PoolMessage[]};
 
 /**
  * Sends all messages for one entry that come up while one event is handled in one frame, in their order. The tasks of a wide
- * job, or the ends that one report of a target lists, would otherwise cost a system call and a wake-up each.
+ * job, or the ends that one report of a target lists, would otherwise cost a system call and a wake-up each. Of several states
+ * only the last one goes.
  */
 export class Outbox {
 	readonly #batches = new Map<MemberId, Batch>();
@@ -24,12 +25,13 @@
 			});
 		}
 
-		const batch = this.#batches.get(member.id);
-		if (batch === undefined) {
-			this.#batches.set(member.id, {member, messages: [message]});
-		} else {
-			batch.messages.push(message);
+		const batch = this.#batches.get(member.id) ?? {member, messages: []};
+		this.#batches.set(member.id, batch);
+		if (message.kind === 'state') {
+			batch.messages = batch.messages.filter(({kind}) => kind !== 'state');
 		}
+
+		batch.messages.push(message);
 	}
 
 	#flush(): void {
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -136,6 +136,11 @@
 		this.#teller.tellAll();
 	}
 
+	/** Tells one entry how it is here, which it seems not to know. */
+	tellMember(id: MemberId): void {
+		this.send(id, {kind: 'state', state: this.parts.ownState()});
+	}
+
 	/** Tells the entries that are close that tasks wait here, soon. */
 	tellWaiting(): void {
 		this.#teller.tellWaiting();
@@ -220,7 +225,7 @@
 
 		if (message.kind === 'adopted') {
 			// The new owner has heard of this entry less often than the former one, and has to know soon that it lives.
-			this.#outbox.put(from, {kind: 'state', state: this.parts.ownState()});
+			this.tellMember(from.id);
 		}
 
 		if (message.kind === 'state') {
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -4,6 +4,7 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
+import type {Journal} from '../../runtime/journal/journal.js';
 import type {ExecutionReport} from '../execution/execution-report.js';
 import type {Executor} from '../execution/executor.js';
 import {runKeyOf} from '../execution/run-key-of.js';
@@ -32,7 +33,7 @@
 	readonly #store = new DisposableStore();
 	readonly #remembered = new Map<string, Remembered>();
 
-	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock) {
+	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock, private readonly journal: Journal) {
 		this.#store.add(pool.onDidReceive(({from, message}) => {
 			this.#receive(from.id, message);
 		}));
@@ -94,9 +95,13 @@
 			requester: from, successor: undefined, at: this.clock.now(), report: undefined, isEnded: false,
 		});
 		if (this.executor.start(request, from) === undefined) {
+			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
 			});
+			// Others have filled what it was told of. With the old picture it would send the task to the next full target here: in
+			// the first second after a loss of all entries three of four tasks that were sent were refused.
+			this.pool.tellMember(from);
 		}
 	}
 
--- a/src/features/pool/state-teller.ts
+++ b/src/features/pool/state-teller.ts
@@ -7,16 +7,21 @@
 import {placesFor} from './places-for.js';
 import type {PoolMember} from './pool-member.js';
 
+/** A change that all entries have to know waits so long for others of its kind. */
+const soonMilliseconds = 20;
 /**
- * Changes of room are told at most so often, and only while some entry has waiting tasks; else the heartbeat tells them.
- * No later than a small part of a short task, and a few messages where nobody would use them.
+ * New room is told within so long, and only while some entry waits for such room; else the heartbeat tells it. In a burst a place
+ * that becomes free stands idle for as long: with 20 ms that was a fifth of its time, with tasks of 60 to 200 ms, while the
+ * logs of its targets' owners showed two such places for each waiting task.
  */
-const changeMilliseconds = 20;
+const newRoomMilliseconds = 5;
+/** Room that nobody took is told again, to the next ones, after so long. */
+const sameRoomMilliseconds = 20;
 /**
  * That tasks begin to wait here is told no sooner after the last state than so long for each entry that's told: an entry under
  * load begins and ceases to wait all the time, and a large fleet would be told by all of its entries.
  */
-const waitingMillisecondsForEach = 3;
+const waitingMillisecondsForEach = 1;
 /**
  * A change of room is told to so many of those that wait, by turns, and to no more than twice as many as it has places for:
  * the same room isn't offered to everybody, since all but one would be refused. One that is told may have found room
@@ -39,6 +44,8 @@
 	#toldAllAt = Number.NEGATIVE_INFINITY;
 	#changeToldAt = Number.NEGATIVE_INFINITY;
 	#toldUpTo = 0;
+	/** How many places the last entries were told of; fewer since they were taken. */
+	#placesTold = 0;
 	#pending: Disposable | undefined;
 	#pendingAll: Disposable | undefined;
 
@@ -56,7 +63,7 @@
 
 	/** Tells all entries of a change, soon. */
 	tellAll(): void {
-		this.#pendingAll ??= this.parts.clock.schedule(changeMilliseconds, () => {
+		this.#pendingAll ??= this.parts.clock.schedule(soonMilliseconds, () => {
 			this.#pendingAll = undefined;
 			this.#tell(true);
 		});
@@ -104,29 +111,45 @@
 	}
 
 	#tellRoomSoon(): void {
-		const due = this.#changeToldAt + changeMilliseconds - this.parts.clock.now();
-		this.#pending = this.parts.clock.schedule(Math.max(0, due), () => {
+		const due = this.#changeToldAt + newRoomMilliseconds - this.parts.clock.now();
+		this.#scheduleRoom(Math.max(0, due));
+	}
+
+	#scheduleRoom(milliseconds: number): void {
+		this.#pending = this.parts.clock.schedule(milliseconds, () => {
 			this.#pending = undefined;
 			this.#tellRoomNow();
 		});
 	}
 
-	/** Room that nobody took is told again to the next ones. */
 	#tellRoomNow(): void {
-		const {members, ownState, outbox, clock} = this.parts;
-		this.#changeToldAt = clock.now();
+		const {members, ownState, clock} = this.parts;
 		const state = ownState();
 		const waiting = [...members()].filter(member => placesFor(member.wanted, state.room) > 0);
 		const places = Math.max(0, ...waiting.map(member => placesFor(member.wanted, state.room)));
-		const told = Math.min(toldAtOnce, toldForPlace * places, waiting.length);
-		for (let count = 0; count < told; count += 1) {
-			this.#toldUpTo += 1;
-			const {member} = waiting[this.#toldUpTo % waiting.length]!;
-			outbox.put(member, {kind: 'state', state});
+		const isNew = places > this.#placesTold;
+		this.#placesTold = Math.min(this.#placesTold, places);
+		if (places === 0) {
+			return;
 		}
 
-		if (told > 0) {
-			this.#tellRoomSoon();
+		const sameRoomDue = this.#changeToldAt + sameRoomMilliseconds - clock.now();
+		if (!isNew && sameRoomDue > 0) {
+			this.#scheduleRoom(sameRoomDue);
+			return;
+		}
+
+		this.#placesTold = places;
+		this.#changeToldAt = clock.now();
+		this.#tellByTurns(waiting, Math.min(toldAtOnce, toldForPlace * places, waiting.length), state);
+		this.#scheduleRoom(sameRoomMilliseconds);
+	}
+
+	#tellByTurns(waiting: readonly PoolMember[], count: number, state: EntryState): void {
+		for (let told = 0; told < count; told += 1) {
+			this.#toldUpTo += 1;
+			const {member} = waiting[this.#toldUpTo % waiting.length]!;
+			this.parts.outbox.put(member, {kind: 'state', state});
 		}
 	}
 }
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -249,6 +249,9 @@
 		meaning: 'Runs take much longer than expected; they are stopped and begun elsewhere, and the target is taken out for a while',
 		fields: ['target', 'runs', 'ranMilliseconds', 'expectedMilliseconds'],
 	},
+	runRefused: {
+		number: 725, level: 'detail', meaning: 'Another entry asked for a run, and no target here has room for it', fields: ['task', 'attempt', 'requester'],
+	},
 	jobAccepted: {
 		number: 800,
 		level: 'detail',
