--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -157,7 +157,7 @@
 		const {metrics} = this.parts;
 		const {dispatcher, executor} = this.#entry;
 		metrics.gauge('jobs_in_flight', dispatcher.inFlight);
-		metrics.gauge('tasks_waiting', dispatcher.waitingTasks);
+		metrics.gauge('tasks_waiting', dispatcher.jobs.waitingTasks);
 		metrics.gauge('targets_owned', executor.ownedTargets);
 		metrics.gauge('routing_version', this.#routing.version);
 	}
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -63,7 +63,7 @@
 		this.pool = own.add(new Pool({
 			network,
 			ownState: () => this.#state(),
-			peersInUse: () => new Set([...this.executor.requesters(), ...this.dispatcher.owners()]),
+			peersInUse: () => new Set([...this.executor.requesters(), ...this.dispatcher.jobs.owners()]),
 			clock,
 			journal,
 		}));
@@ -137,7 +137,7 @@
 
 	#state(): EntryState {
 		return {
-			isLeaving: this.#isLeaving, routingVersion: this.parts.routing.version, wanted: this.dispatcher.wanted, room: this.executor.room,
+			isLeaving: this.#isLeaving, routingVersion: this.parts.routing.version, wanted: this.dispatcher.jobs.wanted, room: this.executor.room,
 		};
 	}
 
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -6,41 +6,31 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import type {DoubtCause} from '../../base/doubt-cause.js';
 import type {JobId} from '../../base/job-id.js';
-import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
-import type {ProfileName} from '../../base/profile-name.js';
 import type {Random} from '../../base/random.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {Handover} from '../execution/handover.js';
 import type {Executor} from '../execution/executor.js';
-import type {RunOutcome} from '../execution/run-outcome.js';
-import type {WantedRoom} from '../execution/wanted-room.js';
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
 import type {BestEffortJob} from './best-effort-job.js';
-import {FormerSubmissions} from './former-submissions.js';
 import type {JobOutcome} from './job-outcome.js';
+import {JobTable} from './job-table.js';
 import type {PatienceBook} from './patience-book.js';
 import type {QueueOrder} from './queue-order.js';
 import {requestOf} from './request-of.js';
+import {RunResults} from './run-results.js';
 import {RunningJob} from './running-job.js';
 import {TaskPlacer} from './task-placer.js';
-import type {TaskSlot} from './task-slot.js';
 
 /** Waiting jobs are checked for having become useless no later than this after it, and no more often. */
 const checkMilliseconds = 20;
 /** Unless one falls due sooner. */
 const longestCheckMilliseconds = 200;
-/** The next attempt after a target said that it knows a later one: above those of an earlier submission of the job. */
-const attemptStep = 16;
-
-/** A target's clock may be this much slower than ours. */
-const leaseDrift = 1.02;
-/** For the messages of the former owner and of the next one, also on a connection that's being made anew. */
-const adoptionSlackMilliseconds = 300;
+type OwnedRun = {readonly task: TaskId; readonly attempt: number; readonly owner: MemberId};
 
 /** What the dispatcher works with. */
 type DispatcherParts = {
@@ -63,8 +53,8 @@
  * that the next one is chosen as late as possible.
  */
 export class Dispatcher implements Disposable {
-	readonly #jobs = new Map<JobId, RunningJob>();
-	readonly #former = new FormerSubmissions();
+	readonly #jobs = new JobTable();
+	readonly #results: RunResults;
 	readonly #placer: TaskPlacer;
 	readonly #store = new DisposableStore();
 	#isWaiting = false;
@@ -75,9 +65,24 @@
 	constructor(private readonly parts: DispatcherParts) {
 		const {executor, pool} = parts;
 		this.#placer = new TaskPlacer(parts);
+		this.#results = new RunResults({
+			...parts,
+			jobs: this.#jobs,
+			listener: {
+				onDidSettle: (job, answer) => {
+					this.#end(job, {kind: 'answered', answer});
+				},
+				onDidFree: () => {
+					this.#pumpSoon();
+				},
+				onDidFindUnwanted: (task, attempt, owner) => {
+					this.#stopRun({task, attempt, owner}, 'nobody waits for it');
+				},
+			},
+		});
 		this.#store.add(executor.onDidReport(({requester, task, attempt, outcome}) => {
 			if (requester === pool.self) {
-				this.#take(task, attempt, outcome);
+				this.#results.take(task, attempt, outcome);
 			}
 		}));
 		this.#store.add(pool.onDidReceive(({from, message}) => {
@@ -85,7 +90,7 @@
 		}));
 		this.#store.add(executor.onDidAdopt(({requester, request}) => {
 			if (requester === pool.self) {
-				this.#adopted(request.task, request.attempt, pool.self);
+				this.#results.adopt(request.task, request.attempt, pool.self);
 			}
 		}));
 		this.#store.add(pool.onDidLose(member => {
@@ -102,43 +107,13 @@
 		}));
 	}
 
-	get inFlight(): number {
-		return this.#jobs.size;
-	}
-
-	get waitingTasks(): number {
-		let waiting = 0;
-		for (const job of this.#jobs.values()) {
-			waiting += job.waiting.length;
-		}
-
-		return waiting;
-	}
-
-	/** The least that a waiting task of each service needs; empty where none waits. */
-	get wanted(): readonly WantedRoom[] {
-		const least = new Map<string, WantedRoom>();
-		for (const running of this.#jobs.values()) {
-			const {service} = running.job.route;
-			const {need} = running.job.shape;
-			const known = least.get(service);
-			if (running.hasWaiting && (known === undefined || need.cpuMillis < known.need.cpuMillis)) {
-				least.set(service, {service, need});
-			}
-		}
-
-		return [...least.values()];
+	/** What waits for room, for the entries that have it; and who runs something for this one. */
+	get jobs(): Pick<JobTable, 'wanted' | 'owners' | 'waitingTasks' | 'waitingJobsOf'> {
+		return this.#jobs;
 	}
 
-	/** Entries that run tasks of this one's jobs. */
-	* owners(): Iterable<MemberId> {
-		for (const {slots} of this.#jobs.values()) {
-			for (const {owner} of slots) {
-				if (owner !== undefined) {
-					yield owner;
-				}
-			}
-		}
+	get inFlight(): number {
+		return this.#jobs.size;
 	}
 
 	/** Runs a job; the token is cancelled when its submitter is gone. */
@@ -172,27 +147,17 @@
 	}
 
 	isRunning(id: JobId): boolean {
-		return this.#jobs.has(id);
-	}
-
-	/** Jobs of a queue of which no task was started. */
-	waitingJobsOf(queue: ProfileName): number {
-		return [...this.#jobs.values()].filter(({job, mayHaveRun}) => job.route.queue === queue && !mayHaveRun).length;
+		return this.#jobs.get(id) !== undefined;
 	}
 
 	/** Runs changed hands: their next owner has to tell, or they have ended with their lease. */
 	noteHandovers(handovers: readonly Handover[]): void {
-		for (const {request} of handovers.flatMap(handover => handover.runs)) {
-			const found = this.#find(request.task);
-			if (found?.slot.attempt === request.attempt && found.slot.owner !== undefined) {
-				found.slot.handedOverAt = this.parts.clock.now();
-			}
-		}
+		this.#results.noteHandovers(handovers);
 	}
 
 	/** Answers every job as it stands; the process is about to end. */
 	giveUp(): void {
-		for (const job of this.#jobs.values()) {
+		for (const job of this.#jobs) {
 			this.#end(job, job.mayHaveRun ? doubt('stopped', 'the entry ends') : {kind: 'notRun', cause: 'draining', detail: 'the entry ends'});
 		}
 	}
@@ -204,7 +169,7 @@
 
 	/** Places what can be placed now, in order. */
 	#pump(): void {
-		const isWaiting = !this.#placer.placeAll(this.#jobs.values());
+		const isWaiting = !this.#placer.placeAll(this.#jobs);
 		if (isWaiting && !this.#isWaiting) {
 			// The others tell of their room at once while they know that somebody waits.
 			this.parts.pool.tellWaiting();
@@ -229,24 +194,24 @@
 
 	#receive(from: MemberId, message: PoolMessage): void {
 		if (message.kind === 'report') {
-			this.#take(message.task, message.attempt, message.outcome);
+			this.#results.take(message.task, message.attempt, message.outcome);
 		}
 
 		if (message.kind === 'handover') {
-			this.noteHandovers(message.handovers);
+			this.#results.noteHandovers(message.handovers);
 		}
 
 		if (message.kind === 'adopted') {
-			this.#adopted(message.task, message.attempt, from);
+			this.#results.adopt(message.task, message.attempt, from);
 		}
 	}
 
 	#accept(job: BestEffortJob, submission: RunningJob['submission'], token: CancellationToken): void {
 		const {runTimes, journal} = this.parts;
 		const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
-		const former = this.#former.take(job.id);
+		const former = this.#jobs.takeFormer(job.id);
 		const running = new RunningJob(job, submission, Math.max(expected, job.shape.declaredMilliseconds), former);
-		this.#jobs.set(job.id, running);
+		this.#jobs.add(running);
 		journal.record('jobAccepted', {
 			job: job.id,
 			queue: job.route.queue,
@@ -286,100 +251,9 @@
 		});
 	}
 
-	#take(task: string, attempt: number, outcome: RunOutcome): void {
-		const found = this.#find(task);
-		if (found === undefined) {
-			this.#takeFormer(task, attempt, outcome);
-			return;
-		}
-
-		const {job, slot} = found;
-		if (slot.attempt !== attempt || slot.owner === undefined) {
-			return;
-		}
-
-		slot.owner = undefined;
-		slot.handedOverAt = undefined;
-		switch (outcome.kind) {
-			case 'done': {
-				slot.isDone = true;
-				this.parts.runTimes.record(job.job.route.queue, outcome.ranMilliseconds);
-				if (job.isComplete) {
-					this.#end(job, {kind: 'answered', answer: 'complete'});
-				}
-
-				return;
-			}
-
-			case 'failed': {
-				this.#takeFailure(job, slot, outcome);
-				break;
-			}
-
-			case 'refused': {
-				this.#takeRefusal(job, slot, outcome.cause);
-				break;
-			}
-
-			case 'gone': {
-				slot.attempt += 1;
-				slot.avoid.add(outcome.target);
-				break;
-			}
-		}
-
-		this.#pumpSoon();
-	}
-
-	/** The end of a run whose job is over here: it counts if the job is submitted again. */
-	#takeFormer(task: string, attempt: number, outcome: RunOutcome): void {
-		const slot = this.#former.find(jobOfTask(task), task);
-		if (slot?.attempt !== attempt || slot.owner === undefined) {
-			return;
-		}
-
-		slot.owner = undefined;
-		slot.handedOverAt = undefined;
-		slot.isDone = outcome.kind === 'done';
-		slot.attempt += outcome.kind === 'refused' && outcome.cause === 'superseded' ? attemptStep : 1;
-	}
-
-	#takeRefusal(job: RunningJob, slot: TaskSlot, cause: Extract<RunOutcome, {kind: 'refused'}>['cause']): void {
-		if (cause === 'superseded') {
-			// An earlier submission of the job ran there: this one can't be told as not run.
-			slot.attempt += attemptStep;
-			return;
-		}
-
-		slot.attempt += 1;
-		job.orderedStarts -= 1;
-	}
-
-	#takeFailure(job: RunningJob, slot: TaskSlot, outcome: Extract<RunOutcome, {kind: 'failed'}>): void {
-		// A failure on a target that fails others too says nothing of the task.
-		slot.failures += outcome.isTargetSuspect ? 0 : 1;
-		slot.attempt += 1;
-		slot.avoid.add(outcome.target);
-		if (slot.failures >= job.job.route.attempts) {
-			this.#end(job, {kind: 'answered', answer: 'failed'});
-		}
-	}
-
-	#adopted(task: TaskId, attempt: number, owner: MemberId): void {
-		const found = this.#find(task);
-		if (found?.slot.attempt === attempt && found.slot.owner !== undefined) {
-			found.slot.owner = owner;
-			found.slot.handedOverAt = undefined;
-			return;
-		}
-
-		// The job is over, or another attempt is under way: what was adopted must end.
-		this.#stopRun(task, attempt, owner, 'nobody waits for it');
-	}
-
 	/** Its targets' runs end only when their leases do; until then nothing may start them again, so the job is given up. */
 	#loseOwner(member: MemberId): void {
-		for (const job of this.#jobs.values()) {
+		for (const job of this.#jobs) {
 			if (job.slots.some(slot => slot.owner === member)) {
 				this.#end(job, doubt('executorLost', `${member} is lost`));
 			}
@@ -387,7 +261,7 @@
 	}
 
 	#repeatRequests(member: MemberId): void {
-		for (const job of this.#jobs.values()) {
+		for (const job of this.#jobs) {
 			for (const slot of job.slots) {
 				if (slot.owner === member) {
 					this.parts.pool.send(member, {kind: 'run', request: requestOf(job, slot)});
@@ -417,7 +291,7 @@
 	#untilDue(): number {
 		const now = this.parts.clock.now();
 		let until = longestCheckMilliseconds;
-		for (const job of this.#jobs.values()) {
+		for (const job of this.#jobs) {
 			until = Math.min(until, job.giveUpAt - now);
 		}
 
@@ -426,8 +300,8 @@
 
 	#check(): void {
 		const now = this.parts.clock.now();
-		for (const job of this.#jobs.values()) {
-			this.#endUnadopted(job, now);
+		for (const job of this.#jobs) {
+			this.#results.endUnadopted(job, now);
 			this.#endIfPast(job, now);
 		}
 	}
@@ -444,30 +318,16 @@
 			});
 	}
 
-	/** Nobody renews the lease of a run that nobody adopted, so that it has ended once the lease has. */
-	#endUnadopted(job: RunningJob, now: number): void {
-		const limit = (this.parts.leaseMilliseconds * leaseDrift) + adoptionSlackMilliseconds;
-		for (const slot of job.slots) {
-			if (slot.handedOverAt !== undefined && now - slot.handedOverAt > limit) {
-				this.#take(slot.id, slot.attempt, {kind: 'gone', target: '', cause: 'handed over to nobody'});
-			}
-		}
-	}
-
 	#end(job: RunningJob, verdict: Verdict<JobOutcome>): void {
 		if (job.isOver) {
 			return;
 		}
 
 		job.isOver = true;
-		this.#jobs.delete(job.job.id);
-		if (job.mayHaveRun) {
-			this.#former.keep(job.job.id, job.slots, this.parts.clock.now());
-		}
-
+		this.#jobs.remove(job, this.parts.clock.now());
 		for (const slot of job.slots) {
 			if (slot.owner !== undefined) {
-				this.#stopRun(slot.id, slot.attempt, slot.owner, 'its job is over');
+				this.#stopRun({task: slot.id, attempt: slot.attempt, owner: slot.owner}, 'its job is over');
 			}
 		}
 
@@ -482,7 +342,7 @@
 		job.submission.settle(verdict);
 	}
 
-	#stopRun(task: TaskId, attempt: number, owner: MemberId, cause: string): void {
+	#stopRun({task, attempt, owner}: OwnedRun, cause: string): void {
 		const {executor, pool} = this.parts;
 		if (owner === pool.self) {
 			executor.stop(task, attempt, cause);
@@ -492,12 +352,6 @@
 			});
 		}
 	}
-
-	#find(task: string): {readonly job: RunningJob; readonly slot: TaskSlot} | undefined {
-		const job = this.#jobs.get(jobOfTask(task));
-		const slot = job?.slots.find(candidate => candidate.id === task);
-		return job === undefined || slot === undefined ? undefined : {job, slot};
-	}
 }
 
 function doubt(cause: DoubtCause, detail: string): Verdict<JobOutcome> {
--- /dev/null
+++ b/src/features/dispatch/job-table.ts
@@ -0,0 +1,94 @@
+/** The jobs of this entry, from submission to answer. */
+import type {JobId} from '../../base/job-id.js';
+import {jobOfTask} from '../../base/job-of-task.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {ProfileName} from '../../base/profile-name.js';
+import type {WantedRoom} from '../execution/wanted-room.js';
+import {FormerSubmissions} from './former-submissions.js';
+import type {RunningJob} from './running-job.js';
+import type {TaskSlot} from './task-slot.js';
+
+/** Finds jobs and tasks by name, and sums up what they wait for. */
+export class JobTable implements Iterable<RunningJob> {
+	readonly #jobs = new Map<JobId, RunningJob>();
+	readonly #former = new FormerSubmissions();
+
+	get size(): number {
+		return this.#jobs.size;
+	}
+
+	get waitingTasks(): number {
+		let waiting = 0;
+		for (const job of this.#jobs.values()) {
+			waiting += job.waiting.length;
+		}
+
+		return waiting;
+	}
+
+	/** The least that a waiting task of each service needs; empty where none waits. */
+	get wanted(): readonly WantedRoom[] {
+		const least = new Map<string, WantedRoom>();
+		for (const running of this.#jobs.values()) {
+			const {service} = running.job.route;
+			const {need} = running.job.shape;
+			const known = least.get(service);
+			if (running.hasWaiting && (known === undefined || need.cpuMillis < known.need.cpuMillis)) {
+				least.set(service, {service, need});
+			}
+		}
+
+		return [...least.values()];
+	}
+
+	/** Entries that run tasks of this one's jobs. */
+	* owners(): Iterable<MemberId> {
+		for (const {slots} of this.#jobs.values()) {
+			for (const {owner} of slots) {
+				if (owner !== undefined) {
+					yield owner;
+				}
+			}
+		}
+	}
+
+	[Symbol.iterator](): Iterator<RunningJob> {
+		return this.#jobs.values();
+	}
+
+	get(id: JobId): RunningJob | undefined {
+		return this.#jobs.get(id);
+	}
+
+	add(running: RunningJob): void {
+		this.#jobs.set(running.job.id, running);
+	}
+
+	/** A job that is over; what may still run of it is kept for the case that it's submitted again. */
+	remove(running: RunningJob, now: number): void {
+		this.#jobs.delete(running.job.id);
+		if (running.mayHaveRun) {
+			this.#former.keep(running.job.id, running.slots, now);
+		}
+	}
+
+	/** The tasks of a job that was over here and is submitted again. */
+	takeFormer(id: JobId): readonly TaskSlot[] | undefined {
+		return this.#former.take(id);
+	}
+
+	formerNamed(task: string): TaskSlot | undefined {
+		return this.#former.find(jobOfTask(task), task);
+	}
+
+	/** Jobs of a queue of which no task was started. */
+	waitingJobsOf(queue: ProfileName): number {
+		return [...this.#jobs.values()].filter(({job, mayHaveRun}) => job.route.queue === queue && !mayHaveRun).length;
+	}
+
+	named(task: string): {readonly job: RunningJob; readonly slot: TaskSlot} | undefined {
+		const job = this.#jobs.get(jobOfTask(task));
+		const slot = job?.slots.find(candidate => candidate.id === task);
+		return job === undefined || slot === undefined ? undefined : {job, slot};
+	}
+}
--- /dev/null
+++ b/src/features/execution/session-parts.ts
@@ -0,0 +1,19 @@
+/** What a session works with. */
+import type {Clock} from '../../base/clock.js';
+import type {FencingToken} from '../../base/fencing-token.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {TargetOrders} from '../targets/target-orders.js';
+import type {TargetRecord} from '../targets/target-record.js';
+import type {AnswerTimes} from './answer-times.js';
+import type {SessionListener} from './session-listener.js';
+
+export type SessionParts = {
+	readonly target: TargetRecord;
+	readonly fence: FencingToken;
+	readonly leaseMilliseconds: number;
+	readonly orders: TargetOrders;
+	readonly answerTimes: AnswerTimes;
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly listener: SessionListener;
+};
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -1,116 +1,87 @@
-/** The owner's side of one target. */
+/** The orders to one owned target, and what runs there. */
 import {match} from 'ts-pattern';
-import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
 import type {Resources} from '../../base/resources.js';
 import type {TaskId} from '../../base/task-id.js';
-import type {Journal} from '../../runtime/journal/journal.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {RenewalReply} from '../targets/renewal-reply.js';
-import type {RunEnd} from '../targets/run-end.js';
 import type {StartReply} from '../targets/start-reply.js';
-import type {StopReply} from '../targets/stop-reply.js';
-import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
-import type {AnswerTimes} from './answer-times.js';
 import type {Handover} from './handover.js';
 import {LeaseSchedule} from './lease-schedule.js';
+import {outcomeOfEnd} from './outcome-of-end.js';
 import {overdueOf} from './overdue-of.js';
+import {RenewalPlan} from './renewal-plan.js';
 import {runKeyOf} from './run-key-of.js';
+import {RunTable} from './run-table.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
-import type {SessionListener} from './session-listener.js';
+import {SessionOrders} from './session-orders.js';
+import type {SessionParts} from './session-parts.js';
 import {StrangerRuns} from './stranger-runs.js';
 
-/**
- * How long a target waits for an end before it answers a renewal: a quarter of the lease. A lost renewal hides the target's
- * ends for this and the time limit, and a run that is overdue is known to be so no later than this. With 100 ms two renewals in
- * five ended without telling anything on a target with nine ends a second.
- */
-const busyWaitMilliseconds = 250;
-/** Without runs there's no lease to renew; the wait stays under the lease of a start that comes meanwhile. */
-const idleWaitMilliseconds = 600;
 /** Between renewals of a target that doesn't answer. */
 const retryMilliseconds = 100;
-/** So many renewals in a row without an answer, and the target gets no new tasks. */
-const unansweredToSuspend = 2;
 /** Between two tries to stop a run; beside the time limit of the first it's the shorter part. */
 const stopRetryMilliseconds = 40;
-/** While there are runs that this owner doesn't know, their ends are looked for often. */
-const strangerWaitMilliseconds = 50;
-
-/** What a session works with. */
-type SessionParts = {
-	readonly target: TargetRecord;
-	readonly fence: FencingToken;
-	readonly leaseMilliseconds: number;
-	readonly orders: TargetOrders;
-	/** Of all targets together: what is slow about an entry is slow for each of them. */
-	readonly answerTimes: AnswerTimes;
-	readonly clock: Clock;
-	readonly journal: Journal;
-	readonly listener: SessionListener;
-};
+
+type Report = Extract<RenewalReply, {kind: 'report'}>;
 
 /**
  * Starts and stops runs on one target, renews their lease and takes their ends. The session is the only one that orders the
  * target, as long as no newer owner was there; what it can't prove to have ended keeps its room.
  */
 export class TargetSession implements Disposable {
-	readonly #runs = new Map<string, Run>();
-	/** How many attempts of each task are among the runs. */
-	readonly #attempts = new Map<TaskId, number>();
+	readonly #runs: RunTable;
+	readonly #orders: SessionOrders;
 	readonly #lease: LeaseSchedule;
-	#target: TargetRecord;
-	#fence: FencingToken;
-	#acknowledged = 0;
-	#unanswered = 0;
-	#isLooked = false;
+	readonly #strangers: StrangerRuns;
+	readonly #plan: RenewalPlan;
 	#isClosed = false;
 	#isPaused = false;
 	#hasOverdue = false;
-	#room: Resources | undefined;
 	/** Counts what is sent and what is confirmed: times can't tell before from after within one millisecond. */
 	#step = 0;
 	/** The target's time of the latest report; a report that was overtaken says nothing of what runs now. */
 	#reportClock = 0;
-	/** When the latest report came: what is still in `#runs` was running then. */
+	/** When the latest report came: what is still among the runs was running then. */
 	#reportedAt = 0;
-	readonly #strangers: StrangerRuns;
 	#wake: Disposable | undefined;
 
 	constructor(private readonly parts: SessionParts) {
-		this.#target = parts.target;
-		this.#fence = parts.fence;
-		this.#strangers = new StrangerRuns(parts.clock.now());
-		this.#lease = new LeaseSchedule(parts.leaseMilliseconds);
+		const {target, fence, leaseMilliseconds, clock} = parts;
+		this.#orders = new SessionOrders(parts, target, fence);
+		this.#runs = new RunTable(target.capacity);
+		this.#strangers = new StrangerRuns(clock.now());
+		this.#lease = new LeaseSchedule(leaseMilliseconds);
+		this.#plan = new RenewalPlan(this.#lease, this.#runs, this.#strangers);
 	}
 
 	get target(): TargetRecord {
-		return this.#target;
+		return this.#orders.target;
 	}
 
 	get fence(): FencingToken {
-		return this.#fence;
+		return this.#orders.fence;
 	}
 
 	get runs(): Iterable<Run> {
-		return this.#runs.values();
+		return this.#runs;
 	}
 
 	hasRunOf(task: TaskId): boolean {
-		return this.#attempts.has(task);
+		return this.#runs.hasRunOf(task);
 	}
 
 	/** Whether new tasks may be started: the target answers, isn't draining, and holds nothing unknown or overdue. */
 	get isOpen(): boolean {
-		const isOurs = !this.#isClosed && !this.#isPaused && this.#isLooked && !this.#strangers.areThere;
-		return isOurs && this.isReachable && !this.#target.isDraining && !this.#hasOverdue;
+		const isOurs = !this.#isClosed && !this.#isPaused && this.#plan.isLooked && !this.#strangers.areThere;
+		return isOurs && this.isReachable && !this.target.isDraining && !this.#hasOverdue;
 	}
 
 	get isReachable(): boolean {
-		return this.#unanswered < unansweredToSuspend;
+		return this.#plan.isReachable;
 	}
 
 	/**
@@ -119,15 +90,14 @@
 	 * Only what the target itself has reported counts: while its answers are lost, runs that have ended seem to go on.
 	 */
 	findOverdue(): readonly Run[] {
-		const {suspects, overdue} = overdueOf(this.#runs.values(), this.#reportedAt);
+		const {suspects, overdue} = overdueOf(this.#runs, this.#reportedAt);
 		this.#hasOverdue = suspects.length > 0;
 		return overdue;
 	}
 
 	/** What is left of the target's capacity. */
 	get room(): Resources {
-		this.#room ??= this.#roomLeft();
-		return this.#room;
+		return this.#runs.room;
 	}
 
 	/** Begins to look and to renew. */
@@ -137,23 +107,22 @@
 
 	/** Takes a newer state of the same life, or a newer token. */
 	update(target: TargetRecord, fence: FencingToken): void {
-		this.#target = target;
-		this.#fence = fence;
-		this.#room = undefined;
+		this.#orders.target = target;
+		this.#orders.fence = fence;
+		this.#runs.resize(target.capacity);
 	}
 
 	/** Takes the former owner's runs as its own; the next report shows which of them still run. */
 	adopt(handover: Handover): void {
-		this.#acknowledged = Math.max(this.#acknowledged, handover.acknowledged);
+		this.#plan.acknowledged = Math.max(this.#plan.acknowledged, handover.acknowledged);
 		const now = this.parts.clock.now();
 		// The former owner may have renewed the lease until it gave its word. Without this, a run that is lost before this
 		// owner renews anything would be told as gone at once, and be begun elsewhere beside itself.
 		this.#lease.noteRenewal(now);
 		for (const {request, requester} of handover.runs) {
-			const run: Run = {
+			this.#runs.add({
 				request, requester, state: 'running', startedAt: now, confirmedAtStep: this.#nextStep(), stopConfirmedAtStep: undefined, stopCause: undefined,
-			};
-			this.#add(run);
+			});
 		}
 
 		this.#strangers.forget(this.#runs);
@@ -161,13 +130,13 @@
 
 	/** Orders a start; the caller has checked that there's room. */
 	start(run: Run): void {
-		this.#add(run);
+		this.#runs.add(run);
 		void this.#startRun(run);
 	}
 
 	/** Has a run ended; its outcome comes once it provably has. */
 	stop(task: string, attempt: number, cause: string): void {
-		const run = this.#runs.get(runKeyOf({task, attempt}));
+		const run = this.#runs.named({task, attempt});
 		if (run !== undefined) {
 			this.#beginStop(run, cause);
 		}
@@ -179,15 +148,15 @@
 	 */
 	release(): Handover {
 		this.#close();
-		const runs = [...this.#runs.values()].filter(run => run.state === 'running');
+		const runs = [...this.#runs].filter(run => run.state === 'running');
 		for (const run of runs) {
-			this.#remove(run);
+			this.#runs.remove(run);
 		}
 
 		this.#endAllWithLease('released by its owner');
 		return {
-			target: this.#target.id,
-			acknowledged: this.#acknowledged,
+			target: this.target.id,
+			acknowledged: this.#plan.acknowledged,
 			runs: runs.map(({request, requester}) => ({request, requester})),
 		};
 	}
@@ -200,7 +169,7 @@
 
 	/** A start's answer is awaited before a release, so that a run isn't left without an owner. */
 	get hasPendingStarts(): boolean {
-		return [...this.#runs.values()].some(run => run.state === 'starting');
+		return [...this.#runs].some(run => run.state === 'starting');
 	}
 
 	/** Takes no new tasks from here on, before a release. */
@@ -212,56 +181,22 @@
 		this.#close();
 	}
 
-	#roomLeft(): Resources {
-		let room = this.#target.capacity;
-		for (const run of this.#runs.values()) {
-			room = room.minus(run.request.need);
-		}
-
-		return room;
-	}
-
-	#add(run: Run): void {
-		const {task} = run.request;
-		this.#runs.set(runKeyOf(run.request), run);
-		this.#attempts.set(task, (this.#attempts.get(task) ?? 0) + 1);
-		this.#room = undefined;
-	}
-
-	#remove(run: Run): void {
-		const {task} = run.request;
-		const others = (this.#attempts.get(task) ?? 0) - 1;
-		this.#runs.delete(runKeyOf(run.request));
-		this.#room = undefined;
-		if (others > 0) {
-			this.#attempts.set(task, others);
-		} else {
-			this.#attempts.delete(task);
-		}
-	}
-
 	#close(): void {
 		this.#isClosed = true;
 		this.#wake?.dispose();
 	}
 
 	async #startRun(run: Run): Promise<void> {
-		const {orders, clock} = this.parts;
-		const leaseUntil = this.#lease.renewal(clock.now());
+		const leaseUntil = this.#lease.renewal(this.parts.clock.now());
 		if (leaseUntil === undefined) {
-			this.#end(run, {kind: 'refused', cause: 'targetRefused'});
+			this.#refuse(run, 'targetRefused');
 			return;
 		}
 
-		const {task, attempt, payload} = run.request;
-		const reply = await this.#timed(async limitMilliseconds => orders.start(this.#target, {
-			task, attempt, payload, fence: this.#fence, leaseUntil, limitMilliseconds,
-		}));
-		if (this.#isClosed || !this.#isCurrent(run)) {
-			return;
+		const reply = await this.#orders.start(run.request, leaseUntil);
+		if (!this.#isClosed && this.#runs.holds(run)) {
+			this.#takeStartReply(run, reply);
 		}
-
-		this.#takeStartReply(run, reply);
 	}
 
 	#takeStartReply(run: Run, reply: StartReply): void {
@@ -285,7 +220,7 @@
 			})
 			.with({kind: 'unhealthy'}, {kind: 'unreachable'}, {kind: 'rejected'}, ({kind, detail}) => {
 				this.parts.journal.record('startRefused', {
-					target: this.#target.id, task: run.request.task, attempt: run.request.attempt, kind, detail,
+					target: this.target.id, task: run.request.task, attempt: run.request.attempt, kind, detail,
 				});
 				this.#refuse(run, 'targetRefused');
 			})
@@ -304,14 +239,14 @@
 		run.state = 'stopping';
 		run.stopCause = cause;
 		this.parts.journal.record('runStopped', {
-			target: this.#target.id, task: run.request.task, attempt: run.request.attempt, cause,
+			target: this.target.id, task: run.request.task, attempt: run.request.attempt, cause,
 		});
 		void this.#stopLoop(run);
 	}
 
 	async #stopLoop(run: Run): Promise<void> {
-		while (!this.#isClosed && this.#isCurrent(run) && run.stopConfirmedAtStep === undefined) {
-			const reply = await this.#orderStop(run.request);
+		while (!this.#isClosed && this.#runs.holds(run) && run.stopConfirmedAtStep === undefined) {
+			const reply = await this.#orders.stop(run.request);
 			if (reply.kind === 'accepted') {
 				run.stopConfirmedAtStep = this.#nextStep();
 				void this.#look();
@@ -333,49 +268,22 @@
 	 */
 	async #look(): Promise<void> {
 		const sentAtStep = this.#nextStep();
-		const reply = await this.#timed(async limitMilliseconds => this.parts.orders.renew(this.#target, {
-			fence: this.#fence, acknowledged: this.#acknowledged, leaseUntil: undefined, waitMilliseconds: 0, limitMilliseconds,
-		}));
+		const reply = await this.#orders.look(this.#plan.acknowledged);
 		// Whatever else comes of it, the renewals find out themselves.
 		if (!this.#isClosed && reply.kind === 'report') {
 			this.#takeReport(reply, sentAtStep);
 		}
 	}
 
-	async #orderStop({task, attempt}: {readonly task: TaskId; readonly attempt: number}): Promise<StopReply> {
-		return this.#timed(async limitMilliseconds => this.parts.orders.stop(this.#target, {
-			task, attempt, fence: this.#fence, limitMilliseconds,
-		}));
-	}
-
-	/** Gives an order its time limit, and learns from the answer. */
-	async #timed<Reply extends {readonly kind: string}>(order: (limitMilliseconds: number) => Promise<Reply>): Promise<Reply> {
-		const {answerTimes, clock} = this.parts;
-		const sentAt = clock.now();
-		const reply = await order(answerTimes.limitMilliseconds);
-		if (reply.kind !== 'unanswered' && reply.kind !== 'unreachable') {
-			answerTimes.record(clock.now() - sentAt);
-		}
-
-		return reply;
-	}
-
 	#nextStep(): number {
 		this.#step += 1;
 		return this.#step;
 	}
 
 	async #renewLoop(): Promise<void> {
-		const {orders, clock, answerTimes} = this.parts;
 		while (!this.#isClosed) {
 			const sentAtStep = this.#nextStep();
-			const reply = await orders.renew(this.#target, {
-				fence: this.#fence,
-				acknowledged: this.#acknowledged,
-				leaseUntil: this.#leaseWanted(clock.now()),
-				waitMilliseconds: this.#waitWanted(),
-				limitMilliseconds: answerTimes.limitMilliseconds,
-			});
+			const reply = await this.#orders.renew(this.#plan.next(this.parts.clock.now()));
 			if (this.#isClosed) {
 				return;
 			}
@@ -391,77 +299,36 @@
 		}
 	}
 
-	#waitWanted(): number {
-		if (!this.#isLooked || this.#unanswered > 0) {
-			return 0;
-		}
-
-		if (this.#strangers.areThere) {
-			return strangerWaitMilliseconds;
-		}
-
-		return this.#runs.size > 0 ? busyWaitMilliseconds : idleWaitMilliseconds;
-	}
-
-	/** Nothing is renewed while something may run there that nobody asked for, or whose stop isn't confirmed. */
-	#leaseWanted(now: number) {
-		if (!this.#isLooked || this.#strangers.areThere) {
-			return undefined;
-		}
-
-		if (this.#unanswered >= unansweredToSuspend) {
-			// A renewal without an answer may have been carried out: with each further one it would be later that the runs
-			// have certainly ended, and their jobs would never be told.
-			return undefined;
-		}
-
-		const hasOverdueStop = [...this.#runs.values()].some(run => run.state === 'stopping' && run.stopConfirmedAtStep === undefined && this.#unanswered > 0);
-		return hasOverdueStop || this.#runs.size === 0 ? undefined : this.#lease.renewal(now);
-	}
-
-	#takeReport(report: Extract<RenewalReply, {kind: 'report'}>, sentAtStep: number): void {
+	#takeReport(report: Report, sentAtStep: number): void {
 		const now = this.parts.clock.now();
-		if (this.#unanswered >= unansweredToSuspend) {
-			this.parts.journal.record('targetAnswers', {target: this.#target.id, unanswered: this.#unanswered});
+		const wasReachable = this.#plan.isReachable;
+		const unanswered = this.#plan.answer();
+		if (!wasReachable) {
+			this.parts.journal.record('targetAnswers', {target: this.target.id, unanswered});
 		}
 
-		this.#unanswered = 0;
 		this.#reportedAt = now;
 		this.#lease.read(report.clock, now);
-		for (const end of report.ended) {
-			this.#takeEnd(end);
-		}
-
+		this.#takeEnds(report, now);
 		if (report.clock >= this.#reportClock) {
 			this.#reportClock = report.clock;
 			this.#dropMissing(new Set(report.running.map(run => runKeyOf(run))), sentAtStep);
 			this.#stopStrangers(report, now);
 		}
 
-		this.#isLooked = true;
+		this.#plan.isLooked = true;
 		this.parts.listener.onDidReport();
 		this.parts.listener.onDidChange();
 	}
 
-	#takeEnd(end: RunEnd): void {
-		this.#acknowledged = Math.max(this.#acknowledged, end.number);
-		const run = this.#runs.get(runKeyOf(end));
-		if (run !== undefined) {
-			this.#end(run, this.#outcomeOf(run, end));
-		}
-	}
-
-	#outcomeOf(run: Run, end: RunEnd): RunOutcome {
-		const target = this.#target.id;
-		if (end.how === 'done') {
-			return {kind: 'done', target, ranMilliseconds: this.parts.clock.now() - run.startedAt};
-		}
-
-		if (end.how === 'failed') {
-			return {kind: 'failed', target, isTargetSuspect: false};
+	#takeEnds({ended}: Report, now: number): void {
+		for (const end of ended) {
+			this.#plan.acknowledged = Math.max(this.#plan.acknowledged, end.number);
+			const run = this.#runs.named(end);
+			if (run !== undefined) {
+				this.#end(run, outcomeOfEnd(run, end, this.target.id, now));
+			}
 		}
-
-		return {kind: 'gone', target, cause: run.stopCause ?? end.how};
 	}
 
 	/**
@@ -469,27 +336,26 @@
 	 * before the start was carried out says nothing of it.
 	 */
 	#dropMissing(running: ReadonlySet<string>, sentAtStep: number): void {
-		for (const [key, run] of this.#runs) {
+		for (const run of this.#runs) {
 			const settledAtStep = run.stopConfirmedAtStep ?? run.confirmedAtStep;
-			if (settledAtStep !== undefined && settledAtStep < sentAtStep && !running.has(key)) {
-				this.#end(run, {kind: 'gone', target: this.#target.id, cause: run.stopCause ?? 'missing from the report'});
+			if (settledAtStep !== undefined && settledAtStep < sentAtStep && !running.has(runKeyOf(run.request))) {
+				this.#end(run, {kind: 'gone', target: this.target.id, cause: run.stopCause ?? 'missing from the report'});
 			}
 		}
 	}
 
-	#stopStrangers(report: Extract<RenewalReply, {kind: 'report'}>, now: number): void {
+	#stopStrangers(report: Report, now: number): void {
 		for (const {task, attempt} of this.#strangers.take(report.running, this.#runs, now)) {
-			this.parts.journal.record('strangerStopped', {target: this.#target.id, task, attempt});
-			void this.#orderStop({task, attempt});
+			this.parts.journal.record('strangerStopped', {target: this.target.id, task, attempt});
+			void this.#orders.stop({task, attempt});
 		}
 	}
 
 	#missRenewal(failure: OrderFailure): void {
-		this.#unanswered += 1;
 		const {clock, journal, listener} = this.parts;
-		if (this.#unanswered === unansweredToSuspend) {
+		if (this.#plan.miss()) {
 			journal.record('targetSilent', {
-				target: this.#target.id, kind: failure.kind, detail: failure.detail, runs: this.#runs.size,
+				target: this.target.id, kind: failure.kind, detail: failure.detail, runs: this.#runs.size,
 			});
 		}
 
@@ -507,7 +373,7 @@
 
 		this.#close();
 		this.parts.journal.record('sessionEnded', {
-			target: this.#target.id, kind, detail, fence: this.#fence, runs: this.#runs.size,
+			target: this.target.id, kind, detail, fence: this.fence, runs: this.#runs.size,
 		});
 		if (kind === 'replaced') {
 			this.#endAll(kind);
@@ -527,20 +393,16 @@
 	}
 
 	#endAll(cause: string): void {
-		for (const run of this.#runs.values()) {
-			this.#end(run, {kind: 'gone', target: this.#target.id, cause});
+		for (const run of this.#runs) {
+			this.#end(run, {kind: 'gone', target: this.target.id, cause});
 		}
 	}
 
 	#end(run: Run, outcome: RunOutcome): void {
-		this.#remove(run);
+		this.#runs.remove(run);
 		this.parts.listener.onDidEndRun(run, outcome);
 	}
 
-	#isCurrent(run: Run): boolean {
-		return this.#runs.get(runKeyOf(run.request)) === run;
-	}
-
 	async #pause(milliseconds: number): Promise<void> {
 		await new Promise<void>(resolve => {
 			this.#wake = this.parts.clock.schedule(milliseconds, resolve);
