--- a/src/features/pool/state-teller.ts
+++ b/src/features/pool/state-teller.ts
@@ -15,8 +15,15 @@
  * logs of its targets' owners showed two such places for each waiting task.
  */
 const newRoomMilliseconds = 5;
-/** Room that nobody took is told again, to the next ones, after so long. */
-const sameRoomMilliseconds = 20;
+/**
+ * Room that nobody took is told again, to the next ones: those who were told may have found other room. How soon depends on
+ * how many were told and how many entries do the same, so that no entry sends or receives more than some 400 a second; with
+ * 20 ms for every fleet the worth of three days was 0.011 lower than with 5 ms for every fleet.
+ */
+const sameRoomShortest = 5;
+const sameRoomLongest = 20;
+/** For each entry that was told and each that there is. */
+const sameRoomMillisecondsForEach = 0.42;
 /**
  * That tasks begin to wait here is told no sooner after the last state than so long for each entry that's told: an entry under
  * load begins and ceases to wait all the time, and a large fleet would be told by all of its entries.
@@ -44,6 +51,7 @@
 	#toldAllAt = Number.NEGATIVE_INFINITY;
 	#changeToldAt = Number.NEGATIVE_INFINITY;
 	#toldUpTo = 0;
+	#sameRoomDue = 0;
 	/** How many places the last entries were told of; fewer since they were taken. */
 	#placesTold = 0;
 	#pending: Disposable | undefined;
@@ -133,16 +141,18 @@
 			return;
 		}
 
-		const sameRoomDue = this.#changeToldAt + sameRoomMilliseconds - clock.now();
-		if (!isNew && sameRoomDue > 0) {
-			this.#scheduleRoom(sameRoomDue);
+		if (!isNew && this.#sameRoomDue > clock.now()) {
+			this.#scheduleRoom(this.#sameRoomDue - clock.now());
 			return;
 		}
 
+		const told = Math.min(toldAtOnce, toldForPlace * places, waiting.length);
+		const pause = told * [...members()].length * sameRoomMillisecondsForEach;
 		this.#placesTold = places;
 		this.#changeToldAt = clock.now();
-		this.#tellByTurns(waiting, Math.min(toldAtOnce, toldForPlace * places, waiting.length), state);
-		this.#scheduleRoom(sameRoomMilliseconds);
+		this.#sameRoomDue = clock.now() + Math.min(sameRoomLongest, Math.max(sameRoomShortest, pause));
+		this.#tellByTurns(waiting, told, state);
+		this.#scheduleRoom(this.#sameRoomDue - clock.now());
 	}
 
 	#tellByTurns(waiting: readonly PoolMember[], count: number, state: EntryState): void {
