A change for all isn't lost behind one for close entries; new room is told at once beside room that was told before

Both messages shared one timer: an entry of a large fleet that began to wait and was told to leave within the same milliseconds told its leaving only to close entries (others a second later). The look at room that was told before, up to 20 ms ahead, kept new room from being told within 5 ms.

--- a/src/features/pool/state-teller.ts
+++ b/src/features/pool/state-teller.ts
@@ -54,8 +54,9 @@
 	#sameRoomDue = 0;
 	/** How many places the last entries were told of; fewer since they were taken. */
 	#placesTold = 0;
-	#pending: Disposable | undefined;
+	#room: {readonly dueAt: number; readonly timer: Disposable} | undefined;
 	#pendingAll: Disposable | undefined;
+	#pendingWaiting: Disposable | undefined;
 
 	constructor(private readonly parts: StateTellerParts) {}
 
@@ -81,29 +82,31 @@
 	tellWaiting(): void {
 		const told = [...this.parts.members()].filter(({isClose}) => isClose).length;
 		const due = this.#toldCloseAt + (told * waitingMillisecondsForEach) - this.parts.clock.now();
-		this.#pendingAll ??= this.parts.clock.schedule(Math.max(0, due), () => {
-			this.#pendingAll = undefined;
+		this.#pendingWaiting ??= this.parts.clock.schedule(Math.max(0, due), () => {
+			this.#pendingWaiting = undefined;
 			this.#tell(false);
 		});
 	}
 
 	/** Tells of a change of room, if anybody waits for room. */
 	tellRoom(): void {
-		if (this.#pending !== undefined) {
+		const dueAt = this.#changeToldAt + newRoomMilliseconds;
+		if (this.#room !== undefined && this.#room.dueAt <= dueAt) {
 			return;
 		}
 
 		for (const member of this.parts.members()) {
 			if (member.wanted.length > 0) {
-				this.#tellRoomSoon();
+				this.#scheduleRoom(dueAt);
 				return;
 			}
 		}
 	}
 
 	dispose(): void {
-		this.#pending?.dispose();
+		this.#room?.timer.dispose();
 		this.#pendingAll?.dispose();
+		this.#pendingWaiting?.dispose();
 	}
 
 	#tell(isForAll: boolean): void {
@@ -118,16 +121,14 @@
 		}
 	}
 
-	#tellRoomSoon(): void {
-		const due = this.#changeToldAt + newRoomMilliseconds - this.parts.clock.now();
-		this.#scheduleRoom(Math.max(0, due));
-	}
-
-	#scheduleRoom(milliseconds: number): void {
-		this.#pending = this.parts.clock.schedule(milliseconds, () => {
-			this.#pending = undefined;
+	/** In the place of a later look, if there's one. */
+	#scheduleRoom(dueAt: number): void {
+		this.#room?.timer.dispose();
+		const timer = this.parts.clock.schedule(Math.max(0, dueAt - this.parts.clock.now()), () => {
+			this.#room = undefined;
 			this.#tellRoomNow();
 		});
+		this.#room = {dueAt, timer};
 	}
 
 	#tellRoomNow(): void {
@@ -142,7 +143,7 @@
 		}
 
 		if (!isNew && this.#sameRoomDue > clock.now()) {
-			this.#scheduleRoom(this.#sameRoomDue - clock.now());
+			this.#scheduleRoom(this.#sameRoomDue);
 			return;
 		}
 
@@ -152,7 +153,7 @@
 		this.#changeToldAt = clock.now();
 		this.#sameRoomDue = clock.now() + Math.min(sameRoomLongest, Math.max(sameRoomShortest, pause));
 		this.#tellByTurns(waiting, told, state);
-		this.#scheduleRoom(this.#sameRoomDue - clock.now());
+		this.#scheduleRoom(this.#sameRoomDue);
 	}
 
 	#tellByTurns(waiting: readonly PoolMember[], count: number, state: EntryState): void {
