--- a/src/entries/command/losses/describe-losses.ts
+++ b/src/entries/command/losses/describe-losses.ts
@@ -1,6 +1,7 @@
 /** Losses for people. */
 import type {LossReason} from './loss-reason.js';
 import {lossReasons} from './loss-reasons.js';
+import {lostOf} from './lost-of.js';
 import type {SliceLosses} from './slice-losses.js';
 import type {UnreadableLines} from './unreadable-lines.js';
 
@@ -24,10 +25,6 @@
 	return [from, queue, jobs, counts.inTime, counts.late, counts.refused, counts.givenUp, counts.unanswered, described.join(', ')].join('\t');
 }
 
-function lostOf({counts}: SliceLosses): number {
-	return counts.late + counts.refused + counts.givenUp + counts.unanswered;
-}
-
 function sumOf(slices: readonly SliceLosses[], queue: string): SliceLosses {
 	const sum: SliceLosses = {
 		fromMilliseconds: 0, queue, counts: {
--- a/src/entries/command/losses/loss-account.ts
+++ b/src/entries/command/losses/loss-account.ts
@@ -4,6 +4,7 @@
 import {fateOf} from './fate-of.js';
 import {IdleRoom} from './idle-room.js';
 import {JobTrace} from './job-trace.js';
+import {lostOf} from './lost-of.js';
 import type {SliceLosses} from './slice-losses.js';
 import {TargetPaces} from './target-paces.js';
 
@@ -135,7 +136,3 @@
 		return slice;
 	}
 }
-
-function lostOf({counts}: SliceLosses): number {
-	return counts.late + counts.refused + counts.givenUp + counts.unanswered;
-}
--- /dev/null
+++ b/src/entries/command/losses/lost-of.ts
@@ -0,0 +1,7 @@
+/** How many jobs of a slice were not answered in time. */
+import type {SliceLosses} from './slice-losses.js';
+
+/** All but those in time. */
+export function lostOf({counts}: SliceLosses): number {
+	return counts.late + counts.refused + counts.givenUp + counts.unanswered;
+}
