--- a/src/entries/command/losses/loss-account.ts
+++ b/src/entries/command/losses/loss-account.ts
@@ -1,4 +1,5 @@
 /** The account of a log: jobs by queue and slice, and why those that were not in time were not. */
+import {jobOfTask} from '../../../base/job-of-task.js';
 import type {LogLine} from '../log-line.js';
 import {attributeLoss} from './attribute-loss.js';
 import {fateOf} from './fate-of.js';
@@ -90,7 +91,7 @@
 
 	#takeTask(line: LogLine): void {
 		const {task, outcome, target, ranMilliseconds} = line.fields;
-		const job = this.#jobs.get(String(task).split('.')[0]!);
+		const job = this.#jobs.get(jobOfTask(String(task)));
 		job?.take(line);
 		if (job !== undefined && outcome === 'done') {
 			this.#paces.record(String(target), Number(ranMilliseconds), job.expectedMilliseconds);
--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -25,7 +25,7 @@
 /** Entries of one installation share it, so that a stray program isn't taken for a peer; the network is trusted. */
 const peerKey = 'savorylock';
 /**
- * Heartbeats come every 100 to 200 ms and take the place of pings. A connection that has gone silent is dialled anew before
+ * Heartbeats of close entries come every 200 ms and take the place of pings. A connection that has gone silent is dialled anew before
  * its entry is taken as lost after 800 ms, and one that can't be made is tried often enough to be there soon after a cut has
  * healed. Connections to entries that are not close carry a heartbeat a second, and need no pings.
  */
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -34,7 +34,7 @@
 
 /** What the dispatcher works with. */
 type DispatcherParts = {
-	/** Where this entry is: its jobs stay there while there's room. */
+	/** Where this entry is: of other entries' targets those there go first, where there are enough of them. */
 	readonly zone: AvailabilityZone;
 	readonly executor: Executor;
 	readonly pool: Pool;
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -59,7 +59,7 @@
 		}));
 	}
 
-	/** Messages of other entries, but for their states. */
+	/** Messages of other entries, but for the addresses that they know. */
 	get onDidReceive() {
 		return this.#message.event;
 	}
--- a/src/features/pool/state-teller.ts
+++ b/src/features/pool/state-teller.ts
@@ -134,8 +134,9 @@
 	#tellRoomNow(): void {
 		const {members, ownState, clock} = this.parts;
 		const state = ownState();
-		const waiting = [...members()].filter(member => placesFor(member.wanted, state.room) > 0);
-		const places = Math.max(0, ...waiting.map(member => placesFor(member.wanted, state.room)));
+		const fleet = [...members()];
+		const offers = fleet.map(member => ({member, places: placesFor(member.wanted, state.room)})).filter(({places}) => places > 0);
+		const places = Math.max(0, ...offers.map(offer => offer.places));
 		const isNew = places > this.#placesTold;
 		this.#placesTold = Math.min(this.#placesTold, places);
 		if (places === 0) {
@@ -147,12 +148,12 @@
 			return;
 		}
 
-		const told = Math.min(toldAtOnce, toldForPlace * places, waiting.length);
-		const pause = told * [...members()].length * sameRoomMillisecondsForEach;
+		const told = Math.min(toldAtOnce, toldForPlace * places, offers.length);
+		const pause = told * fleet.length * sameRoomMillisecondsForEach;
 		this.#placesTold = places;
 		this.#changeToldAt = clock.now();
 		this.#sameRoomDue = clock.now() + Math.min(sameRoomLongest, Math.max(sameRoomShortest, pause));
-		this.#tellByTurns(waiting, told, state);
+		this.#tellByTurns(offers.map(({member}) => member), told, state);
 		this.#scheduleRoom(this.#sameRoomDue);
 	}
 
