--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -96,8 +96,14 @@
 		this.#front = own.add(new JobFront({
 			dispatcher: this.#entry.dispatcher, routing: this.#routing, pauses, journal,
 		}));
-		this.#directory = own.add(new EntryDirectory(store, advertisedPeers, clock, address => {
-			this.#entry.pool.meet([address]);
+		this.#directory = own.add(new EntryDirectory({
+			store,
+			self: {address: advertisedPeers, zone: settings.zone},
+			clock,
+			journal,
+			onEntries: entries => {
+				this.#entry.pool.meet(entries);
+			},
 		}));
 		own.add(pauses.onDidPause(milliseconds => {
 			// A route may have been added meanwhile: without a new answer by the store its absence can't be told.
@@ -119,7 +125,7 @@
 		await this.#readiness.listen(settings.readiness);
 		await this.#metricsServer.listen(`${settings.address}:${metricsPort}`);
 		this.#entry.start();
-		this.#entry.pool.meet(settings.seeds);
+		this.#entry.pool.meet(settings.seeds.map(address => ({address, zone: undefined})));
 		this.#directory.start();
 		this.#storeRouting.start();
 		this.#storePatience.start();
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -1,5 +1,6 @@
 /** Reads messages of the pool. */
 import * as z from 'zod';
+import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
@@ -51,8 +52,8 @@
 			return {kind: 'state', state: decodeState(values)};
 		}
 
-		case messageCode.addresses: {
-			return {kind: 'addresses', addresses: values.texts()};
+		case messageCode.entries: {
+			return {kind: 'entries', entries: values.lists(entry => ({address: entry.text(), zone: entry.text<AvailabilityZone>()}))};
 		}
 
 		case messageCode.run: {
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -31,7 +31,7 @@
 function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
 	return match(message)
 		.with({kind: 'state'}, ({state}) => [messageCode.state, ...encodeState(state)])
-		.with({kind: 'addresses'}, ({addresses}) => [messageCode.addresses, addresses])
+		.with({kind: 'entries'}, ({entries}) => [messageCode.entries, entries.map(({address, zone}) => [address, zone])])
 		.with({kind: 'report'}, ({task, attempt, outcome}) => [messageCode.report, task, attempt, ...encodeOutcome(outcome)])
 		.with({kind: 'stop'}, ({task, attempt, cause}) => [messageCode.stop, task, attempt, cause])
 		.with({kind: 'handover'}, ({handovers}) => [messageCode.handover, handovers.map(({target, acknowledged, runs}) => [
--- a/src/features/pool/heartbeats.ts
+++ b/src/features/pool/heartbeats.ts
@@ -1,29 +1,18 @@
 /** How often entries of a pool hear of each other. */
+import type {HeartbeatRhythm} from './heartbeat-rhythm.js';
 
-/** The time between two heartbeats of entries that are close. */
-const closeMilliseconds = 200;
 /**
- * Of entries that are not. Between 38 entries of three zones it takes 250 of the 370 heartbeats that each sends and receives a
- * second away, and as much of those between zones as aren't near.
+ * Between entries that run something for each other, and in small fleets. Clients submit again 1300 ms after a loss: by then a
+ * lost entry's tasks on other entries' targets must have been stopped, so it's taken as lost after four heartbeats. One whose
+ * heartbeat is late by two fifths of a period may be gone; nothing new is sent there until it's heard again.
  */
-const distantMilliseconds = 1000;
+const close: HeartbeatRhythm = {periodMilliseconds: 200, freshMilliseconds: 280, silenceMilliseconds: 800};
 /**
- * An entry that was silent for so long is taken as lost, four heartbeats. Clients submit again 1300 ms after a loss: by then its
- * tasks on other entries' targets must have been stopped.
+ * Between others of one zone, which take over each other's targets. With 16 entries in a zone it takes half of the heartbeats
+ * away that they'd send and receive as close ones; two missed ones end no task.
  */
-const closeSilenceMilliseconds = 800;
-/** Nobody waits for anything from there. */
-const distantSilenceMilliseconds = 3500;
-/** An entry whose heartbeat is late by two fifths of a period may be gone; nothing new is sent there until it's heard again. */
-const closeFreshMilliseconds = 1.4 * closeMilliseconds;
-/** One that was sent to something is close from then on, and its loss is known in time. */
-const distantFreshMilliseconds = 1.2 * distantMilliseconds;
+const near: HeartbeatRhythm = {periodMilliseconds: 400, freshMilliseconds: 560, silenceMilliseconds: 900};
+/** Between all others: nobody waits for anything from there, and one that something is sent to is close from then on. */
+const distant: HeartbeatRhythm = {periodMilliseconds: 1000, freshMilliseconds: 1200, silenceMilliseconds: 3500};
 
-export const heartbeats = {
-	closeMilliseconds,
-	distantMilliseconds,
-	closeSilenceMilliseconds,
-	distantSilenceMilliseconds,
-	closeFreshMilliseconds,
-	distantFreshMilliseconds,
-} as const;
+export const heartbeats = {close, near, distant} as const;
--- a/src/features/pool/message-code.ts
+++ b/src/features/pool/message-code.ts
@@ -3,7 +3,6 @@
 /** The first element of each encoded message. A number keeps its meaning; a retired one isn't used again. */
 export const messageCode = {
 	state: 0,
-	addresses: 1,
 	run: 2,
 	/** A run of the same job as the run before it in the same batch: only what differs follows. */
 	nextRun: 3,
@@ -13,4 +12,5 @@
 	adopted: 7,
 	wantRouting: 8,
 	routing: 9,
+	entries: 10,
 } as const;
--- a/src/features/pool/pool-member.ts
+++ b/src/features/pool/pool-member.ts
@@ -2,6 +2,7 @@
 import type {Member} from '../../runtime/peers/member.js';
 import type {RoomShare} from '../execution/room-share.js';
 import type {WantedRoom} from '../execution/wanted-room.js';
+import type {HeartbeatRhythm} from './heartbeat-rhythm.js';
 
 /** A target's room, as it's known here. */
 type KnownShare = Omit<RoomShare, 'room'> & {room: RoomShare['room']};
@@ -10,10 +11,10 @@
 export type PoolMember = {
 	readonly member: Member;
 	heardAt: number;
-	/** Whether it's heard often: in a large fleet only those of the zone are, and those that run something for each other. */
-	isClose: boolean;
+	/** How often both hear of each other. */
+	rhythm: HeartbeatRhythm;
 	/** When that changed last. */
-	closeSince: number;
+	rhythmSince: number;
 	isLeaving: boolean;
 	routingVersion: number;
 	/** What its waiting tasks need at least, on any entry's targets. */
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -5,11 +5,12 @@
 import type {RunRequest} from '../execution/run-request.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {EntryState} from './entry-state.js';
+import type {KnownEntry} from './known-entry.js';
 
 /** `state` goes to all regularly and is each entry's heartbeat; the others are for one entry each, but for `handover`. */
 export type PoolMessage =
 	| {readonly kind: 'state'; readonly state: EntryState}
-	| {readonly kind: 'addresses'; readonly addresses: readonly string[]}
+	| {readonly kind: 'entries'; readonly entries: readonly KnownEntry[]}
 	| {readonly kind: 'run'; readonly request: RunRequest}
 	| {readonly kind: 'report'; readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome}
 	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -7,7 +7,10 @@
 import type {Member} from '../../runtime/peers/member.js';
 import {decodeMessages} from './decode-messages.js';
 import type {EntryState} from './entry-state.js';
+import type {HeartbeatRhythm} from './heartbeat-rhythm.js';
 import {heartbeats} from './heartbeats.js';
+import type {KnownEntry} from './known-entry.js';
+import {Neighbours} from './neighbours.js';
 import {Outbox} from './outbox.js';
 import type {PoolMember} from './pool-member.js';
 import type {PoolMessage} from './pool-message.js';
@@ -18,8 +21,8 @@
 /** How often it's looked which heartbeats are due, and who was silent for too long. */
 const lookMilliseconds = 100;
 /**
- * In a fleet of no more others than this everybody is close to everybody. In a larger one those of the same zone are, and those
- * that run something for each other: heartbeats, and what each entry does for them, would grow with the square of its size.
+ * In a fleet of no more others than this everybody is close to everybody. In a larger one only those are that run something for
+ * each other: heartbeats, and what each entry does for them, would grow with the square of its size.
  */
 const smallFleet = 12;
 
@@ -28,17 +31,20 @@
 	readonly #members = new Map<MemberId, PoolMember>();
 	/** Every life that was met: one that can't be heard may still hear, and has to be told to stop. */
 	readonly #met = new Map<MemberId, Member>();
-	readonly #addresses = new Set<string>();
+	readonly #neighbours: Neighbours;
 	readonly #store = new DisposableStore();
 	readonly #message = new Emitter<{readonly from: Member; readonly message: PoolMessage}>();
 	readonly #lose = new Emitter<MemberId>();
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
 	readonly #outbox: Outbox;
+	#watched: ReadonlySet<string> = new Set();
 	readonly #teller: StateTeller;
 
 	constructor(private readonly parts: PoolParts) {
 		const {network, ownState, clock} = parts;
+		const {peerAddress, zone} = network.self;
+		this.#neighbours = new Neighbours({self: {address: peerAddress, zone}, clock});
 		this.#outbox = new Outbox(network, channel, clock);
 		this.#teller = this.#store.add(new StateTeller({
 			members: () => this.#members.values(), ownState, outbox: this.#outbox, clock,
@@ -59,7 +65,7 @@
 		}));
 	}
 
-	/** Messages of other entries, but for the addresses that they know. */
+	/** Messages of other entries, but for the entries that they know. */
 	get onDidReceive() {
 		return this.#message.event;
 	}
@@ -89,9 +95,8 @@
 	}
 
 	/** Whether a member was heard so lately that new tasks may be sent there. */
-	isFresh({heardAt, isClose}: PoolMember): boolean {
-		const limit = isClose ? heartbeats.closeFreshMilliseconds : heartbeats.distantFreshMilliseconds;
-		return this.parts.clock.now() - heardAt <= limit;
+	isFresh({heardAt, rhythm}: PoolMember): boolean {
+		return this.parts.clock.now() - heardAt <= rhythm.freshMilliseconds;
 	}
 
 	/** Whether an entry was heard lately. */
@@ -107,12 +112,10 @@
 		}));
 	}
 
-	/** Connects to entries at these addresses, besides those that are known. */
-	meet(addresses: Iterable<string>): void {
-		for (const address of addresses) {
-			if (address !== this.parts.network.self.peerAddress) {
-				this.#addresses.add(address);
-			}
+	/** Takes entries that this one didn't know, and connects to those that become its neighbours. */
+	meet(entries: Iterable<KnownEntry>): void {
+		for (const entry of entries) {
+			this.#neighbours.add(entry);
 		}
 
 		this.#watch();
@@ -120,8 +123,14 @@
 
 	send(to: MemberId, message: PoolMessage): void {
 		const member = this.#met.get(to);
-		if (member !== undefined) {
-			this.#outbox.put(member, message);
+		if (member === undefined) {
+			return;
+		}
+
+		this.#outbox.put(member, message);
+		const known = this.#members.get(to);
+		if (message.kind === 'report' && known !== undefined) {
+			this.#teller.tellAlong(known);
 		}
 	}
 
@@ -138,7 +147,10 @@
 
 	/** Tells one entry how it is here, which it seems not to know. */
 	tellMember(id: MemberId): void {
-		this.send(id, {kind: 'state', state: this.parts.ownState()});
+		const known = this.#members.get(id);
+		if (known !== undefined) {
+			this.#teller.tellOne(known);
+		}
 	}
 
 	/** Tells the entries that are close that tasks wait here, soon. */
@@ -155,41 +167,56 @@
 		this.#store.dispose();
 	}
 
-	/** Connections to entries that are close are watched; the others are used as they are, and made anew when they're needed. */
+	/** Decides how often each entry is heard, and which ones this one connects to. */
 	#sortMembers(): void {
-		const {network, peersInUse, clock} = this.parts;
+		const {peersInUse, clock} = this.parts;
 		const isSmall = this.#members.size <= smallFleet;
 		const inUse = isSmall ? undefined : peersInUse();
-		let isChanged = false;
 		for (const known of this.#members.values()) {
-			const {member} = known;
-			const isClose = isSmall || member.zone === network.self.zone || inUse!.has(member.id);
-			if (isClose !== known.isClose) {
-				known.isClose = isClose;
-				known.closeSince = clock.now();
-				isChanged = true;
+			const rhythm = isSmall || inUse!.has(known.member.id) ? heartbeats.close : this.#unusedRhythm(known);
+			if (rhythm !== known.rhythm) {
+				known.rhythm = rhythm;
+				known.rhythmSince = clock.now();
 			}
 		}
 
-		if (isChanged) {
-			this.#watch();
-		}
+		this.#watch();
 	}
 
+	#unusedRhythm({member}: PoolMember): HeartbeatRhythm {
+		return member.zone === this.parts.network.self.zone ? heartbeats.near : heartbeats.distant;
+	}
+
+	/** Connections to distant entries that are there are used as they are; the network makes them anew when they're needed. */
 	#watch(): void {
-		const distant = new Set([...this.#members.values()].filter(({isClose}) => !isClose).map(({member}) => member.peerAddress));
-		this.parts.network.watch(new Set([...this.#addresses].filter(address => !distant.has(address))));
+		const met = new Set<string>();
+		const distant = new Set<string>();
+		for (const {member, rhythm} of this.#members.values()) {
+			met.add(member.peerAddress);
+			if (rhythm === heartbeats.distant) {
+				distant.add(member.peerAddress);
+			}
+		}
+
+		const watched = new Set([...this.#neighbours.choose(met), ...met].filter(address => !distant.has(address)));
+		if (!areEqual(watched, this.#watched)) {
+			this.#watched = watched;
+			this.parts.network.watch(watched);
+		}
 	}
 
 	#meet(member: Member): void {
-		this.meet([member.peerAddress]);
+		const {clock, journal} = this.parts;
+		const now = clock.now();
+		const known: PoolMember = {
+			member, heardAt: now, rhythm: heartbeats.close, rhythmSince: now, isLeaving: false, routingVersion: 0, wanted: [], room: [],
+		};
 		this.#met.set(member.id, member);
-		this.#members.set(member.id, {
-			member, heardAt: this.parts.clock.now(), isClose: true, closeSince: this.parts.clock.now(), isLeaving: false, routingVersion: 0, wanted: [], room: [],
-		});
-		this.parts.journal.record('poolMemberMet', {member: member.id, zone: member.zone});
-		this.#outbox.put(member, {kind: 'addresses', addresses: [...this.#addresses]});
-		this.tellChange();
+		this.#members.set(member.id, known);
+		this.meet([{address: member.peerAddress, zone: member.zone}]);
+		journal.record('poolMemberMet', {member: member.id, zone: member.zone});
+		this.#outbox.put(member, {kind: 'entries', entries: this.#neighbours.known});
+		this.#teller.tellOne(known);
 	}
 
 	#receive(from: Member, body: unknown): void {
@@ -218,8 +245,8 @@
 	}
 
 	#take(from: Member, message: PoolMessage): void {
-		if (message.kind === 'addresses') {
-			this.meet(message.addresses);
+		if (message.kind === 'entries') {
+			this.meet(message.entries);
 			return;
 		}
 
@@ -252,11 +279,10 @@
 
 	#dropSilent(): void {
 		const now = this.parts.clock.now();
-		for (const {member, heardAt, isClose, closeSince} of this.#members.values()) {
-			const limit = isClose ? heartbeats.closeSilenceMilliseconds : heartbeats.distantSilenceMilliseconds;
+		for (const {member, heardAt, rhythm, rhythmSince} of this.#members.values()) {
 			// One that has just become close had no reason to be heard more often before.
-			const silence = now - (isClose ? Math.max(heardAt, closeSince) : heardAt);
-			if (silence > limit) {
+			const silence = now - (rhythm === heartbeats.distant ? heardAt : Math.max(heardAt, rhythmSince));
+			if (silence > rhythm.silenceMilliseconds) {
 				this.#drop(member.id, `silent for ${Math.round(silence)} ms`);
 			}
 		}
@@ -269,3 +295,7 @@
 		}
 	}
 }
+
+function areEqual(left: ReadonlySet<string>, right: ReadonlySet<string>): boolean {
+	return left.size === right.size && [...left].every(item => right.has(item));
+}
--- a/src/features/pool/state-teller.ts
+++ b/src/features/pool/state-teller.ts
@@ -36,6 +36,8 @@
  */
 const toldAtOnce = 7;
 const toldForPlace = 2;
+/** Who was told so lately isn't told again with every message. */
+const alongMilliseconds = 50;
 
 /** What a teller works with. */
 type StateTellerParts = {
@@ -47,8 +49,9 @@
 
 /** Sends heartbeats, and changes between them. */
 export class StateTeller implements Disposable {
+	/** When each entry was told last. */
+	readonly #toldAt = new WeakMap<PoolMember, number>();
 	#toldCloseAt = Number.NEGATIVE_INFINITY;
-	#toldAllAt = Number.NEGATIVE_INFINITY;
 	#changeToldAt = Number.NEGATIVE_INFINITY;
 	#toldUpTo = 0;
 	#sameRoomDue = 0;
@@ -60,13 +63,24 @@
 
 	constructor(private readonly parts: StateTellerParts) {}
 
-	/** Sends the heartbeats that are due within the given time. */
+	/** Sends the heartbeats that are due within the given time; whoever was told since the last one needs none. */
 	beat(leewayMilliseconds: number): void {
 		const soon = this.parts.clock.now() + leewayMilliseconds;
-		if (soon - this.#toldAllAt >= heartbeats.distantMilliseconds) {
-			this.#tell(true);
-		} else if (soon - this.#toldCloseAt >= heartbeats.closeMilliseconds) {
-			this.#tell(false);
+		this.#tell([...this.parts.members()].filter(member => {
+			const {periodMilliseconds} = member.rhythm;
+			return soon - this.#lastToldAt(member) >= periodMilliseconds;
+		}));
+	}
+
+	/** Tells one entry now. */
+	tellOne(member: PoolMember): void {
+		this.#tell([member]);
+	}
+
+	/** Lets the state go along with a message that is sent anyway. */
+	tellAlong(member: PoolMember): void {
+		if (this.parts.clock.now() - this.#lastToldAt(member) >= alongMilliseconds) {
+			this.#tell([member]);
 		}
 	}
 
@@ -74,17 +88,18 @@
 	tellAll(): void {
 		this.#pendingAll ??= this.parts.clock.schedule(soonMilliseconds, () => {
 			this.#pendingAll = undefined;
-			this.#tell(true);
+			this.#tell([...this.parts.members()]);
 		});
 	}
 
 	/** Tells the entries that are close that tasks wait here, soon. */
 	tellWaiting(): void {
-		const told = [...this.parts.members()].filter(({isClose}) => isClose).length;
-		const due = this.#toldCloseAt + (told * waitingMillisecondsForEach) - this.parts.clock.now();
+		const {length} = this.#close;
+		const due = this.#toldCloseAt + (length * waitingMillisecondsForEach) - this.parts.clock.now();
 		this.#pendingWaiting ??= this.parts.clock.schedule(Math.max(0, due), () => {
 			this.#pendingWaiting = undefined;
-			this.#tell(false);
+			this.#toldCloseAt = this.parts.clock.now();
+			this.#tell(this.#close);
 		});
 	}
 
@@ -109,15 +124,24 @@
 		this.#pendingWaiting?.dispose();
 	}
 
-	#tell(isForAll: boolean): void {
-		const {members, ownState, outbox, clock} = this.parts;
-		this.#toldCloseAt = clock.now();
-		this.#toldAllAt = isForAll ? clock.now() : this.#toldAllAt;
+	get #close(): readonly PoolMember[] {
+		return [...this.parts.members()].filter(({rhythm}) => rhythm !== heartbeats.distant);
+	}
+
+	#lastToldAt(member: PoolMember): number {
+		return this.#toldAt.get(member) ?? Number.NEGATIVE_INFINITY;
+	}
+
+	#tell(told: readonly PoolMember[]): void {
+		if (told.length === 0) {
+			return;
+		}
+
+		const {ownState, outbox, clock} = this.parts;
 		const state = ownState();
-		for (const {member, isClose} of members()) {
-			if (isForAll || isClose) {
-				outbox.put(member, {kind: 'state', state});
-			}
+		for (const known of told) {
+			this.#toldAt.set(known, clock.now());
+			outbox.put(known.member, {kind: 'state', state});
 		}
 	}
 
@@ -153,15 +177,13 @@
 		this.#placesTold = places;
 		this.#changeToldAt = clock.now();
 		this.#sameRoomDue = clock.now() + Math.min(sameRoomLongest, Math.max(sameRoomShortest, pause));
-		this.#tellByTurns(offers.map(({member}) => member), told, state);
+		this.#tellByTurns(offers.map(({member}) => member), told);
 		this.#scheduleRoom(this.#sameRoomDue);
 	}
 
-	#tellByTurns(waiting: readonly PoolMember[], count: number, state: EntryState): void {
-		for (let told = 0; told < count; told += 1) {
-			this.#toldUpTo += 1;
-			const {member} = waiting[this.#toldUpTo % waiting.length]!;
-			this.parts.outbox.put(member, {kind: 'state', state});
-		}
+	#tellByTurns(waiting: readonly PoolMember[], count: number): void {
+		const told = Array.from({length: count}, (_, turn) => waiting[(this.#toldUpTo + turn + 1) % waiting.length]!);
+		this.#toldUpTo += count;
+		this.#tell(told);
 	}
 }
--- a/src/runtime/peers/outgoing-link.ts
+++ b/src/runtime/peers/outgoing-link.ts
@@ -49,6 +49,11 @@
 		this.#dial();
 	}
 
+	/** Whether somebody answered here once. */
+	get hasMet(): boolean {
+		return this.#hasMet;
+	}
+
 	send(to: MemberId, message: PeerMessage): void {
 		this.#usedAt = this.parts.clock.now();
 		if (this.#peer !== undefined) {
--- a/src/runtime/peers/tcp-peer-network.ts
+++ b/src/runtime/peers/tcp-peer-network.ts
@@ -53,6 +53,8 @@
 	readonly #refuse = new Emitter<string>();
 	readonly #dead = new Set<MemberId>();
 	#watched: ReadonlySet<string> = new Set();
+	/** Dialled until somebody there was met, watched or not. */
+	readonly #sought = new Set<string>();
 	#self: Member;
 	readonly #listener: LinkListener;
 	/** One for all links: a timer each would wake an entry of a fleet of 38 some 370 times a second for nothing. */
@@ -133,6 +135,11 @@
 		this.#watched = peerAddresses;
 		for (const [address, link] of this.#links) {
 			link.isWatched = peerAddresses.has(address);
+			// Nobody waits to meet whoever is there, and the link would dial until it's answered.
+			if (!link.isWatched && !link.hasMet && !this.#sought.has(address)) {
+				link.dispose();
+				this.#links.delete(address);
+			}
 		}
 
 		for (const address of peerAddresses) {
@@ -142,6 +149,7 @@
 
 	override meet(peerAddresses: ReadonlySet<string>): void {
 		for (const address of peerAddresses) {
+			this.#sought.add(address);
 			this.#linkTo(address);
 		}
 	}
--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -76,6 +76,20 @@
 		await passTime(this.clock, 1000);
 	}
 
+	/** Starts all entries as a directory of them would let them find each other. */
+	async startByDirectory(): Promise<void> {
+		for (const entry of this.entries.values()) {
+			entry.start();
+		}
+
+		const known = [...this.network.ends.values()].map(({self}) => ({address: self.peerAddress, zone: self.zone}));
+		for (const entry of this.entries.values()) {
+			entry.pool.meet(known);
+		}
+
+		await passTime(this.clock, 1000);
+	}
+
 	addTarget(name: string, zone: string, isDraining = false): void {
 		this.#catalogue.put({
 			id: name as InstanceId, address: `${name}:1`, zone: zone as AvailabilityZone, service, isDraining, capacity: new Resources(64_000, 262_144, 0), labels: [],
