--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -78,7 +78,9 @@
 		const store = own.add(new StoreClient(settings.storeAddress, journal));
 		this.#routing = new RoutingTable(settings.applyMilliseconds * freshShare, clock, journal);
 		this.#storeRouting = own.add(new StoreRouting(store, this.#routing, clock, journal));
-		this.#catalogue = own.add(new StoreCatalogue(store, clock, journal));
+		this.#catalogue = own.add(new StoreCatalogue({
+			store, zones: settings.zones, services: () => this.#routing.services, clock, journal,
+		}));
 		this.#entry = own.add(new PooledEntry({
 			zone: settings.zone,
 			member: `${settings.peers}/${clock.wallTime().toString(36)}`,
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -20,6 +20,8 @@
 const channel = 'pool';
 /** How often it's looked which heartbeats are due, and who was silent for too long. */
 const lookMilliseconds = 100;
+/** How often it's looked which neighbours don't answer, where nothing else has changed: half of the time that a dial may take. */
+const watchMilliseconds = 500;
 /**
  * In a fleet of no more others than this everybody is close to everybody. In a larger one only those are that run something for
  * each other: heartbeats, and what each entry does for them, would grow with the square of its size.
@@ -39,6 +41,7 @@
 	readonly #room = new Emitter<void>();
 	readonly #outbox: Outbox;
 	#watched: ReadonlySet<string> = new Set();
+	#watchedAt = Number.NEGATIVE_INFINITY;
 	readonly #teller: StateTeller;
 
 	constructor(private readonly parts: PoolParts) {
@@ -172,15 +175,19 @@
 		const {peersInUse, clock} = this.parts;
 		const isSmall = this.#members.size <= smallFleet;
 		const inUse = isSmall ? undefined : peersInUse();
+		let isChanged = this.parts.clock.now() - this.#watchedAt >= watchMilliseconds;
 		for (const known of this.#members.values()) {
 			const rhythm = isSmall || inUse!.has(known.member.id) ? heartbeats.close : this.#unusedRhythm(known);
 			if (rhythm !== known.rhythm) {
 				known.rhythm = rhythm;
 				known.rhythmSince = clock.now();
+				isChanged = true;
 			}
 		}
 
-		this.#watch();
+		if (isChanged) {
+			this.#watch();
+		}
 	}
 
 	#unusedRhythm({member}: PoolMember): HeartbeatRhythm {
@@ -192,6 +199,7 @@
 	 * needed. Watched, they'd carry pings between their heartbeats, three times as many frames as those.
 	 */
 	#watch(): void {
+		this.#watchedAt = this.parts.clock.now();
 		const met = new Set<string>();
 		const unused = new Set<string>();
 		for (const {member, rhythm} of this.#members.values()) {
@@ -293,6 +301,7 @@
 
 	#drop(id: MemberId, cause: string): void {
 		if (this.#members.delete(id)) {
+			this.#watchedAt = Number.NEGATIVE_INFINITY;
 			this.parts.journal.record('poolMemberLost', {member: id, cause});
 			this.#lose.fire(id);
 		}
--- a/src/features/routing/routing-table.ts
+++ b/src/features/routing/routing-table.ts
@@ -1,6 +1,7 @@
 /** The configuration in force at this entry. */
 import type {Clock} from '../../base/clock.js';
 import {Emitter} from '../../base/emitter.js';
+import type {ServiceName} from '../../base/service-name.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {QueueRoute} from './queue-route.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
@@ -19,6 +20,7 @@
 	#byHost = new Map<string, readonly QueueRoute[]>();
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#distrustedAt = Number.NEGATIVE_INFINITY;
+	readonly #services = new Set<ServiceName>();
 	readonly #change = new Emitter<RoutingConfiguration>();
 
 	/** `freshMilliseconds`: under the time within which a change has to be in force. */
@@ -36,6 +38,14 @@
 		return this.#configuration?.version ?? 0;
 	}
 
+	/**
+	 * All services that any version here has named; nothing before the first version. A service without a queue stays: jobs that
+	 * were taken before its last queue went still run there.
+	 */
+	get services(): ReadonlySet<ServiceName> | undefined {
+		return this.#configuration === undefined ? undefined : this.#services;
+	}
+
 	/** Takes a version if it's newer than the one in force. */
 	offer(configuration: RoutingConfiguration, source: Source): void {
 		if (configuration.version <= this.version) {
@@ -47,6 +57,10 @@
 		});
 		this.#configuration = configuration;
 		this.#byHost = groupByHost(configuration.routes);
+		for (const {service} of configuration.routes) {
+			this.#services.add(service);
+		}
+
 		this.#change.fire(configuration);
 	}
 
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -6,8 +6,10 @@
 import {StoreGroup} from '../../platform/store-group.js';
 import {StoreRouting} from '../../platform/store-routing.js';
 import {SystemClock} from '../../src/base/system-clock.js';
+import type {AvailabilityZone} from '../../src/base/availability-zone.js';
 import type {InstanceId} from '../../src/base/instance-id.js';
 import type {OwnershipGroupName} from '../../src/base/ownership-group-name.js';
+import type {ServiceName} from '../../src/base/service-name.js';
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
 import {StoreService} from '../../standins/store/store-service.js';
 import {RecordingJournal} from '../support/recording-journal.js';
@@ -31,6 +33,12 @@
 	});
 }
 
+function catalogueOf(store: StoreClient, journal: RecordingJournal, services: () => ReadonlySet<ServiceName> | undefined = () => new Set(['s' as ServiceName])) {
+	return new StoreCatalogue({
+		store, zones: new Set(['z' as AvailabilityZone]), services, clock, journal,
+	});
+}
+
 function targetOf(state: string, seq: number): string {
 	return JSON.stringify({
 		service: 's', addr: '127.0.0.1:1', zone: 'z', state, seq, capacity: {cpu: 64_000, mem_mb: 1000, gpu: 0}, labels: ['a'],
@@ -79,7 +87,7 @@
 // A store that is behind gives an old entry of a target after the newer one: the target, which is leaving, would get work.
 test('a target\'s older entry never replaces its newer one', async () => {
 	const {service, journal, client} = await storeOf();
-	const catalogue = new StoreCatalogue(client, clock, journal);
+	const catalogue = catalogueOf(client, journal);
 	const id = 'i-1' as InstanceId;
 	service.put('keyed.servers', id, targetOf('ready', 4));
 	catalogue.start();
@@ -96,7 +104,7 @@
 
 test('a target that went from the list is kept for a while, and dropped then', async () => {
 	const {service, journal, client} = await storeOf();
-	const catalogue = new StoreCatalogue(client, clock, journal);
+	const catalogue = catalogueOf(client, journal);
 	service.put('keyed.servers', 'i-1', targetOf('ready', 1));
 	catalogue.start();
 	await until(() => catalogue.targets.size === 1);
@@ -109,6 +117,87 @@
 	client.dispose();
 });
 
+// A program of somebody else writes into the list: an entry with a field missing, one of another type, one in a state that
+// nobody knows, bytes that are no text. Taken for targets they would be dialled and sent tasks; refused as a whole with the
+// read they came in, they would hide the sound ones.
+test('entries that are no targets name none, and the others hold', async () => {
+	const {service, journal, client} = await storeOf();
+	const catalogue = catalogueOf(client, journal);
+	const sound = JSON.parse(targetOf('ready', 1)) as Record<string, unknown>;
+	for (const [index, change] of [
+		{addr: undefined}, {addr: 7}, {addr: 'somewhere:80'}, {addr: '10.0.0.1:1\r\nx: y'}, {state: 'napping'}, {service: 'unknown'}, {service: null}, {zone: 'elsewhere'}, {seq: 'one'}, {capacity: []}, {capacity: {cpu: -1}}, {labels: 'a'},
+	].entries()) {
+		service.put('keyed.servers', `bad-${index}`, JSON.stringify({...sound, ...change}));
+	}
+
+	for (const [index, text] of ['', 'null', '[]', '{"service":', '\uFFFD\u0000', '17'].entries()) {
+		service.put('keyed.servers', `odd-${index}`, text);
+	}
+
+	service.put('keyed.servers', 'no id\r\n', targetOf('ready', 1));
+	service.put('keyed.servers', 'i-1', targetOf('ready', 1));
+	catalogue.start();
+	await until(() => catalogue.targets.size > 0);
+	assert.deepEqual([...catalogue.targets.keys()], ['i-1']);
+	assert.equal(journal.named('answerUnreadable').length, 1);
+	catalogue.dispose();
+	client.dispose();
+});
+
+// Somebody overwrites a target's entry with garbage. Left in force, the old entry would hide that the target drains or has
+// gone; dropped at once, its runs would be begun elsewhere beside themselves.
+test('a target whose entry was spoilt gets nothing new until it has written again', async () => {
+	const {service, journal, client} = await storeOf();
+	const catalogue = catalogueOf(client, journal);
+	const id = 'i-1' as InstanceId;
+	service.put('keyed.servers', id, targetOf('ready', 4));
+	catalogue.start();
+	await until(() => catalogue.targets.get(id)?.isDraining === false);
+	service.put('keyed.servers', id, '{"state":"ready"}');
+	await until(() => catalogue.targets.get(id)?.isDraining === true);
+	service.put('keyed.servers', id, targetOf('ready', 4));
+	await until(() => catalogue.targets.get(id)?.isDraining === false);
+	catalogue.dispose();
+	client.dispose();
+});
+
+test('targets of a service are there once the configuration names it', async () => {
+	const {service, journal, client} = await storeOf();
+	const named = new Set(['other' as ServiceName]);
+	const catalogue = catalogueOf(client, journal, () => named);
+	service.put('keyed.servers', 'i-1', targetOf('ready', 1));
+	service.put('keyed.servers', 'i-2', targetOf('ready', 1).replace('"s"', '"other"'));
+	catalogue.start();
+	await until(() => catalogue.targets.size === 1);
+	assert.deepEqual([...catalogue.targets.keys()], ['i-2']);
+	named.add('s' as ServiceName);
+	await until(() => catalogue.targets.size === 2);
+	catalogue.dispose();
+	client.dispose();
+});
+
+test('a target that only counts its writings up stays as it is, and is missed when it goes', async () => {
+	const {service, journal, client} = await storeOf();
+	const catalogue = catalogueOf(client, journal);
+	let changes = 0;
+	service.put('keyed.servers', 'i-1', targetOf('ready', 9));
+	catalogue.start();
+	await until(() => catalogue.targets.size === 1);
+	catalogue.onDidChange(() => {
+		changes += 1;
+	});
+	service.put('keyed.servers', 'i-1', targetOf('ready', 10));
+	service.put('keyed.servers', 'i-1', targetOf('ready', 100));
+	service.put('keyed.servers', 'i-1', targetOf('draining', 99));
+	service.put('keyed.servers', 'i-2', targetOf('ready', 1));
+	await until(() => catalogue.targets.size === 2);
+	assert.deepEqual({changes, isDraining: catalogue.targets.get('i-1' as InstanceId)?.isDraining}, {changes: 1, isDraining: false});
+	service.put('keyed.servers', 'i-1', targetOf('draining', 101));
+	await until(() => catalogue.targets.get('i-1' as InstanceId)?.isDraining === true);
+	catalogue.dispose();
+	client.dispose();
+});
+
 test('two members share a group\'s partitions; a third of them moves when one leaves or a reply is lost', async () => {
 	const {service, client} = await storeOf();
 	const group = new StoreGroup(client, 24, 1500);
