--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -76,10 +76,13 @@
 			instance: settings.instance, zone: settings.zone, address: host, port: Number(port), key: peerKey, transport: new TcpTransport(), timing: peerTiming, advertised: advertisedPeers,
 		}, clock, journal));
 		const store = own.add(new StoreClient(settings.storeAddress, journal));
-		this.#routing = new RoutingTable(settings.applyMilliseconds * freshShare, clock, journal);
-		this.#storeRouting = own.add(new StoreRouting(store, this.#routing, clock, journal));
+		const freshMilliseconds = settings.applyMilliseconds * freshShare;
+		this.#routing = new RoutingTable(freshMilliseconds, clock, journal);
+		this.#storeRouting = own.add(new StoreRouting({
+			store, table: this.#routing, freshMilliseconds, clock, journal,
+		}));
 		this.#catalogue = own.add(new StoreCatalogue({
-			store, zones: settings.zones, services: () => this.#routing.services, clock, journal,
+			store, zones: settings.zones, services: () => this.#routing.services, drainMilliseconds: settings.drainMilliseconds, clock, journal,
 		}));
 		this.#entry = own.add(new PooledEntry({
 			zone: settings.zone,
--- a/src/runtime/peers/frame-socket.ts
+++ b/src/runtime/peers/frame-socket.ts
@@ -91,6 +91,10 @@
 		return frame.kind;
 	}
 
+	if (Array.isArray(frame.body)) {
+		return frame.channel;
+	}
+
 	const body = frame.body as Readonly<Record<string, unknown>>;
 	const inner = Object.values(body).find(value => typeof value === 'object' && value !== null && 'kind' in value);
 	const kind = body.kind ?? (inner)?.kind;
--- a/test/platform/store-routing.test.ts
+++ b/test/platform/store-routing.test.ts
@@ -32,7 +32,9 @@
 	const clock = new FakeClock();
 	const journal = new RecordingJournal();
 	const table = new RoutingTable(1500, clock, journal);
-	const routing = new StoreRouting(new CalmStore(clock, journal), table, clock, journal);
+	const routing = new StoreRouting({
+		store: new CalmStore(clock, journal), table, freshMilliseconds: 1500, clock, journal,
+	});
 	routing.start();
 	await passTime(clock, 50);
 	const kinds = new Set<string>();
@@ -52,7 +54,9 @@
 	const clock = new FakeClock();
 	const journal = new RecordingJournal();
 	const table = new RoutingTable(1500, clock, journal);
-	const routing = new StoreRouting(new CalmStore(clock, journal, 0.5), table, clock, journal);
+	const routing = new StoreRouting({
+		store: new CalmStore(clock, journal, 0.5), table, freshMilliseconds: 1500, clock, journal,
+	});
 	routing.start();
 	await passTime(clock, 600);
 	const ages: number[] = [];
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -33,9 +33,15 @@
 	});
 }
 
+function routingOf(store: StoreClient, table: RoutingTable, journal: RecordingJournal) {
+	return new StoreRouting({
+		store, table, freshMilliseconds: 1500, clock, journal,
+	});
+}
+
 function catalogueOf(store: StoreClient, journal: RecordingJournal, services: () => ReadonlySet<ServiceName> | undefined = () => new Set(['s' as ServiceName])) {
 	return new StoreCatalogue({
-		store, zones: new Set(['z' as AvailabilityZone]), services, clock, journal,
+		store, zones: new Set(['z' as AvailabilityZone]), services, drainMilliseconds: 2000, clock, journal,
 	});
 }
 
@@ -48,7 +54,7 @@
 test('configurations are followed, higher versions win, and what can\'t be read has no effect', async () => {
 	const {service, journal, client} = await storeOf();
 	const table = new RoutingTable(1500, clock, journal);
-	const routing = new StoreRouting(client, table, clock, journal);
+	const routing = routingOf(client, table, journal);
 	service.put('keyed.op', 'config', configurationOf(3, ['one']));
 	routing.start();
 	await until(() => table.version === 3);
@@ -69,7 +75,7 @@
 test('a configuration whose record was dropped is read as the newest of its key', async () => {
 	const {service, journal, client} = await storeOf();
 	const table = new RoutingTable(1500, clock, journal);
-	const routing = new StoreRouting(client, table, clock, journal);
+	const routing = routingOf(client, table, journal);
 	service.put('keyed.op', 'config', configurationOf(1, ['one']));
 	routing.start();
 	await until(() => table.version === 1);
