A late word of a run's former owner starts no task again; the next owner finds an entry that it never met

The next owner's word that it had adopted the run reached the job's entry before the former owner's word of the handover, which then counted as one that nobody had adopted: 1.3 s later the task was begun elsewhere, while the next owner renewed the lease. The entry's neighbours being fewer, a next owner that had no connection to the job's entry stopped the run besides.

Change: a handover counts only from the owner that the job's entry knows; it names the entries of its runs, so that the next owner can reach those it never met.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -116,8 +116,9 @@
 			this.pool.tellRoom();
 		}));
 		own.add(this.ownership.onDidHandOver(handovers => {
-			this.dispatcher.noteHandovers(handovers);
-			this.pool.broadcast({kind: 'handover', handovers});
+			this.dispatcher.noteHandovers(handovers, this.pool.self);
+			const requesters = new Set(handovers.flatMap(({runs}) => runs.map(({requester}) => requester)));
+			this.pool.broadcast({kind: 'handover', handovers, requesters: this.pool.named(requesters)});
 		}));
 		own.add(routing.onDidChange(() => {
 			this.pool.tellChange();
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -151,8 +151,8 @@
 	}
 
 	/** Runs changed hands: their next owner has to tell, or they have ended with their lease. */
-	noteHandovers(handovers: readonly Handover[]): void {
-		this.#results.noteHandovers(handovers);
+	noteHandovers(handovers: readonly Handover[], former: MemberId): void {
+		this.#results.noteHandovers(handovers, former);
 	}
 
 	/** Answers every job as it stands; the process is about to end. */
@@ -198,7 +198,7 @@
 		}
 
 		if (message.kind === 'handover') {
-			this.#results.noteHandovers(message.handovers);
+			this.#results.noteHandovers(message.handovers, from);
 		}
 
 		if (message.kind === 'adopted') {
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -96,11 +96,14 @@
 		this.parts.listener.onDidFindUnwanted(task, attempt, owner);
 	}
 
-	/** Runs changed hands: their next owner has to tell, or they have ended with their lease. */
-	noteHandovers(handovers: readonly Handover[]): void {
+	/**
+	 * Runs changed hands: their next owner has to tell, or they have ended with their lease. Where the next owner's word came
+	 * first, the former owner's says nothing any more: the run would be counted as ended while it goes on.
+	 */
+	noteHandovers(handovers: readonly Handover[], former: MemberId): void {
 		for (const {request} of handovers.flatMap(handover => handover.runs)) {
 			const found = this.parts.jobs.named(request.task);
-			if (found?.slot.attempt === request.attempt && found.slot.owner !== undefined) {
+			if (found?.slot.attempt === request.attempt && found.slot.owner === former) {
 				found.slot.handedOverAt = this.parts.clock.now();
 			}
 		}
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -83,6 +83,9 @@
 					acknowledged: handover.number(),
 					runs: handover.lists(run => ({requester: run.text<MemberId>(), request: decodeRequest(run)})),
 				})),
+				requesters: values.lists(member => ({
+					id: member.text<MemberId>(), instance: member.text<InstanceId>(), zone: member.text<AvailabilityZone>(), peerAddress: member.text(),
+				})),
 			};
 		}
 
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -1,5 +1,6 @@
 /** What entries of a pool say to each other. */
 import type {TaskId} from '../../base/task-id.js';
+import type {Member} from '../../runtime/peers/member.js';
 import type {Handover} from '../execution/handover.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
@@ -14,7 +15,8 @@
 	| {readonly kind: 'run'; readonly request: RunRequest}
 	| {readonly kind: 'report'; readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome}
 	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string}
-	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]}
+	/** The next owner may never have met the entries of the runs. */
+	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]; readonly requesters: readonly Member[]}
 	| {readonly kind: 'adopted'; readonly task: TaskId; readonly attempt: number}
 	| {readonly kind: 'wantRouting'}
 	| {readonly kind: 'routing'; readonly configuration: RoutingConfiguration};
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -22,6 +22,8 @@
 const lookMilliseconds = 100;
 /** How often it's looked which neighbours don't answer, where nothing else has changed: half of the time that a dial may take. */
 const watchMilliseconds = 500;
+/** Above the entries that any fleet has; those of earlier lives go first. */
+const introducedLimit = 1000;
 /**
  * In a fleet of no more others than this everybody is close to everybody. In a larger one only those are that run something for
  * each other: heartbeats, and what each entry does for them, would grow with the square of its size.
@@ -31,6 +33,8 @@
 /** Sends this entry's state to all others, and keeps theirs. */
 export class Pool implements Disposable {
 	readonly #members = new Map<MemberId, PoolMember>();
+	/** Those of whom others told, that this entry hasn't met. */
+	readonly #introduced = new Map<MemberId, Member>();
 	/** Every life that was met: one that can't be heard may still hear, and has to be told to stop. */
 	readonly #met = new Map<MemberId, Member>();
 	readonly #neighbours: Neighbours;
@@ -102,11 +106,6 @@
 		return this.parts.clock.now() - heardAt <= rhythm.freshMilliseconds;
 	}
 
-	/** Whether an entry was heard lately. */
-	hears(id: MemberId): boolean {
-		return this.#members.has(id);
-	}
-
 	start(): void {
 		this.#store.add(repeat(this.parts.clock, lookMilliseconds, () => {
 			this.#sortMembers();
@@ -137,6 +136,24 @@
 		}
 	}
 
+	/** Lives that were met, by their ids. */
+	named(ids: Iterable<MemberId>): readonly Member[] {
+		return [...ids].map(id => id === this.self ? this.parts.network.self : this.#met.get(id)).filter(member => member !== undefined);
+	}
+
+	/**
+	 * Whether an entry is heard, or may be: one that was introduced counts as heard now, and has to answer like any other. One that
+	 * was met and isn't heard any more is lost.
+	 */
+	reach(id: MemberId): boolean {
+		const introduced = this.#introduced.get(id);
+		if (introduced !== undefined && !this.#met.has(id)) {
+			this.#meet(introduced);
+		}
+
+		return this.#members.has(id);
+	}
+
 	broadcast(message: PoolMessage): void {
 		for (const {member} of this.#members.values()) {
 			this.#outbox.put(member, message);
@@ -261,6 +278,10 @@
 			return;
 		}
 
+		for (const requester of message.kind === 'handover' ? message.requesters : []) {
+			this.#introduce(requester);
+		}
+
 		if (message.kind === 'adopted') {
 			// The new owner has heard of this entry less often than the former one, and has to know soon that it lives.
 			this.tellMember(from.id);
@@ -273,6 +294,18 @@
 		this.#message.fire({from, message});
 	}
 
+	#introduce(member: Member): void {
+		if (this.#met.has(member.id) || member.id === this.self) {
+			return;
+		}
+
+		this.#introduced.set(member.id, member);
+		const [oldest] = this.#introduced.keys();
+		if (this.#introduced.size > introducedLimit) {
+			this.#introduced.delete(oldest!);
+		}
+	}
+
 	/** The member is gone where a listener of an earlier message of the batch has found it so. */
 	#takeState(known: PoolMember | undefined, state: EntryState): void {
 		if (known === undefined) {
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -41,7 +41,7 @@
 			this.#report(report);
 		}));
 		this.#store.add(executor.onDidAdopt(({requester, request}) => {
-			if (requester !== pool.self && !pool.hears(requester)) {
+			if (requester !== pool.self && !pool.reach(requester)) {
 				// It can't be told that the run goes on, and begins the task elsewhere once the lease should have passed.
 				executor.stop(request.task, request.attempt, 'its entry is not heard here');
 				return;
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -228,6 +228,46 @@
 
 // An owner gives its targets up and its word of them is lost on the way, as when a cut heals at that moment. Nobody renews
 // the runs' lease any more and nobody tells their jobs, which would wait until their callers give up.
+// An entry leaves, and its word to the entry of a job comes late. The next owner has adopted the job's run and said so before.
+// Taken as a new handover, the late word had the run counted as ended with its lease while the next owner went on with it: the
+// task was begun a second time beside itself.
+test('the former owner\'s word that comes after the next owner\'s starts no task again', async () => {
+	const world = new PooledWorld(['a-1', 'b-1', 'b-2'], 2);
+	await world.start();
+	const job = world.submit('a-1', '00000000000000ab', {
+		tasks: 8, payload: '2500', declared: 2500, patience: 9000,
+	});
+	await world.pass(300);
+	const startsBefore = world.orders.starts.length;
+	world.network.delays.set('b-1#1>a-1#1', 200);
+	await Promise.all([world.entries.get('b-1')!.leave(), world.pass(600)]);
+	await world.pass(4000);
+	assert.deepEqual({verdict: job.verdict, starts: world.orders.starts.length, mostAtOnce: world.orders.mostAtOnce}, {
+		verdict: {kind: 'answered', answer: 'complete'}, starts: startsBefore, mostAtOnce: 1,
+	});
+});
+
+// In a large fleet the next owner of a target keeps no connection to the entry whose task runs there. It stopped the run, since
+// it couldn't tell that entry, and a second's work was thrown away with each machine that was restarted.
+test('a run goes on under a next owner that had no connection to the run\'s entry', async () => {
+	const names = Array.from({length: 24}, (_, index) => `z${index % 3}-${Math.floor(index / 3)}`);
+	const world = new PooledWorld(names, 8);
+	await world.startByDirectory();
+	await world.pass(2000);
+	const jobs = names.map((name, index) => world.submit(name, `00000000000000${index.toString(16).padStart(2, '0')}`, {
+		tasks: 2, payload: '3000', declared: 3000, patience: 9000,
+	}));
+	await world.pass(300);
+	const startsBefore = world.orders.starts.length;
+	for (const name of ['z0-0', 'z1-3', 'z2-5']) {
+		await Promise.all([world.entries.get(name)!.leave(), world.pass(300)]);
+	}
+
+	await world.pass(5000);
+	assert.deepEqual(jobs.map(job => job.verdict), jobs.map(() => ({kind: 'answered', answer: 'complete'})));
+	assert.deepEqual({starts: world.orders.starts.length, mostAtOnce: world.orders.mostAtOnce}, {starts: startsBefore, mostAtOnce: 1});
+});
+
 test('runs that were handed over to nobody are begun again once their lease has passed', async () => {
 	const world = new PooledWorld(['a-1', 'b-1'], 2);
 	await world.start();
@@ -240,6 +280,7 @@
 	world.entries.get('a-1')!.pool.broadcast({
 		kind: 'handover',
 		handovers: released[0].map(handover => ({...handover, target: `${handover.target} of nobody` as InstanceId})),
+		requesters: [],
 	});
 	await world.pass(4000);
 	assert.deepEqual(job.verdict, {kind: 'answered', answer: 'complete'});
--- a/test/support/model-network.ts
+++ b/test/support/model-network.ts
@@ -15,6 +15,8 @@
 export class ModelNetwork {
 	readonly ends = new Map<MemberId, NetworkEnd>();
 	framesSent = 0;
+	/** `from>to`: so many milliseconds that a message takes that way, in place of one. */
+	readonly delays = new Map<string, number>();
 	/** `from>to`: messages that way are lost. */
 	readonly cuts = new Set<string>();
 	/** By peer address, those that were killed as well. */
@@ -89,7 +91,7 @@
 
 	carry(from: Member, to: MemberId, message: PeerMessage): void {
 		this.framesSent += 1;
-		this.clock.schedule(delayMilliseconds, () => {
+		this.clock.schedule(this.delays.get(`${from.id}>${to}`) ?? delayMilliseconds, () => {
 			if (!this.cuts.has(`${from.id}>${to}`) && this.ends.has(from.id)) {
 				this.ends.get(to)?.receiving.fire({from, message: structuredClone(message)});
 			}
