--- a/scripts/install-missing.sh
+++ b/scripts/install-missing.sh
@@ -2,6 +2,5 @@
 # Installs the locked packages where they are missing or older than the lock file.
 set -eu
 if [ ! -e node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
-	# Not `npm ci`: it refuses a lock file that lacks optional native packages of other platforms.
-	npm install --no-save --no-audit --no-fund --loglevel=error
+	npm ci --no-audit --no-fund --loglevel=error
 fi
