An entry is told of room twice for each time that it says that tasks wait there

Hypothesis: in a large fleet an entry is taken as waiting until its next heartbeat, up to a second, and every entry with room tells it of each change.

--- a/src/features/pool/pool-member.ts
+++ b/src/features/pool/pool-member.ts
@@ -23,6 +23,8 @@
 	isWatched: boolean;
 	isLeaving: boolean;
 	routingVersion: number;
+	/** How often it was told of room here since it said last what it waits for. */
+	offers: number;
 	/** What its waiting tasks need at least, on any entry's targets. */
 	wanted: readonly WantedRoom[];
 	room: KnownShare[];
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -253,7 +253,7 @@
 		const {clock, journal} = this.parts;
 		const now = clock.now();
 		const known: PoolMember = {
-			member, heardAt: now, told: heartbeats.close, rhythm: heartbeats.close, rhythmSince: now, isWatcher: false, isWatched: false, isLeaving: false, routingVersion: 0, wanted: [], room: [],
+			member, heardAt: now, told: heartbeats.close, rhythm: heartbeats.close, rhythmSince: now, isWatcher: false, isWatched: false, offers: 0, isLeaving: false, routingVersion: 0, wanted: [], room: [],
 		};
 		this.#met.set(member.id, member);
 		this.#members.set(member.id, known);
@@ -333,7 +333,7 @@
 		}
 
 		const beginsToWait = known.wanted.length === 0 && state.wanted.length > 0;
-		Object.assign(known, state, {isWatched: isForWatcher});
+		Object.assign(known, state, {isWatched: isForWatcher, offers: 0});
 		this.#room.fire();
 		if (beginsToWait) {
 			// It may not know of room that is here since the last heartbeat.
--- a/src/features/pool/state-teller.ts
+++ b/src/features/pool/state-teller.ts
@@ -36,6 +36,12 @@
  */
 const toldAtOnce = 7;
 const toldForPlace = 2;
+/**
+ * So often an entry is told of room after it said that tasks wait there, until it says so again. Most tasks have found room long
+ * before the next heartbeat of an entry that isn't in use, a second later in a large fleet. At three quarters of the load that
+ * takes a third of the frames away, at nine tenths a fifth, and leaves the waits as they are (counted in memory, 39 entries).
+ */
+const offersForStatement = 2;
 /** Who was told so lately isn't told again with every message. */
 const alongMilliseconds = 50;
 
@@ -111,7 +117,7 @@
 		}
 
 		for (const member of this.parts.members()) {
-			if (member.wanted.length > 0) {
+			if (isWaiting(member)) {
 				this.#scheduleRoom(dueAt);
 				return;
 			}
@@ -159,7 +165,7 @@
 		const {members, ownState, clock} = this.parts;
 		const state = ownState();
 		const fleet = [...members()];
-		const offers = fleet.map(member => ({member, places: placesFor(member.wanted, state.room)})).filter(({places}) => places > 0);
+		const offers = fleet.filter(member => isWaiting(member)).map(member => ({member, places: placesFor(member.wanted, state.room)})).filter(({places}) => places > 0);
 		const places = Math.max(0, ...offers.map(offer => offer.places));
 		const isNew = places > this.#placesTold;
 		this.#placesTold = Math.min(this.#placesTold, places);
@@ -184,6 +190,14 @@
 	#tellByTurns(waiting: readonly PoolMember[], count: number): void {
 		const told = Array.from({length: count}, (_, turn) => waiting[(this.#toldUpTo + turn + 1) % waiting.length]!);
 		this.#toldUpTo += count;
+		for (const member of told) {
+			member.offers += 1;
+		}
+
 		this.#tell(told);
 	}
 }
+
+function isWaiting({wanted, offers}: PoolMember): boolean {
+	return wanted.length > 0 && offers < offersForStatement;
+}
--- a/test/features/pool/state-teller.test.ts
+++ b/test/features/pool/state-teller.test.ts
@@ -43,10 +43,13 @@
 		rhythmSince: begunAt,
 		isLeaving: false,
 		routingVersion: 0,
+		offers: 0,
 		wanted: [{service, need}],
 		room: [],
 	}));
-	const world = {places: 0, clock, network};
+	const world = {
+		places: 0, clock, network, members,
+	};
 	const teller = new StateTeller({
 		members: () => members,
 		ownState: () => ({
@@ -84,3 +87,22 @@
 	teller.tellRoom();
 	assert.equal(toldWithin(5).length, 7);
 });
+
+// A task waits for ten milliseconds and finds room; the entry that has more room went on telling until it heard again, a second
+// later in a large fleet. At three quarters of the load that was a third of all messages.
+test('an entry is told of room twice for each time that it says that tasks wait there', () => {
+	const {world, teller, toldWithin} = worldOf(3, 3);
+	for (const places of [3, 6, 9]) {
+		world.places = places;
+		teller.tellRoom();
+	}
+
+	const first = toldWithin(500).length;
+	for (const member of world.members) {
+		member.offers = 0;
+	}
+
+	world.places = 12;
+	teller.tellRoom();
+	assert.deepEqual({first, again: toldWithin(500).length}, {first: 6, again: 6});
+});
