The pool's links and introductions stand in modules of their own

Change: PoolLinks sets rhythms and keeps connections, Introductions keeps entries of which others told; behaviour as before.

--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -3,16 +3,15 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Emitter} from '../../base/emitter.js';
 import type {MemberId} from '../../base/member-id.js';
-import {rankByKey} from '../../base/rank-by-key.js';
 import {repeat} from '../../base/repeat.js';
 import type {Member} from '../../runtime/peers/member.js';
 import {decodeMessages} from './decode-messages.js';
 import type {EntryState} from './entry-state.js';
-import type {HeartbeatRhythm} from './heartbeat-rhythm.js';
 import {heartbeats} from './heartbeats.js';
 import type {KnownEntry} from './known-entry.js';
-import {Neighbours} from './neighbours.js';
+import {Introductions} from './introductions.js';
 import {Outbox} from './outbox.js';
+import {PoolLinks} from './pool-links.js';
 import type {PoolMember} from './pool-member.js';
 import type {PoolMessage} from './pool-message.js';
 import type {PoolParts} from './pool-parts.js';
@@ -21,44 +20,38 @@
 const channel = 'pool';
 /** How often it's looked which heartbeats are due, and who was silent for too long. */
 const lookMilliseconds = 100;
-/** How often it's looked which neighbours don't answer, where nothing else has changed: half of the time that a dial may take. */
-const watchMilliseconds = 500;
-/** So many of its zone watch over an entry: one of them may be gone with it, and one may be slow. */
-const watchersOfEach = 3;
-/** Above the entries that any fleet has; those of earlier lives go first. */
-const introducedLimit = 1000;
-/**
- * In a fleet of no more others than this everybody is close to everybody. In a larger one only those are that run something for
- * each other: heartbeats, and what each entry does for them, would grow with the square of its size.
- */
-const smallFleet = 12;
 
 /** Sends this entry's state to all others, and keeps theirs. */
 export class Pool implements Disposable {
 	readonly #members = new Map<MemberId, PoolMember>();
-	/** Those of whom others told, that this entry hasn't met. */
-	readonly #introduced = new Map<MemberId, Member>();
 	/** Every life that was met: one that can't be heard may still hear, and has to be told to stop. */
 	readonly #met = new Map<MemberId, Member>();
-	readonly #neighbours: Neighbours;
+	readonly #introductions = new Introductions();
 	readonly #store = new DisposableStore();
 	readonly #message = new Emitter<{readonly from: Member; readonly message: PoolMessage}>();
 	readonly #lose = new Emitter<MemberId>();
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
 	readonly #outbox: Outbox;
-	#watched: ReadonlySet<string> = new Set();
-	#watchedAt = Number.NEGATIVE_INFINITY;
 	readonly #teller: StateTeller;
+	readonly #links: PoolLinks;
 
 	constructor(private readonly parts: PoolParts) {
-		const {network, ownState, clock} = parts;
-		const {peerAddress, zone} = network.self;
-		this.#neighbours = new Neighbours({self: {address: peerAddress, zone}, clock});
+		const {network, ownState, peersInUse, clock} = parts;
+		const members = () => this.#members.values();
 		this.#outbox = new Outbox(network, channel, clock);
 		this.#teller = this.#store.add(new StateTeller({
-			members: () => this.#members.values(), ownState, outbox: this.#outbox, clock,
+			members, ownState, outbox: this.#outbox, clock,
 		}));
+		this.#links = new PoolLinks({
+			network,
+			members,
+			peersInUse,
+			tell: member => {
+				this.#teller.tellOne(member);
+			},
+			clock,
+		});
 		this.#store.add(network.onDidReceive(({from, message}) => {
 			if (message.channel === channel) {
 				this.#receive(from, message.body);
@@ -111,7 +104,7 @@
 
 	start(): void {
 		this.#store.add(repeat(this.parts.clock, lookMilliseconds, () => {
-			this.#sortMembers();
+			this.#links.update();
 			this.#dropSilent();
 			this.#teller.beat(lookMilliseconds / 2);
 		}));
@@ -119,11 +112,7 @@
 
 	/** Takes entries that this one didn't know, and connects to those that become its neighbours. */
 	meet(entries: Iterable<KnownEntry>): void {
-		for (const entry of entries) {
-			this.#neighbours.add(entry);
-		}
-
-		this.#watch();
+		this.#links.add(entries);
 	}
 
 	send(to: MemberId, message: PoolMessage): void {
@@ -149,7 +138,7 @@
 	 * was met and isn't heard any more is lost.
 	 */
 	reach(id: MemberId): boolean {
-		const introduced = this.#introduced.get(id);
+		const introduced = this.#introductions.named(id);
 		if (introduced !== undefined && !this.#met.has(id)) {
 			this.#meet(introduced);
 		}
@@ -190,65 +179,6 @@
 		this.#store.dispose();
 	}
 
-	/** Decides how often each entry is heard, and which ones this one connects to. */
-	#sortMembers(): void {
-		const {peersInUse, clock} = this.parts;
-		const isSmall = this.#members.size <= smallFleet;
-		const inUse = isSmall ? undefined : peersInUse();
-		let isChanged = this.parts.clock.now() - this.#watchedAt >= watchMilliseconds;
-		for (const known of this.#members.values()) {
-			const isClose = isSmall || inUse!.has(known.member.id);
-			known.told = isClose ? heartbeats.close : (known.isWatcher ? heartbeats.near : heartbeats.distant);
-			const rhythm = isClose ? heartbeats.close : (known.isWatched ? heartbeats.near : heartbeats.distant);
-			if (rhythm !== known.rhythm) {
-				known.rhythm = rhythm;
-				known.rhythmSince = clock.now();
-				isChanged = true;
-			}
-		}
-
-		if (isChanged) {
-			this.#watch();
-		}
-	}
-
-	/** The few of this zone that have to notice when this entry is gone. One that becomes a watcher, or ceases to be one, is told. */
-	#chooseWatchers(): void {
-		const {self} = this.parts.network;
-		const mates = [...this.#members.values()].filter(({member}) => member.zone === self.zone);
-		const watchers = new Set(rankByKey(self.peerAddress, mates, ({member}) => member.peerAddress).slice(0, watchersOfEach));
-		for (const known of mates) {
-			const isWatcher = watchers.has(known);
-			if (isWatcher !== known.isWatcher) {
-				known.isWatcher = isWatcher;
-				this.#teller.tellOne(known);
-			}
-		}
-	}
-
-	/**
-	 * Connections to entries that are there and aren't in use are used as they are: the network makes them anew when they're
-	 * needed. Watched, they'd carry pings between their heartbeats, three times as many frames as those.
-	 */
-	#watch(): void {
-		this.#watchedAt = this.parts.clock.now();
-		this.#chooseWatchers();
-		const met = new Set<string>();
-		const unused = new Set<string>();
-		for (const {member, rhythm} of this.#members.values()) {
-			met.add(member.peerAddress);
-			if (rhythm !== heartbeats.close) {
-				unused.add(member.peerAddress);
-			}
-		}
-
-		const watched = new Set([...this.#neighbours.choose(met), ...met].filter(address => !unused.has(address)));
-		if (!areEqual(watched, this.#watched)) {
-			this.#watched = watched;
-			this.parts.network.watch(watched);
-		}
-	}
-
 	#meet(member: Member): void {
 		const {clock, journal} = this.parts;
 		const now = clock.now();
@@ -259,7 +189,7 @@
 		this.#members.set(member.id, known);
 		this.meet([{address: member.peerAddress, zone: member.zone}]);
 		journal.record('poolMemberMet', {member: member.id, zone: member.zone});
-		this.#outbox.put(member, {kind: 'entries', entries: this.#neighbours.known});
+		this.#outbox.put(member, {kind: 'entries', entries: this.#links.known});
 		this.#teller.tellOne(known);
 	}
 
@@ -295,7 +225,7 @@
 		}
 
 		for (const requester of message.kind === 'handover' ? message.requesters : []) {
-			this.#introduce(requester);
+			this.#introductions.add(requester);
 		}
 
 		if (message.kind === 'adopted') {
@@ -314,18 +244,6 @@
 		this.#message.fire({from, message});
 	}
 
-	#introduce(member: Member): void {
-		if (this.#met.has(member.id) || member.id === this.self) {
-			return;
-		}
-
-		this.#introduced.set(member.id, member);
-		const [oldest] = this.#introduced.keys();
-		if (this.#introduced.size > introducedLimit) {
-			this.#introduced.delete(oldest!);
-		}
-	}
-
 	/** The member is gone where a listener of an earlier message of the batch has found it so. */
 	#takeState(known: PoolMember | undefined, {state, isForWatcher}: Extract<PoolMessage, {kind: 'state'}>): void {
 		if (known === undefined) {
@@ -374,13 +292,9 @@
 
 	#drop(id: MemberId, cause: string): void {
 		if (this.#members.delete(id)) {
-			this.#watchedAt = Number.NEGATIVE_INFINITY;
+			this.#links.noteLoss();
 			this.parts.journal.record('poolMemberLost', {member: id, cause});
 			this.#lose.fire(id);
 		}
 	}
 }
-
-function areEqual(left: ReadonlySet<string>, right: ReadonlySet<string>): boolean {
-	return left.size === right.size && [...left].every(item => right.has(item));
-}
