--- a/src/features/pool/neighbours.ts
+++ b/src/features/pool/neighbours.ts
@@ -3,13 +3,12 @@
 import type {Clock} from '../../base/clock.js';
 import {rankByKey} from '../../base/rank-by-key.js';
 import type {KnownEntry} from './known-entry.js';
+import {smallFleet} from './small-fleet.js';
 
-/** In a fleet of no more others than this everybody is a neighbour of everybody. */
-const smallFleet = 12;
 /**
  * So many of each other zone are chosen; about as many more choose this entry. Their room is enough for what the own zone
- * can't take, and one of them may go without the zone being out of sight. Between 97 entries of 6 zones that leaves 35 of
- * 96 connections an entry, and 36 of 155 heartbeats a second each way.
+ * can't take, and one of them may go without the zone being out of sight. Between 96 entries of 6 zones that leaves 34 of
+ * 95 connections an entry, and with them 38 of 155 heartbeats a second each way (counted in memory).
  */
 const chosenOfZone = 2;
 /** A dial that takes longer has met a machine that is gone, or a cut: another entry of the zone is tried. */
--- a/src/features/pool/pool-links.ts
+++ b/src/features/pool/pool-links.ts
@@ -7,17 +7,12 @@
 import type {KnownEntry} from './known-entry.js';
 import {Neighbours} from './neighbours.js';
 import type {PoolMember} from './pool-member.js';
+import {smallFleet} from './small-fleet.js';
 
 /** How often it's looked which neighbours don't answer, where nothing else has changed: half of the time that a dial may take. */
 const watchMilliseconds = 500;
 /** So many of its zone watch over an entry: one of them may be gone with it, and one may be slow. */
 const watchersOfEach = 3;
-/**
- * In a fleet of no more others than this everybody is close to everybody. In a larger one only those are that run something for
- * each other: heartbeats, and what each entry does for them, would grow with the square of its size.
- */
-const smallFleet = 12;
-
 /** What the links depend on. */
 type PoolLinksParts = {
 	readonly network: PeerNetwork;
