A test of the target client waits for no busy machine

Seen twice in seven runs beside nine busy processes: the stand-in's run of 30 ms was over when the test came to its next call, so that the report listed it as ended and not as running. Shown by a wait of 60 ms between the two calls: the same failure, with the run among the ended ones. The run now takes 700 ms; what is asserted is the same.

--- a/test/platform/target-client.test.ts
+++ b/test/platform/target-client.test.ts
@@ -44,7 +44,8 @@
 
 test('a run is started, listed, ends, and its end is forgotten once acknowledged', async () => {
 	const {target, client} = await targetOf();
-	const started = await client.start(target, startOf('t'));
+	// Long enough to be there still when a busy machine comes to the next call.
+	const started = await client.start(target, startOf('t', {payload: '700'}));
 	assert.equal(started.kind, 'started');
 	const first = await client.renew(target, renewalOf(0, 0));
 	assert.deepEqual(first.kind === 'report' && first.running, [{task: 't', attempt: 1}]);
