Sight: what is passed over of a target's entries, and which life of a target reports

Cause to tell apart: an announcement passed over as older, entries behind the store, and starts in spite of it looked the same in the logs. Change: targets' entries and reports carry the start of the life that they speak for (decoded from born, absent where the platform doesn't state it); targetEntryPassedOver names both lives and numbers, once until an entry is taken again; targetRestarted says that an owner talks to another life, and which end it had acknowledged. No decision changes.

--- a/src/entries/command/explain-story.ts
+++ b/src/entries/command/explain-story.ts
@@ -18,6 +18,8 @@
 	'targetReleased',
 	'targetDropped',
 	'catalogueChanged',
+	'targetEntryPassedOver',
+	'targetRestarted',
 ]);
 /** Events that concern all requests of the process that wrote them. */
 const everywhere = new Set(['edgeStarted', 'edgeStopping', 'edgeStopped', 'processPaused', 'storeAway', 'storeBack', 'errorUnhandled', 'linesDropped', 'routingChanged']);
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -2,6 +2,7 @@
 import {match} from 'ts-pattern';
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
+import type {Incarnation} from '../../base/incarnation.js';
 import type {Resources} from '../../base/resources.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {OrderFailure} from '../targets/order-failure.js';
@@ -45,6 +46,8 @@
 	#step = 0;
 	/** The target's time of the latest report; a report that was overtaken says nothing of what runs now. */
 	#reportClock = 0;
+	/** The life that the latest report came from. */
+	#incarnation: Incarnation | undefined;
 	/** When the latest report came: what is still among the runs was running then. */
 	#reportedAt = 0;
 	#wake: Disposable | undefined;
@@ -307,6 +310,7 @@
 			this.parts.journal.record('targetAnswers', {target: this.target.id, unanswered});
 		}
 
+		this.#noteIncarnation(report);
 		this.#reportedAt = now;
 		this.#lease.read(report.clock, now);
 		this.#takeEnds(report, now);
@@ -321,6 +325,16 @@
 		this.parts.listener.onDidChange();
 	}
 
+	#noteIncarnation({incarnation}: Report): void {
+		if (this.#plan.isLooked && incarnation !== this.#incarnation) {
+			this.parts.journal.record('targetRestarted', {
+				target: this.target.id, incarnation, former: this.#incarnation, acknowledged: this.#plan.acknowledged, runs: this.#runs.size,
+			});
+		}
+
+		this.#incarnation = incarnation;
+	}
+
 	#takeEnds({ended}: Report, now: number): void {
 		for (const end of ended) {
 			this.#plan.acknowledged = Math.max(this.#plan.acknowledged, end.number);
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -184,7 +184,13 @@
 		number: 221, level: 'detail', meaning: 'A request matches no route; "uncertain" while a newer configuration may exist', fields: ['host', 'path', 'kind', 'version', 'ageMilliseconds'],
 	},
 	catalogueChanged: {
-		number: 320, level: 'notice', meaning: 'A target came, went or announced its leaving', fields: ['target', 'change', 'sequence'],
+		number: 320, level: 'notice', meaning: 'A target came, went or announced its leaving', fields: ['target', 'change', 'sequence', 'incarnation'],
+	},
+	targetEntryPassedOver: {
+		number: 321,
+		level: 'warning',
+		meaning: 'A target\'s entry in the store counts as older than the one that is kept and has no effect',
+		fields: ['target', 'incarnation', 'sequence', 'isDraining', 'keptIncarnation', 'keptSequence'],
 	},
 	poolMemberMet: {
 		number: 330, level: 'notice', meaning: 'Another entry shares its room from now on', fields: ['member', 'zone'],
@@ -231,6 +237,12 @@
 	strangerStopped: {
 		number: 716, level: 'notice', meaning: 'A run of a former owner is stopped, since nobody handed it over', fields: ['target', 'task', 'attempt'],
 	},
+	targetRestarted: {
+		number: 717,
+		level: 'warning',
+		meaning: 'A target started again under its id; what ran there before is gone',
+		fields: ['target', 'incarnation', 'former', 'acknowledged', 'runs'],
+	},
 	runStarted: {
 		number: 720, level: 'detail', meaning: 'A run is ordered from a target with this room left before it', fields: ['task', 'attempt', 'target', 'fence', 'roomCpuMillis', 'cpuMillis', 'requester'],
 	},
--- a/test/features/execution/executor.test.ts
+++ b/test/features/execution/executor.test.ts
@@ -24,6 +24,7 @@
 function targetNamed(name: string): TargetRecord {
 	return {
 		id: name as InstanceId,
+		incarnation: undefined,
 		address: '10.0.0.1:1',
 		zone: 'zone' as AvailabilityZone,
 		service: 'service' as ServiceName,
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -101,9 +101,11 @@
 	service.put('keyed.servers', id, targetOf('draining', 5));
 	await until(() => catalogue.targets.get(id)?.isDraining === true);
 	service.put('keyed.servers', id, targetOf('ready', 4));
+	service.put('keyed.servers', id, targetOf('ready', 3));
 	service.put('keyed.servers', 'i-2', targetOf('ready', 1));
 	await until(() => catalogue.targets.size === 2);
 	assert.equal(catalogue.targets.get(id)?.isDraining, true);
+	assert.deepEqual(journal.named('targetEntryPassedOver').map(({target, sequence, keptSequence}) => [target, sequence, keptSequence]), [['i-1', 4, 5]]);
 	catalogue.dispose();
 	client.dispose();
 });
--- a/test/platform/target-client.test.ts
+++ b/test/platform/target-client.test.ts
@@ -20,6 +20,7 @@
 	const worker = new WorkerService('i-1', 64_000, 27_000);
 	const target: TargetRecord = {
 		id: 'i-1' as InstanceId,
+		incarnation: undefined,
 		address: await serveRoutes(worker.routes()),
 		zone: 'z' as AvailabilityZone,
 		service: 's' as ServiceName,
--- a/test/support/model-targets.ts
+++ b/test/support/model-targets.ts
@@ -101,7 +101,7 @@
 
 			await this.#waitForEnd(model, order.waitMilliseconds);
 			return {
-				kind: 'report', clock: this.clock.now() as TargetTime, running: [...model.runs.values()].map(({task, attempt}) => ({task, attempt})), ended: [...model.ended],
+				kind: 'report', incarnation: undefined, clock: this.clock.now() as TargetTime, running: [...model.runs.values()].map(({task, attempt}) => ({task, attempt})), ended: [...model.ended],
 			};
 		});
 	}
--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -92,7 +92,7 @@
 
 	addTarget(name: string, zone: string, isDraining = false): void {
 		this.#catalogue.put({
-			id: name as InstanceId, address: `${name}:1`, zone: zone as AvailabilityZone, service, isDraining, capacity: new Resources(64_000, 262_144, 0), labels: [],
+			id: name as InstanceId, incarnation: undefined, address: `${name}:1`, zone: zone as AvailabilityZone, service, isDraining, capacity: new Resources(64_000, 262_144, 0), labels: [],
 		});
 	}
 
