Failing tests: a target that starts again under its id

Stories: its announcement that it leaves is passed over; the ends of its runs are known late; what it ran before is never known to be gone. The targets in memory can start again now, shorten leases as the platform does, and wake a renewal only for an end with a higher number than it acknowledges.

--- a/test/features/execution/executor.test.ts
+++ b/test/features/execution/executor.test.ts
@@ -1,80 +1,17 @@
 /** Targets under one owner, and their change to another. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
-import type {FencingToken} from '../../../src/base/fencing-token.js';
-import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {MemberId} from '../../../src/base/member-id.js';
-import type {ProfileName} from '../../../src/base/profile-name.js';
-import {Resources} from '../../../src/base/resources.js';
-import type {ServiceName} from '../../../src/base/service-name.js';
-import type {TaskId} from '../../../src/base/task-id.js';
-import {Executor} from '../../../src/features/execution/executor.js';
-import type {ExecutionReport} from '../../../src/features/execution/execution-report.js';
-import type {RunRequest} from '../../../src/features/execution/run-request.js';
-import {TargetHealth} from '../../../src/features/placement/target-health.js';
-import type {TargetRecord} from '../../../src/features/targets/target-record.js';
-import {FakeClock} from '../../support/fake-clock.js';
-import {ModelTargets} from '../../support/model-targets.js';
+import type {Executor} from '../../../src/features/execution/executor.js';
+import {executorWorld} from '../../support/executor-world.js';
 import {passTime} from '../../support/pass-time.js';
-import {RecordingJournal} from '../../support/recording-journal.js';
+import {requestOf} from '../../support/run-request-of.js';
+import {targetNamed} from '../../support/target-named.js';
 
 const entry = 'entry-1' as MemberId;
 
-function targetNamed(name: string): TargetRecord {
-	return {
-		id: name as InstanceId,
-		incarnation: undefined,
-		address: '10.0.0.1:1',
-		zone: 'zone' as AvailabilityZone,
-		service: 'service' as ServiceName,
-		isDraining: false,
-		capacity: new Resources(64_000, 1000, 0),
-		labels: [],
-	};
-}
-
-function requestOf(task: string, payload: string, attempt = 1): RunRequest {
-	return {
-		task: task as TaskId,
-		attempt,
-		payload,
-		need: new Resources(27_000, 64, 0),
-		queue: 'queue' as ProfileName,
-		service: 'service' as ServiceName,
-		label: undefined,
-		avoid: [],
-		jobTasks: 1,
-		expectedMilliseconds: Number(payload),
-	};
-}
-
-function worldOf() {
-	const clock = new FakeClock();
-	const orders = new ModelTargets(clock);
-	const journal = new RecordingJournal();
-	const executorOf = () => {
-		const executor = new Executor({
-			leaseMilliseconds: 1000, orders, health: new TargetHealth(journal), clock, journal,
-		});
-		const reports: ExecutionReport[] = [];
-		executor.onDidReport(report => {
-			reports.push(report);
-		});
-		return {executor, reports};
-	};
-
-	const assign = (executor: Executor, target: TargetRecord, fence: number) => {
-		executor.assign(new Map([[target.id, {target, fence: fence as FencingToken}]]));
-	};
-
-	return {
-		clock, orders, journal, executorOf, assign,
-	};
-}
-
 /** An owner starts a run on the target named `target`, and gives the target up 300 ms later. */
-async function releaseDuringRun({clock, assign}: ReturnType<typeof worldOf>, owner: Executor, payload: string) {
+async function releaseDuringRun({clock, assign}: ReturnType<typeof executorWorld>, owner: Executor, payload: string) {
 	const target = targetNamed('target');
 	assign(owner, target, 1);
 	await passTime(clock, 20);
@@ -84,7 +21,7 @@
 }
 
 test('two tasks of 27 cores fit into a target of 64, a third finds no room until one has ended', async () => {
-	const {clock, executorOf, assign} = worldOf();
+	const {clock, executorOf, assign} = executorWorld();
 	const {executor, reports} = executorOf();
 	assign(executor, targetNamed('target'), 1);
 	await passTime(clock, 20);
@@ -99,7 +36,7 @@
 // A caller's long task would be killed in the middle: its target keeps running only what holds a lease, which lasts a
 // second. The owner has to renew it all the while.
 test('a task that takes longer than a lease ends well', async () => {
-	const {clock, executorOf, assign} = worldOf();
+	const {clock, executorOf, assign} = executorWorld();
 	const {executor, reports} = executorOf();
 	assign(executor, targetNamed('target'), 1);
 	await passTime(clock, 20);
@@ -111,7 +48,7 @@
 // A caller would get no answer, or a task would run twice: a target does what it's told but its answer is lost, so that the
 // owner can't know whether the task runs. It orders a stop until that's confirmed, and only then is the task free.
 test('a start without an answer is stopped before the task is reported gone', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const {clock, orders, executorOf, assign} = executorWorld();
 	const {executor, reports} = executorOf();
 	const target = targetNamed('target');
 	assign(executor, target, 1);
@@ -131,7 +68,7 @@
 // that nothing runs there. With 150 ms for the first and a wait of 100 ms for the last, a task of 60 ms began elsewhere after
 // 250 to 350 ms, twice its objective; a job of eight such tasks meets such a start one time in four.
 test('a start that a target never got is known as such within a short task\'s time', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const {clock, orders, executorOf, assign} = executorWorld();
 	const {executor, reports} = executorOf();
 	const target = targetNamed('target');
 	assign(executor, target, 1);
@@ -153,7 +90,7 @@
 // A target goes silent with a task on it. Its lease can't be renewed any more, so that the task has ended when the lease
 // has; before that it must not start elsewhere.
 test('what runs on a silent target is reported gone only after its lease has passed', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const {clock, orders, executorOf, assign} = executorWorld();
 	const {executor, reports} = executorOf();
 	const target = targetNamed('target');
 	assign(executor, target, 1);
@@ -174,7 +111,7 @@
 // An entry leaves while its targets work. The next owner gets its word of them before it owns them, and goes on: no task is
 // stopped or begun again.
 test('tasks go on under the next owner of their target', async () => {
-	const world = worldOf();
+	const world = executorWorld();
 	const {clock, orders, executorOf, assign} = world;
 	const first = executorOf();
 	const second = executorOf();
@@ -195,7 +132,7 @@
 // An owner dies; its tasks' jobs may be submitted again at once. The next owner finds them on the target, nobody hands them
 // over, and it must not keep them alive.
 test('tasks that nobody handed over are stopped, and room is given only after', async () => {
-	const {clock, orders, executorOf, assign} = worldOf();
+	const {clock, orders, executorOf, assign} = executorWorld();
 	const first = executorOf();
 	const second = executorOf();
 	const target = targetNamed('target');
@@ -216,7 +153,7 @@
 // An entry was paused, another owns its target meanwhile. When it wakes its orders carry a lower token: the target rejects
 // them, and the entry must not order it again with that token.
 test('a target that has met a newer owner is not ordered again with the old token', async () => {
-	const {clock, journal, executorOf, assign} = worldOf();
+	const {clock, journal, executorOf, assign} = executorWorld();
 	const first = executorOf();
 	const second = executorOf();
 	const target = targetNamed('target');
@@ -236,7 +173,7 @@
 // before the second has renewed anything. The second one told at once that the run was gone, and its task was begun elsewhere
 // while it went on under the first owner's lease.
 test('a run that was adopted is reported gone only when the former owner\'s lease has passed as well', async () => {
-	const world = worldOf();
+	const world = executorWorld();
 	const {clock, orders, executorOf, assign} = world;
 	const [first, second, third] = [executorOf(), executorOf(), executorOf()];
 	const target = targetNamed('target');
@@ -256,7 +193,7 @@
 
 // As above, but the target doesn't answer the second owner at all.
 test('a run that was adopted on a silent target is reported gone only after its lease', async () => {
-	const world = worldOf();
+	const world = executorWorld();
 	const {clock, orders, executorOf, assign} = world;
 	const [first, second] = [executorOf(), executorOf()];
 	const target = targetNamed('target');
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -45,9 +45,9 @@
 	});
 }
 
-function targetOf(state: string, seq: number): string {
+function targetOf(state: string, seq: number, born?: number): string {
 	return JSON.stringify({
-		service: 's', addr: '127.0.0.1:1', zone: 'z', state, seq, capacity: {cpu: 64_000, mem_mb: 1000, gpu: 0}, labels: ['a'],
+		service: 's', addr: '127.0.0.1:1', zone: 'z', state, born, seq, capacity: {cpu: 64_000, mem_mb: 1000, gpu: 0}, labels: ['a'],
 	});
 }
 
@@ -110,6 +110,27 @@
 	client.dispose();
 });
 
+// Callers' tasks went to a target for five seconds after the store had accepted that it leaves. It had crashed and started
+// again under its id before, and numbers its entries from one in each life: every entry of the fleet kept the former life's
+// twentieth, and passed the announcement over as an older statement.
+test('a target that started again under its id, and leaves, gets nothing new', async context => {
+	const {service, journal, client} = await storeOf();
+	const catalogue = catalogueOf(client, journal);
+	context.after(() => {
+		catalogue.dispose();
+		client.dispose();
+	});
+	const id = 'i-1' as InstanceId;
+	service.put('keyed.servers', id, targetOf('ready', 20, 1_700_000_000_000));
+	catalogue.start();
+	await until(() => catalogue.targets.get(id)?.isDraining === false);
+	service.put('keyed.servers', id, targetOf('ready', 1, 1_700_000_030_000));
+	service.put('keyed.servers', id, targetOf('draining', 2, 1_700_000_030_000));
+	service.put('keyed.servers', 'i-2', targetOf('ready', 1, 1_700_000_000_000));
+	await until(() => catalogue.targets.size === 2);
+	assert.equal(catalogue.targets.get(id)?.isDraining, true);
+});
+
 test('a target that went from the list is kept for a while, and dropped then', async () => {
 	const {service, journal, client} = await storeOf();
 	const catalogue = catalogueOf(client, journal);
--- /dev/null
+++ b/test/support/executor-world.ts
@@ -0,0 +1,34 @@
+/** Targets in memory and the owners that order them. */
+import type {FencingToken} from '../../src/base/fencing-token.js';
+import {Executor} from '../../src/features/execution/executor.js';
+import type {ExecutionReport} from '../../src/features/execution/execution-report.js';
+import {TargetHealth} from '../../src/features/placement/target-health.js';
+import type {TargetRecord} from '../../src/features/targets/target-record.js';
+import {FakeClock} from './fake-clock.js';
+import {ModelTargets} from './model-targets.js';
+import {RecordingJournal} from './recording-journal.js';
+
+/** Each owner collects the outcomes that it's told. */
+export function executorWorld() {
+	const clock = new FakeClock();
+	const orders = new ModelTargets(clock);
+	const journal = new RecordingJournal();
+	const executorOf = () => {
+		const executor = new Executor({
+			leaseMilliseconds: 1000, orders, health: new TargetHealth(journal), clock, journal,
+		});
+		const reports: ExecutionReport[] = [];
+		executor.onDidReport(report => {
+			reports.push(report);
+		});
+		return {executor, reports};
+	};
+
+	const assign = (executor: Executor, target: TargetRecord, fence: number) => {
+		executor.assign(new Map([[target.id, {target, fence: fence as FencingToken}]]));
+	};
+
+	return {
+		clock, orders, journal, executorOf, assign,
+	};
+}
--- a/test/support/model-targets.ts
+++ b/test/support/model-targets.ts
@@ -1,6 +1,7 @@
 /** Targets in memory, for tests of what orders them. */
 import type {Clock} from '../../src/base/clock.js';
 import type {Disposable} from '../../src/base/disposable.js';
+import type {Incarnation} from '../../src/base/incarnation.js';
 import type {InstanceId} from '../../src/base/instance-id.js';
 import type {TargetTime} from '../../src/base/target-time.js';
 import type {TaskId} from '../../src/base/task-id.js';
@@ -15,15 +16,22 @@
 import {TargetOrders} from '../../src/features/targets/target-orders.js';
 import type {TargetRecord} from '../../src/features/targets/target-record.js';
 
+/** A longer lease is shortened to this. */
+const longestLeaseMilliseconds = 1000;
+
 type ModelRun = {readonly task: TaskId; readonly attempt: number; readonly endTimer: Disposable};
 type ModelTarget = {
+	readonly incarnation: Incarnation;
+	readonly bornAt: number;
+	isGone: boolean;
 	fence: number;
 	leaseUntil: number;
 	endCount: number;
 	readonly runs: Map<string, ModelRun>;
 	readonly stopped: Map<string, number>;
 	ended: RunEnd[];
-	wake: (() => void) | undefined;
+	/** Renewals that wait for an end with a higher number than the one that they acknowledged. */
+	readonly waiting: Set<{readonly acknowledged: number; readonly wake: () => void}>;
 };
 
 /**
@@ -54,7 +62,7 @@
 	/** Carries a start out, as a target does that was late with it. */
 	startNow(id: InstanceId, order: StartOrder): StartReply {
 		const model = this.#modelOf(id);
-		const clock = this.clock.now() as TargetTime;
+		const clock = this.#clockOf(model);
 		if (order.fence < model.fence) {
 			return {kind: 'fenced', detail: ''};
 		}
@@ -68,7 +76,7 @@
 			return {kind: 'superseded', clock};
 		}
 
-		this.#renewLease(id, model, order.leaseUntil);
+		this.#renewLease(model, order.leaseUntil);
 		this.#run(id, model, order);
 		return {kind: 'started', clock};
 	}
@@ -96,12 +104,16 @@
 			model.fence = order.fence;
 			model.ended = model.ended.filter(end => end.number > order.acknowledged);
 			if (order.leaseUntil !== undefined) {
-				this.#renewLease(target.id, model, order.leaseUntil);
+				this.#renewLease(model, order.leaseUntil);
+			}
+
+			await this.#waitForEnd(model, order);
+			if (model.isGone) {
+				return {kind: 'unanswered', detail: 'the connection broke'};
 			}
 
-			await this.#waitForEnd(model, order.waitMilliseconds);
 			return {
-				kind: 'report', incarnation: undefined, clock: this.clock.now() as TargetTime, running: [...model.runs.values()].map(({task, attempt}) => ({task, attempt})), ended: [...model.ended],
+				kind: 'report', incarnation: model.incarnation, clock: this.#clockOf(model), running: [...model.runs.values()].map(({task, attempt}) => ({task, attempt})), ended: [...model.ended],
 			};
 		});
 	}
@@ -110,6 +122,22 @@
 		// There are no connections.
 	}
 
+	/** The target goes down with all that it runs and knows, and starts again under its id. */
+	restart(id: InstanceId): void {
+		const model = this.#modelOf(id);
+		model.isGone = true;
+		for (const {endTimer} of model.runs.values()) {
+			endTimer.dispose();
+		}
+
+		model.runs.clear();
+		for (const {wake} of model.waiting) {
+			wake();
+		}
+
+		this.#targets.set(id, this.#newLife((model.incarnation + 1) as Incarnation));
+	}
+
 	running(id: InstanceId): readonly TaskId[] {
 		return [...this.#modelOf(id).runs.values()].map(({task}) => task);
 	}
@@ -136,14 +164,18 @@
 		return {kind: 'unanswered', detail: 'no answer'};
 	}
 
-	async #waitForEnd(model: ModelTarget, milliseconds: number): Promise<void> {
-		if (milliseconds === 0 || model.ended.length > 0) {
+	async #waitForEnd(model: ModelTarget, {waitMilliseconds, acknowledged}: RenewalOrder): Promise<void> {
+		if (waitMilliseconds === 0 || model.ended.length > 0) {
 			return;
 		}
 
 		await new Promise<void>(resolve => {
-			model.wake = resolve;
-			this.clock.schedule(milliseconds, resolve);
+			const waiting = {acknowledged, wake: resolve};
+			model.waiting.add(waiting);
+			this.clock.schedule(waitMilliseconds, () => {
+				model.waiting.delete(waiting);
+				resolve();
+			});
 		});
 	}
 
@@ -171,13 +203,23 @@
 		model.ended.push({
 			number: model.endCount, task, attempt: run.attempt, how,
 		});
-		model.wake?.();
+		for (const {acknowledged, wake} of model.waiting) {
+			if (model.endCount > acknowledged) {
+				wake();
+			}
+		}
+	}
+
+	#clockOf({bornAt}: ModelTarget): TargetTime {
+		return this.clock.now() - bornAt as TargetTime;
 	}
 
-	#renewLease(id: InstanceId, model: ModelTarget, until: number): void {
-		model.leaseUntil = Math.max(model.leaseUntil, until);
-		this.clock.schedule(Math.max(0, until - this.clock.now()), () => {
-			if (this.clock.now() >= this.#modelOf(id).leaseUntil) {
+	#renewLease(model: ModelTarget, until: number): void {
+		const clock = this.#clockOf(model);
+		const end = Math.min(until, clock + longestLeaseMilliseconds);
+		model.leaseUntil = Math.max(model.leaseUntil, end);
+		this.clock.schedule(Math.max(0, end - clock), () => {
+			if (this.#clockOf(model) >= model.leaseUntil) {
 				for (const task of model.runs.keys()) {
 					this.#end(model, task as TaskId, 'lapsed');
 				}
@@ -191,10 +233,14 @@
 			return known;
 		}
 
-		const model: ModelTarget = {
-			fence: 0, leaseUntil: 0, endCount: 0, runs: new Map(), stopped: new Map(), ended: [], wake: undefined,
-		};
+		const model = {...this.#newLife(1 as Incarnation), bornAt: 0};
 		this.#targets.set(id, model);
 		return model;
 	}
+
+	#newLife(incarnation: Incarnation): ModelTarget {
+		return {
+			incarnation, bornAt: this.clock.now(), isGone: false, fence: 0, leaseUntil: 0, endCount: 0, runs: new Map(), stopped: new Map(), ended: [], waiting: new Set(),
+		};
+	}
 }
--- /dev/null
+++ b/test/support/run-request-of.ts
@@ -0,0 +1,22 @@
+/** Requests for runs, for tests of what starts them. */
+import type {ProfileName} from '../../src/base/profile-name.js';
+import {Resources} from '../../src/base/resources.js';
+import type {ServiceName} from '../../src/base/service-name.js';
+import type {TaskId} from '../../src/base/task-id.js';
+import type {RunRequest} from '../../src/features/execution/run-request.js';
+
+/** A run of 27 cores that takes its payload's milliseconds. */
+export function requestOf(task: string, payload: string, attempt = 1): RunRequest {
+	return {
+		task: task as TaskId,
+		attempt,
+		payload,
+		need: new Resources(27_000, 64, 0),
+		queue: 'queue' as ProfileName,
+		service: 'service' as ServiceName,
+		label: undefined,
+		avoid: [],
+		jobTasks: 1,
+		expectedMilliseconds: Number(payload),
+	};
+}
