A target's entries are ordered by life first, then by their numbers

Cause: each life of a target numbers its entries from 1, and entries were ordered by the number alone. After a start under the same id all that the target said, also that it leaves, was passed over until it had written as often as its former life, or was gone. Ruled out: reads that fail or lag (other targets' entries arrived within 0.3 s, no call failed), and entries that knew (none logged the change). Proof: the test fails on the code of before, with isDraining false for the same three entries. Change: the start of a life goes before the number; a lower start is a late word of a former life; an entry that leaves the start out, in the place of one that states it, is somebody else's. Two more tests, both failing before.

--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -131,6 +131,45 @@
 	assert.equal(catalogue.targets.get(id)?.isDraining, true);
 });
 
+// The store carries a write of a target's former life out late, after the next life has announced that it leaves. Its number is
+// the higher one, and taken for news it would have the target get tasks again.
+test('a late entry of a target\'s former life has no effect', async context => {
+	const {service, journal, client} = await storeOf();
+	const catalogue = catalogueOf(client, journal);
+	context.after(() => {
+		catalogue.dispose();
+		client.dispose();
+	});
+	const id = 'i-1' as InstanceId;
+	service.put('keyed.servers', id, targetOf('draining', 2, 1_700_000_030_000));
+	catalogue.start();
+	await until(() => catalogue.targets.get(id)?.isDraining === true);
+	service.put('keyed.servers', id, targetOf('ready', 21, 1_700_000_000_000));
+	service.put('keyed.servers', 'i-2', targetOf('ready', 1));
+	await until(() => catalogue.targets.size === 2);
+	assert.equal(catalogue.targets.get(id)?.isDraining, true);
+	assert.deepEqual(journal.named('targetEntryPassedOver').map(({target, keptIncarnation}) => [target, keptIncarnation]), [['i-1', 1_700_000_030_000]]);
+});
+
+// Somebody else overwrites the entry of a target that states its start, and leaves that out.
+test('an entry without a start spoils that of a target which states one', async context => {
+	const {service, journal, client} = await storeOf();
+	const catalogue = catalogueOf(client, journal);
+	context.after(() => {
+		catalogue.dispose();
+		client.dispose();
+	});
+	const id = 'i-1' as InstanceId;
+	service.put('keyed.servers', id, targetOf('ready', 4, 1_700_000_000_000));
+	catalogue.start();
+	await until(() => catalogue.targets.get(id)?.isDraining === false);
+	service.put('keyed.servers', id, targetOf('ready', 5));
+	await until(() => catalogue.targets.get(id)?.isDraining === true);
+	assert.match(String(journal.named('answerUnreadable')[0]?.detail), /start is missing/v);
+	service.put('keyed.servers', id, targetOf('ready', 5, 1_700_000_000_000));
+	await until(() => catalogue.targets.get(id)?.isDraining === false);
+});
+
 test('a target that went from the list is kept for a while, and dropped then', async () => {
 	const {service, journal, client} = await storeOf();
 	const catalogue = catalogueOf(client, journal);
@@ -154,7 +193,7 @@
 	const catalogue = catalogueOf(client, journal);
 	const sound = JSON.parse(targetOf('ready', 1)) as Record<string, unknown>;
 	for (const [index, change] of [
-		{addr: undefined}, {addr: 7}, {addr: 'somewhere:80'}, {addr: '10.0.0.1:1\r\nx: y'}, {state: 'napping'}, {service: 'unknown'}, {service: null}, {zone: 'elsewhere'}, {seq: 'one'}, {capacity: []}, {capacity: {cpu: -1}}, {labels: 'a'},
+		{addr: undefined}, {addr: 7}, {addr: 'somewhere:80'}, {addr: '10.0.0.1:1\r\nx: y'}, {state: 'napping'}, {service: 'unknown'}, {service: null}, {zone: 'elsewhere'}, {seq: 'one'}, {capacity: []}, {capacity: {cpu: -1}}, {labels: 'a'}, {born: 'today'}, {born: 1.5}, {born: null},
 	].entries()) {
 		service.put('keyed.servers', `bad-${index}`, JSON.stringify({...sound, ...change}));
 	}
