--- a/standins/worker/run-event.ts
+++ b/standins/worker/run-event.ts
@@ -1,6 +1,6 @@
 /** What really happened on a worker's stand-in. */
 
-/** `at` is wall time in milliseconds; `how` is empty for a start. */
+/** `worker` names one of a worker's lives. `at` is wall time in milliseconds; `how` is empty for a start. */
 export type RunEvent = {
 	readonly at: number;
 	readonly worker: string;
--- a/standins/worker/worker-host.ts
+++ b/standins/worker/worker-host.ts
@@ -34,7 +34,7 @@
 	/** Adds a worker and returns its port. It registers itself once it's told its address, which may be a relay's. */
 	async add(zone: string): Promise<number> {
 		const place: Place = {
-			service: this.#newLife(this.#places.length, 1), life: 1, sequence: 0, state: 'ready', address: undefined, zone,
+			service: this.#newLife(`i-${this.#places.length}-1`), life: 1, sequence: 0, state: 'ready', address: undefined, zone,
 		};
 		this.#places.push(place);
 		return new Promise(resolve => {
@@ -56,13 +56,13 @@
 			return context.json({});
 		});
 		routes.post('/workers/:index/crash', context => {
-			this.#replace(Number(context.req.param('index')));
+			this.#restart(this.#places[Number(context.req.param('index'))]!);
 			return context.json({});
 		});
 		routes.post('/workers/:index/drain', async context => {
 			const index = Number(context.req.param('index'));
 			const {service} = this.#places[index]!;
-			return context.json({worker: service.id, acceptedAt: await this.#drain(index) ? Date.now() : null});
+			return context.json({worker: service.lifeName, acceptedAt: await this.#drain(index) ? Date.now() : null});
 		});
 		return routes;
 	}
@@ -71,19 +71,28 @@
 		clearInterval(this.#timer);
 	}
 
-	#newLife(index: number, life: number): WorkerService {
-		return new WorkerService(`i-${index}-${life}`, cpuCapacity, cpuOfTask, event => {
+	#newLife(id: string): WorkerService {
+		return new WorkerService(id, cpuCapacity, cpuOfTask, event => {
 			this.events.push(event);
 		});
 	}
 
-	/** A new life at the same address; the store forgets the former one after a while. */
+	/** A new life under the same id, which knows nothing of before and counts anew. */
+	#restart(place: Place): void {
+		place.service.crash();
+		place.service = this.#newLife(place.service.id);
+		place.sequence = 0;
+		place.state = 'ready';
+		void this.#register(place);
+	}
+
+	/** A new worker at the same address; the store forgets the former one after a while. */
 	#replace(index: number): void {
 		const place = this.#places[index]!;
 		const former = place.service;
 		former.crash();
 		place.life += 1;
-		place.service = this.#newLife(index, place.life);
+		place.service = this.#newLife(`i-${index}-${place.life}`);
 		place.sequence = 0;
 		place.state = 'ready';
 		void this.#register(place);
@@ -95,11 +104,11 @@
 	/** Reports that it leaves, and is replaced later; true once the store has accepted the report. */
 	async #drain(index: number): Promise<boolean> {
 		const place = this.#places[index]!;
-		const {life} = place;
+		const {service} = place;
 		place.state = 'draining';
 		const isAccepted = await this.#register(place);
 		setTimeout(() => {
-			if (place.life === life) {
+			if (place.service === service) {
 				this.#replace(index);
 			}
 		}, drainMilliseconds);
@@ -119,6 +128,7 @@
 			version: '1',
 			slots: 8,
 			state: place.state,
+			born: place.service.born,
 			seq: place.sequence,
 			capacity: {cpu: cpuCapacity, mem_mb: memoryMegabytes, gpu: 0},
 			labels: [],
--- a/standins/worker/worker-service.ts
+++ b/standins/worker/worker-service.ts
@@ -38,6 +38,10 @@
 	#mode: NonNullable<z.output<typeof workerFaultSchema>['mode']> = 'normal';
 	#lateMilliseconds = 0;
 	#slowness = 1;
+	#isDown = false;
+	/** When this life began: an id may have several, one after the other. */
+	readonly #born = Date.now();
+	readonly #startedAt = performance.now();
 
 	constructor(
 		readonly id: string,
@@ -64,20 +68,30 @@
 		this.#slowness = fault.slowness ?? this.#slowness;
 	}
 
-	/** Loses everything that runs, as a machine does that goes down. */
+	/** Loses everything that runs, as a machine does that goes down; what it was asked gets no answer any more. */
 	crash(): void {
+		this.#isDown = true;
 		clearTimeout(this.#lapse);
 		for (const task of this.#runs.keys()) {
 			this.#end(task, 'crashed');
 		}
 	}
 
+	/** Names this life among those of the same id. */
+	get lifeName(): string {
+		return `${this.id}@${this.#born}`;
+	}
+
+	get born(): number {
+		return this.#born;
+	}
+
 	get running(): readonly string[] {
 		return [...this.#runs.keys()];
 	}
 
 	get #clock(): number {
-		return Math.floor(performance.now());
+		return Math.floor(performance.now() - this.#startedAt);
 	}
 
 	async #guard(context: Context, action: (body: unknown) => Response | Promise<Response>): Promise<Response> {
@@ -161,7 +175,7 @@
 
 	#note(kind: RunEvent['kind'], how: string, {task, attempt, payload}: Omit<Run, 'timer'>): void {
 		this.note({
-			at: Date.now(), worker: this.id, kind, how, task, attempt, payload,
+			at: Date.now(), worker: this.lifeName, kind, how, task, attempt, payload,
 		});
 	}
 
@@ -190,11 +204,20 @@
 			this.#renew(until);
 		}
 
-		if (this.#ended.length === 0 && wait > 0) {
-			await this.#waiters.wait(wait);
+		await this.#waitForEnd(lastSeen, wait);
+		if (this.#isDown) {
+			return never();
 		}
 
-		return this.#reply({num_running: [...this.#runs.values()].map(({task, attempt}) => [task, attempt, '', 100, this.cpuOfTask]), ended: this.#ended});
+		return this.#reply({born: this.#born, num_running: [...this.#runs.values()].map(({task, attempt}) => [task, attempt, '', 100, this.cpuOfTask]), ended: this.#ended});
+	}
+
+	/** Only an end with a higher number than the one that the caller has seen ends the wait early. */
+	async #waitForEnd(lastSeen: number, milliseconds: number): Promise<void> {
+		const until = performance.now() + milliseconds;
+		for (let left = milliseconds; left > 0 && !this.#ended.some(([number]) => number > lastSeen); left = until - performance.now()) {
+			await this.#waiters.wait(left);
+		}
 	}
 
 	#passes(fence: number): boolean {
--- a/test/platform/target-client.test.ts
+++ b/test/platform/target-client.test.ts
@@ -91,6 +91,22 @@
 	client.forget(target);
 });
 
+test('a report names the life that it comes from', async () => {
+	const {worker, target, client} = await targetOf();
+	const report = await client.renew(target, renewalOf(0, 0));
+	assert.equal(report.kind === 'report' && report.incarnation, worker.born);
+	client.forget(target);
+});
+
+// A target started again under its id at another address, and all orders went on to the former one, where nobody listened.
+test('orders follow a target that listens elsewhere under its id', async () => {
+	const {target, client} = await targetOf();
+	const former = await client.renew({...target, address: '127.0.0.1:1'}, renewalOf(0, 0));
+	const next = await client.renew(target, renewalOf(0, 0));
+	assert.deepEqual([former.kind, next.kind], ['unreachable', 'report']);
+	client.forget(target);
+});
+
 // A start is carried out seconds after it was given up. The stop that the owner sent meanwhile has to bar it.
 test('a start that is carried out after its stop does not run', async () => {
 	const {worker, target, client} = await targetOf();
