An owner tells a target's lives apart: ends, clocks and judgements of one say nothing of the next

Change: ReportOrder compares lives before clocks; a restart begins the numbers and the judgement anew; nothing is acknowledged before a report, nor after a renewal without an answer; a handover names runs only, since the number it named is the target's own.

--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -240,6 +240,9 @@
 				onDidReport: () => {
 					this.#stopOverdue(session);
 				},
+				onDidRestart: () => {
+					this.parts.health.forget(id);
+				},
 				onDidChange: () => {
 					this.#change.fire();
 				},
--- a/src/features/execution/handover.ts
+++ b/src/features/execution/handover.ts
@@ -3,9 +3,8 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {RunRequest} from './run-request.js';
 
-/** The runs of a target at the moment its owner gave it up, and the last end that it has processed. */
+/** The runs of a target at the moment its owner gave it up. */
 export type Handover = {
 	readonly target: InstanceId;
-	readonly acknowledged: number;
 	readonly runs: ReadonlyArray<{readonly request: RunRequest; readonly requester: MemberId}>;
 };
--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -1,4 +1,5 @@
 /** What the next renewal of a target's lease asks for. */
+import type {RunEnd} from '../targets/run-end.js';
 import type {LeaseSchedule} from './lease-schedule.js';
 import type {RunTable} from './run-table.js';
 import type {StrangerRuns} from './stranger-runs.js';
@@ -20,8 +21,7 @@
 export class RenewalPlan {
 	/** Whether the target has told what runs there. */
 	isLooked = false;
-	/** The number of the last end that was processed. */
-	acknowledged = 0;
+	#acknowledged = 0;
 	#unanswered = 0;
 
 	constructor(private readonly lease: LeaseSchedule, private readonly runs: RunTable, private readonly strangers: StrangerRuns) {}
@@ -30,6 +30,21 @@
 		return this.#unanswered < unansweredToSuspend;
 	}
 
+	/** The number of the last end that was processed, in the life that reports. */
+	get acknowledged(): number {
+		return this.#acknowledged;
+	}
+
+	/** These ends have been processed. */
+	processed(ends: readonly RunEnd[]): void {
+		this.#acknowledged = Math.max(this.#acknowledged, ...ends.map(({number}) => number));
+	}
+
+	/** The target started again, and numbers its ends from 1. */
+	restart(): void {
+		this.#acknowledged = 0;
+	}
+
 	/** Counts a renewal without an answer; true when it's the one after which the target counts as silent. */
 	miss(): boolean {
 		this.#unanswered += 1;
@@ -44,7 +59,16 @@
 	}
 
 	next(now: number) {
-		return {acknowledged: this.acknowledged, leaseUntil: this.#leaseWanted(now), waitMilliseconds: this.#waitWanted()};
+		return {acknowledged: this.#acknowledgementWanted(), leaseUntil: this.#leaseWanted(now), waitMilliseconds: this.#waitWanted()};
+	}
+
+	/**
+	 * None before the target has reported, or after a renewal without an answer: the target may have started again. Its next
+	 * life would forget ends up to a former life's number that nobody has seen, and their tasks would run a second time. No
+	 * target goes down without breaking the renewal that it holds, and an end that isn't acknowledged is just listed again.
+	 */
+	#acknowledgementWanted(): number {
+		return this.isLooked && this.#unanswered === 0 ? this.#acknowledged : 0;
 	}
 
 	#waitWanted(): number {
--- a/src/features/execution/session-listener.ts
+++ b/src/features/execution/session-listener.ts
@@ -7,6 +7,8 @@
 	readonly onDidEndRun: (run: Run, outcome: RunOutcome) => void;
 	/** The target told what runs there and what has ended. */
 	readonly onDidReport: () => void;
+	/** The target started again under its id: what was found out about it before doesn't hold any more. */
+	readonly onDidRestart: () => void;
 	/** Room, fitness or reachability changed. */
 	readonly onDidChange: () => void;
 	/** The session can't go on: another owner has the target, or its life is over. All its runs have got an outcome. */
--- a/src/features/execution/session-orders.ts
+++ b/src/features/execution/session-orders.ts
@@ -38,10 +38,10 @@
 		}));
 	}
 
-	/** Asks what runs there now, and renews nothing. */
-	async look(acknowledged: number): Promise<RenewalReply> {
+	/** Asks what runs there now; renews nothing, and acknowledges nothing, since the target may have started again. */
+	async look(): Promise<RenewalReply> {
 		return this.#timed(async limitMilliseconds => this.parts.orders.renew(this.target, {
-			fence: this.fence, acknowledged, leaseUntil: undefined, waitMilliseconds: 0, limitMilliseconds,
+			fence: this.fence, acknowledged: 0, leaseUntil: undefined, waitMilliseconds: 0, limitMilliseconds,
 		}));
 	}
 
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -14,6 +14,7 @@
 import {outcomeOfEnd} from './outcome-of-end.js';
 import {overdueOf} from './overdue-of.js';
 import {RenewalPlan} from './renewal-plan.js';
+import {ReportOrder} from './report-order.js';
 import {runKeyOf} from './run-key-of.js';
 import {RunTable} from './run-table.js';
 import type {Run} from './run.js';
@@ -39,15 +40,12 @@
 	readonly #lease: LeaseSchedule;
 	readonly #strangers: StrangerRuns;
 	readonly #plan: RenewalPlan;
+	readonly #reports = new ReportOrder();
 	#isClosed = false;
 	#isPaused = false;
 	#hasOverdue = false;
 	/** Counts what is sent and what is confirmed: times can't tell before from after within one millisecond. */
 	#step = 0;
-	/** The target's time of the latest report; a report that was overtaken says nothing of what runs now. */
-	#reportClock = 0;
-	/** The life that the latest report came from. */
-	#incarnation: Incarnation | undefined;
 	/** When the latest report came: what is still among the runs was running then. */
 	#reportedAt = 0;
 	#wake: Disposable | undefined;
@@ -117,7 +115,6 @@
 
 	/** Takes the former owner's runs as its own; the next report shows which of them still run. */
 	adopt(handover: Handover): void {
-		this.#plan.acknowledged = Math.max(this.#plan.acknowledged, handover.acknowledged);
 		const now = this.parts.clock.now();
 		// The former owner may have renewed the lease until it gave its word. Without this, a run that is lost before this
 		// owner renews anything would be told as gone at once, and be begun elsewhere beside itself.
@@ -159,7 +156,6 @@
 		this.#endAllWithLease('released by its owner');
 		return {
 			target: this.target.id,
-			acknowledged: this.#plan.acknowledged,
 			runs: runs.map(({request, requester}) => ({request, requester})),
 		};
 	}
@@ -271,7 +267,7 @@
 	 */
 	async #look(): Promise<void> {
 		const sentAtStep = this.#nextStep();
-		const reply = await this.#orders.look(this.#plan.acknowledged);
+		const reply = await this.#orders.look();
 		// Whatever else comes of it, the renewals find out themselves.
 		if (!this.#isClosed && reply.kind === 'report') {
 			this.#takeReport(reply, sentAtStep);
@@ -310,34 +306,46 @@
 			this.parts.journal.record('targetAnswers', {target: this.target.id, unanswered});
 		}
 
-		this.#noteIncarnation(report);
-		this.#reportedAt = now;
-		this.#lease.read(report.clock, now);
-		this.#takeEnds(report, now);
-		if (report.clock >= this.#reportClock) {
-			this.#reportClock = report.clock;
-			this.#dropMissing(new Set(report.running.map(run => runKeyOf(run))), sentAtStep);
-			this.#stopStrangers(report, now);
-		}
+		this.#takeRuns(report, sentAtStep, now);
 
 		this.#plan.isLooked = true;
 		this.parts.listener.onDidReport();
 		this.parts.listener.onDidChange();
 	}
 
-	#noteIncarnation({incarnation}: Report): void {
-		if (this.#plan.isLooked && incarnation !== this.#incarnation) {
-			this.parts.journal.record('targetRestarted', {
-				target: this.target.id, incarnation, former: this.#incarnation, acknowledged: this.#plan.acknowledged, runs: this.#runs.size,
-			});
+	#takeRuns(report: Report, sentAtStep: number, now: number): void {
+		const former = this.#reports.incarnation;
+		const age = this.#reports.take(report, sentAtStep);
+		if (age === 'restarted') {
+			this.#noteRestart(report, former);
 		}
 
-		this.#incarnation = incarnation;
+		this.#takeEnds(report, now);
+		if (age === 'former') {
+			return;
+		}
+
+		this.#plan.processed(report.ended);
+		this.#lease.read(report.clock, now);
+		if (age !== 'overtaken') {
+			this.#reportedAt = now;
+			this.#dropMissing(new Set(report.running.map(run => runKeyOf(run))), sentAtStep);
+			this.#stopStrangers(report, now);
+		}
+	}
+
+	/** What is numbered or judged by life begins anew; what ran there is missing from the report that follows. */
+	#noteRestart({incarnation}: Report, former: Incarnation | undefined): void {
+		const {journal, listener} = this.parts;
+		journal.record('targetRestarted', {
+			target: this.target.id, incarnation, former, acknowledged: this.#plan.acknowledged, runs: this.#runs.size,
+		});
+		this.#plan.restart();
+		listener.onDidRestart();
 	}
 
 	#takeEnds({ended}: Report, now: number): void {
 		for (const end of ended) {
-			this.#plan.acknowledged = Math.max(this.#plan.acknowledged, end.number);
 			const run = this.#runs.named(end);
 			if (run !== undefined) {
 				this.#end(run, outcomeOfEnd(run, end, this.target.id, now));
--- a/src/features/placement/target-health.ts
+++ b/src/features/placement/target-health.ts
@@ -72,6 +72,11 @@
 		}
 	}
 
+	/** A target started again: a fault of before may be gone, and another kind of machine may be there. */
+	forget(target: InstanceId): void {
+		this.#states.delete(target);
+	}
+
 	/** `probe`: takes one task now and no second one before that has ended. */
 	condition(target: InstanceId, now: number): 'fit' | 'slow' | 'probe' | 'out' {
 		const state = this.#stateOf(target);
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -84,7 +84,6 @@
 			return {
 				kind: 'handover', handovers: values.lists(handover => ({
 					target: handover.text<InstanceId>(),
-					acknowledged: handover.number(),
 					runs: handover.lists(run => ({requester: run.text<MemberId>(), request: decodeRequest(run)})),
 				})),
 				requesters: values.lists(member => ({
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -35,8 +35,8 @@
 		.with({kind: 'entries'}, ({entries}) => [messageCode.entries, entries.map(({address, zone}) => [address, zone])])
 		.with({kind: 'report'}, ({task, attempt, outcome}) => [messageCode.report, task, attempt, ...encodeOutcome(outcome)])
 		.with({kind: 'stop'}, ({task, attempt, cause}) => [messageCode.stop, task, attempt, cause])
-		.with({kind: 'handover'}, ({handovers, requesters}) => [messageCode.handover, handovers.map(({target, acknowledged, runs}) => [
-			target, acknowledged, runs.map(({request, requester}) => [requester, ...encodeRequest(request)]),
+		.with({kind: 'handover'}, ({handovers, requesters}) => [messageCode.handover, handovers.map(({target, runs}) => [
+			target, runs.map(({request, requester}) => [requester, ...encodeRequest(request)]),
 		]), requesters.map(({id, instance, zone, peerAddress}) => [id, instance, zone, peerAddress])])
 		.with({kind: 'adopted'}, ({task, attempt}) => [messageCode.adopted, task, attempt])
 		.with({kind: 'wantRouting'}, () => [messageCode.wantRouting])
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -420,7 +420,6 @@
 	const {executor} = world.entries.get('a-1')!;
 	executor.expect({
 		target: 'a-target-0' as InstanceId,
-		acknowledged: 0,
 		runs: [{requester, request: firstTaskOfJob()}],
 	});
 	await world.pass(50);
--- a/test/features/execution/restarted-target.test.ts
+++ b/test/features/execution/restarted-target.test.ts
@@ -1,6 +1,7 @@
 /** Targets that start again under their id, and know nothing of before. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {FencingToken} from '../../../src/base/fencing-token.js';
 import type {MemberId} from '../../../src/base/member-id.js';
 import {executorWorld} from '../../support/executor-world.js';
 import {passTime} from '../../support/pass-time.js';
@@ -62,3 +63,52 @@
 	assert.deepEqual(reports.map(({task, outcome}) => `${task} ${outcome.kind}`), ['long gone']);
 	assert.equal(world.journal.named('targetRestarted').length, 1);
 });
+
+// A caller got no answer: a target was back under its id before its owner had asked it again, and a task was started there and
+// ended. The owner's next renewal acknowledged the former life's ends up to a higher number, and the target forgot this one.
+test('an end on a restarted target that its owner has not heard of yet is not lost', async () => {
+	const world = executorWorld();
+	const {executor, reports, target} = await ownerOfBusyTarget(world);
+	world.orders.restart(target.id);
+	await passTime(world.clock, 20);
+	assert.equal(executor.start(requestOf('quick', '10'), entry), 'target');
+	await passTime(world.clock, 200);
+	assert.deepEqual(reports.map(({task, outcome}) => `${task} ${outcome.kind}`), ['quick done']);
+});
+
+// A target starts again while it goes from one owner to the next. The former owner's number of ends says nothing of the next
+// life; taken over with the runs, it made the next owner wait for each end as above.
+test('the next owner of a target that started again knows its ends at once', async () => {
+	const world = executorWorld();
+	const {executor, target} = await ownerOfBusyTarget(world);
+	const next = world.executorOf();
+	for (const handover of await executor.release(new Set([target.id]))) {
+		next.executor.expect(handover);
+	}
+
+	await restart(world);
+	world.assign(next.executor, target, 2);
+	await passTime(world.clock, 20);
+	assert.equal(next.executor.start(requestOf('short', '60'), entry), 'target');
+	await passTime(world.clock, 80);
+	assert.deepEqual(next.reports.map(({task, outcome}) => `${task} ${outcome.kind}`), ['short done']);
+});
+
+// A target that fails all it starts is taken out, for two seconds and longer each time. It's restarted because of that, and its
+// room stood idle although the fault was gone.
+test('a target that was taken out gets tasks again when it has started again', async () => {
+	const world = executorWorld();
+	const {executor, reports, target} = await ownerOfBusyTarget(world);
+	// A zone's only target is never taken out.
+	const leaving = {...targetNamed('other'), isDraining: true};
+	executor.assign(new Map([target, leaving].map(listed => [listed.id, {target: listed, fence: 1 as FencingToken}])));
+	for (const job of ['a', 'b', 'c']) {
+		executor.start(requestOf(`${job}.0.0.0`, 'fails'), entry);
+		await passTime(world.clock, 30);
+	}
+
+	assert.deepEqual(reports.map(({outcome}) => outcome.kind), ['failed', 'failed', 'failed']);
+	assert.equal(executor.start(requestOf('d.0.0.0', '60'), entry), undefined);
+	await restart(world);
+	assert.equal(executor.start(requestOf('d.0.0.0', '60'), entry), 'target');
+});
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -54,7 +54,7 @@
 		kind: 'stop', task, attempt: 1, cause: 'its job is over',
 	},
 	{
-		kind: 'handover', handovers: [{target: 'target-1' as InstanceId, acknowledged: 4, runs: [{request, requester: 'entry#1' as MemberId}]}], requesters: [{
+		kind: 'handover', handovers: [{target: 'target-1' as InstanceId, runs: [{request, requester: 'entry#1' as MemberId}]}], requesters: [{
 			id: 'entry#1' as MemberId, instance: 'entry' as InstanceId, zone: 'zone' as AvailabilityZone, peerAddress: '10.0.0.2:1',
 		}],
 	},
