A new life of a target is a change of the list, and tasks wait for its own entry

A target that was ready in both lives kept its former capacity, labels and address with its owner until something else changed. Change: another start is a change (restarted); a session takes no tasks while the record it has is that of a life before the one that reports. Two tests, both failing before.

--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -78,7 +78,16 @@
 	/** Whether new tasks may be started: the target answers, isn't draining, and holds nothing unknown or overdue. */
 	get isOpen(): boolean {
 		const isOurs = !this.#isClosed && !this.#isPaused && this.#plan.isLooked && !this.#strangers.areThere;
-		return isOurs && this.isReachable && !this.target.isDraining && !this.#hasOverdue;
+		return isOurs && this.isReachable && this.#isDescribed && !this.target.isDraining && !this.#hasOverdue;
+	}
+
+	/**
+	 * Whether the catalogue's record isn't that of a life before the one that reports. After a start under the same id another
+	 * kind of machine may be there: filled by its former capacity and labels it would get tasks that it can't bear or may not run.
+	 */
+	get #isDescribed(): boolean {
+		const [listed, reporting] = [this.target.incarnation, this.#reports.incarnation];
+		return listed === undefined || reporting === undefined || listed >= reporting;
 	}
 
 	get isReachable(): boolean {
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -184,7 +184,7 @@
 		number: 221, level: 'detail', meaning: 'A request matches no route; "uncertain" while a newer configuration may exist', fields: ['host', 'path', 'kind', 'version', 'ageMilliseconds'],
 	},
 	catalogueChanged: {
-		number: 320, level: 'notice', meaning: 'A target came, went or announced its leaving', fields: ['target', 'change', 'sequence', 'incarnation'],
+		number: 320, level: 'notice', meaning: 'A target came, went, started again or announced its leaving', fields: ['target', 'change', 'sequence', 'incarnation'],
 	},
 	targetEntryPassedOver: {
 		number: 321,
--- a/test/features/execution/restarted-target.test.ts
+++ b/test/features/execution/restarted-target.test.ts
@@ -2,7 +2,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {FencingToken} from '../../../src/base/fencing-token.js';
+import type {Incarnation} from '../../../src/base/incarnation.js';
 import type {MemberId} from '../../../src/base/member-id.js';
+import {Resources} from '../../../src/base/resources.js';
 import {executorWorld} from '../../support/executor-world.js';
 import {passTime} from '../../support/pass-time.js';
 import {requestOf} from '../../support/run-request-of.js';
@@ -94,6 +96,20 @@
 	assert.deepEqual(next.reports.map(({task, outcome}) => `${task} ${outcome.kind}`), ['short done']);
 });
 
+// A target starts again under its id as a smaller machine that starts whatever it's told to. Its entry in the list is still that
+// of its former life, and filled by that it had more on it than it can bear.
+test('a target that started again gets tasks once its own entry is there', async () => {
+	const world = executorWorld();
+	const {executor, target} = await ownerOfBusyTarget(world);
+	world.assign(executor, {...target, incarnation: 1 as Incarnation}, 1);
+	assert.equal(executor.start(requestOf('before', '10'), entry), 'target');
+	await restart(world);
+	assert.equal(executor.start(requestOf('early', '60'), entry), undefined);
+	world.assign(executor, {...target, incarnation: 2 as Incarnation, capacity: new Resources(30_000, 1000, 0)}, 1);
+	assert.equal(executor.start(requestOf('first', '60'), entry), 'target');
+	assert.equal(executor.start(requestOf('second', '60'), entry), undefined);
+});
+
 // A target that fails all it starts is taken out, for two seconds and longer each time. It's restarted because of that, and its
 // room stood idle although the fault was gone.
 test('a target that was taken out gets tasks again when it has started again', async () => {
--- a/test/platform/store-catalogue.test.ts
+++ b/test/platform/store-catalogue.test.ts
@@ -61,6 +61,24 @@
 	assert.equal(catalogue.targets.get(id)?.isDraining, true);
 });
 
+// A target starts again under its id as another kind of machine, at another address. Whoever orders it went on by what its former
+// life had said, until something else changed in the list.
+test('a target that started again is news to those who order it', async context => {
+	const {service, journal, catalogue} = await catalogueOf(context);
+	const id = 'i-1' as InstanceId;
+	let changes = 0;
+	service.put('keyed.servers', id, targetOf('ready', 20, 1_700_000_000_000));
+	catalogue.start();
+	await until(() => catalogue.targets.size === 1);
+	catalogue.onDidChange(() => {
+		changes += 1;
+	});
+	service.put('keyed.servers', id, targetOf('ready', 1, 1_700_000_030_000).replace('127.0.0.1:1', '127.0.0.1:2'));
+	await until(() => catalogue.targets.get(id)?.address === '127.0.0.1:2');
+	assert.equal(changes, 1);
+	assert.deepEqual(journal.named('catalogueChanged').map(({change}) => change), ['ready', 'restarted']);
+});
+
 // The store carries a write of a target's former life out late, after the next life has announced that it leaves. Its number is
 // the higher one, and taken for news it would have the target get tasks again.
 test('a late entry of a target\'s former life has no effect', async context => {
