--- a/test/features/submissions/registry-world.ts
+++ b/test/features/submissions/registry-world.ts
@@ -1,112 +1,71 @@
 /** A small fake of network, membership and time around real registrars and desks. */
 import {match, P} from 'ts-pattern';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
-import {Clock} from '../../../src/base/clock.js';
-import type {Disposable} from '../../../src/base/disposable.js';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {JobAnswer} from '../../../src/base/job-answer.js';
 import type {MemberId} from '../../../src/base/member-id.js';
 import type {SubmissionId} from '../../../src/base/submission-id.js';
 import type {Verdict} from '../../../src/base/verdict.js';
-import {Registrar} from '../../../src/features/submissions/registrar.js';
-import type {RegistryMessage} from '../../../src/features/submissions/registry-message.js';
 import {registryMessageSchema} from '../../../src/features/submissions/registry-message-schema.js';
-import {RegistrySubmissionDesk} from '../../../src/features/submissions/registry-submission-desk.js';
 import type {Member} from '../../../src/runtime/peers/member.js';
 import {neverCancelled} from '../../support/never-cancelled.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
+import {createRegistryNode} from './create-registry-node.js';
+import {introduce} from './introduce.js';
+import type {PlantedBug} from './planted-bug.js';
+import {RegistryFlights} from './registry-flights.js';
+import type {RegistryNode} from './registry-node.js';
 
 const home = 'home' as AvailabilityZone;
 const stepMilliseconds = 50;
 const pingMilliseconds = 500;
-const silenceMilliseconds = 2000;
 const delistedMilliseconds = 5000;
 const listPeriodMilliseconds = 1000;
 /** A refused connection proves a death so soon after it. */
 const proofMilliseconds = 300;
-const retentionMilliseconds = 300_000;
 
-/** A fault put in on purpose, to see that the checks notice it. */
-type PlantedBug = 'none' | 'copies are not written' | 'entrants inherit nothing' | 'losses out of touch are trusted';
-
-class NodeClock extends Clock {
-	constructor(private readonly read: () => number) {
-		super();
-	}
-
-	override now(): number {
-		return this.read();
-	}
-
-	override wallTime(): number {
-		return this.read();
-	}
-
-	override schedule(): Disposable {
-		throw new Error('the world ticks its parts itself');
-	}
-}
-
-type Node = {
-	readonly member: Member;
-	readonly registrar: Registrar;
-	readonly desk: RegistrySubmissionDesk;
-	readonly heardAt: Map<MemberId, number>;
-	readonly reachedAt: Map<MemberId, number>;
-	readonly known: Map<MemberId, Member>;
-	readonly delistedAt: Map<MemberId, number>;
-	listedAt: number | undefined;
-	state: 'live' | 'dead' | 'left';
-	hasEntered: boolean;
-	leavingSince: number | undefined;
-	pausedUntil: number;
-	inbox: Array<() => void>;
-};
-type Probe = {readonly kind: 'ping' | 'pong'; readonly stamp: number};
-type Flight = {readonly at: number; readonly from: MemberId; readonly to: MemberId; readonly message: RegistryMessage | Probe};
+type Flight = ReturnType<RegistryFlights['take']>[number];
 type Conclusion = {readonly id: SubmissionId; readonly verdict: Verdict<JobAnswer>; readonly startsThen: number};
 
 /** Three entries of one zone to begin with; every fault is a method. */
 export class RegistryWorld {
 	now = 1_000_000;
-	readonly nodes: Node[] = [];
+	readonly nodes: RegistryNode[] = [];
 	/** The claims that were granted and began to run, by id. */
 	readonly starts = new Map<SubmissionId, string[]>();
 	readonly conclusions: Conclusion[] = [];
 	readonly journal = new RecordingJournal();
-	#flights: Flight[] = [];
-	readonly #cuts = new Set<string>();
-	#running: Array<{readonly node: Node; readonly id: SubmissionId; readonly nonce: string; readonly endsAt: number}> = [];
+	readonly #flights: RegistryFlights;
+	#running: Array<{readonly node: RegistryNode; readonly id: SubmissionId; readonly nonce: string; readonly endsAt: number}> = [];
 	readonly #losses: Array<{readonly at: number; readonly member: Member; readonly wasHandedOver: boolean}> = [];
 	readonly #delisted = new Set<MemberId>();
 	#isPlatformAway = false;
 	#births = 0;
 
 	constructor(private readonly bug: PlantedBug = 'none', private readonly founders = 3) {
+		this.#flights = new RegistryFlights(bug, () => this.now);
 		for (let index = 0; index < founders; index++) {
 			this.add();
 		}
 	}
 
-	get live(): readonly Node[] {
+	get live(): readonly RegistryNode[] {
 		return this.nodes.filter(node => node.state === 'live');
 	}
 
 	/** One more entry of the zone. */
-	add(): Node {
+	add(): RegistryNode {
 		this.#births += 1;
 		const instance = `entry-${this.#births}` as InstanceId;
 		const member: Member = {
 			id: `${instance}#1` as MemberId, instance, zone: home, peerAddress: `127.0.0.1:${this.#births}`,
 		};
-		const node = this.#createNode(member);
+		const node = createRegistryNode(member, {
+			bug: this.bug, now: () => this.now, flights: this.#flights, journal: this.journal,
+		});
 		for (const other of this.live) {
-			other.known.set(member.id, member);
-			node.known.set(other.member.id, other.member);
-			other.heardAt.set(member.id, this.now);
-			node.heardAt.set(other.member.id, this.now);
-			node.reachedAt.set(other.member.id, this.now);
-			other.reachedAt.set(member.id, this.now);
+			introduce(node, other, this.now);
+			introduce(other, node, this.now);
 		}
 
 		this.nodes.push(node);
@@ -114,7 +73,7 @@
 	}
 
 	/** A copy of a submission arrives at an entry. */
-	submit(node: Node, id: SubmissionId, runMilliseconds = 300): void {
+	submit(node: RegistryNode, id: SubmissionId, runMilliseconds = 300): void {
 		if (node.state !== 'live' || !this.#isAwake(node)) {
 			return;
 		}
@@ -122,7 +81,7 @@
 		void this.#claim(node, id, runMilliseconds);
 	}
 
-	kill(node: Node): void {
+	kill(node: RegistryNode): void {
 		if (node.state === 'live') {
 			node.state = 'dead';
 			this.#losses.push({at: this.now + proofMilliseconds, member: node.member, wasHandedOver: false});
@@ -130,12 +89,12 @@
 	}
 
 	/** Stops an entry for a while; what arrives meanwhile is delivered when it wakes. */
-	pause(node: Node, milliseconds: number): void {
+	pause(node: RegistryNode, milliseconds: number): void {
 		node.pausedUntil = Math.max(node.pausedUntil, this.now + milliseconds);
 	}
 
 	/** Begins a graceful end. */
-	leave(node: Node): void {
+	leave(node: RegistryNode): void {
 		if (node.state === 'live' && node.leavingSince === undefined) {
 			node.leavingSince = this.now;
 			node.registrar.leave();
@@ -143,12 +102,12 @@
 	}
 
 	/** Swallows what goes from one entry to the other, from now on. */
-	cut(from: Node, to: Node): void {
-		this.#cuts.add(`${from.member.id}|${to.member.id}`);
+	cut(from: RegistryNode, to: RegistryNode): void {
+		this.#flights.cut(from.member.id, to.member.id);
 	}
 
 	heal(): void {
-		this.#cuts.clear();
+		this.#flights.heal();
 		this.#isPlatformAway = false;
 	}
 
@@ -158,7 +117,7 @@
 	}
 
 	/** The platform drops an entry from its list although it lives. */
-	delist(node: Node): void {
+	delist(node: RegistryNode): void {
 		this.#delisted.add(node.member.id);
 	}
 
@@ -175,58 +134,7 @@
 		}
 	}
 
-	#createNode(member: Member): Node {
-		const known = new Map<MemberId, Member>();
-		const heardAt = new Map<MemberId, number>();
-		const reachedAt = new Map<MemberId, number>();
-		const read = () => this.now;
-		const clock = new NodeClock(read);
-		const {journal} = this;
-		const send = (to: MemberId, message: RegistryMessage) => {
-			this.#send(member.id, to, message);
-		};
-
-		const isSilent = (id: MemberId) => id !== member.id && read() - (heardAt.get(id) ?? Number.NEGATIVE_INFINITY) > silenceMilliseconds;
-		const node: Node = {
-			member,
-			known,
-			heardAt,
-			reachedAt,
-			delistedAt: new Map(),
-			listedAt: undefined,
-			state: 'live',
-			hasEntered: false,
-			leavingSince: undefined,
-			pausedUntil: 0,
-			inbox: [],
-			registrar: new Registrar({
-				self: member,
-				clock,
-				journal,
-				send,
-				retentionMilliseconds,
-				limitBytes: 1_000_000,
-				surroundings: {
-					get listedAt() {
-						return node.listedAt;
-					},
-					get neighbours() {
-						return [...known.values()];
-					},
-					hasUnresolved: false,
-					isSilent,
-					isOutOfTouch: id => this.bug !== 'losses out of touch are trusted' && read() - (reachedAt.get(id) ?? 0) >= silenceMilliseconds,
-					memberOf: id => id === member.id ? member : known.get(id),
-				},
-			}),
-			desk: new RegistrySubmissionDesk({
-				self: member.id, zones: [home], clock, journal, send, isSilent, membersOf: () => [member, ...known.values()],
-			}),
-		};
-		return node;
-	}
-
-	async #claim(node: Node, id: SubmissionId, runMilliseconds: number): Promise<void> {
+	async #claim(node: RegistryNode, id: SubmissionId, runMilliseconds: number): Promise<void> {
 		const claim = await node.desk.claim({id, fingerprint: 'same', deadlineAt: this.now + 8000}, neverCancelled);
 		if (node.state === 'dead') {
 			return;
@@ -244,24 +152,7 @@
 		});
 	}
 
-	#send(from: MemberId, to: MemberId, message: RegistryMessage | Probe): void {
-		if (this.bug === 'copies are not written' && message.kind === 'copy') {
-			const {id, nonce, version} = message.record;
-			this.#flights.push({
-				at: this.now, from: to, to: from, message: {
-					kind: 'copied', id, nonce, version,
-				},
-			});
-			return;
-		}
-
-		const sent = this.bug === 'entrants inherit nothing' && message.kind === 'state' ? {...message, records: []} : message;
-		this.#flights.push({
-			at: this.now + (from === to ? 0 : 1), from, to, message: sent,
-		});
-	}
-
-	#isAwake(node: Node): boolean {
+	#isAwake(node: RegistryNode): boolean {
 		return node.pausedUntil <= this.now;
 	}
 
@@ -274,14 +165,14 @@
 		}
 
 		// What is sent in answer within the step is delivered in it, as on a fast network.
-		for (let round = 0; round < 8 && this.#flights.length > 0; round++) {
+		for (let round = 0; round < 8 && this.#flights.size > 0; round++) {
 			this.#deliverFlights();
 		}
 
 		this.#endRuns();
 	}
 
-	#stepNode(node: Node): void {
+	#stepNode(node: RegistryNode): void {
 		const {inbox} = node;
 		node.inbox = [];
 		for (const deliver of inbox) {
@@ -299,14 +190,14 @@
 		node.desk.tick();
 		if (this.now % pingMilliseconds === 0) {
 			for (const id of node.known.keys()) {
-				this.#send(node.member.id, id, {kind: 'ping', stamp: this.now});
+				this.#flights.send(node.member.id, id, {kind: 'ping', stamp: this.now});
 			}
 		}
 
 		this.#finishLeaving(node);
 	}
 
-	#finishLeaving(node: Node): void {
+	#finishLeaving(node: RegistryNode): void {
 		if (node.leavingSince === undefined) {
 			return;
 		}
@@ -326,7 +217,7 @@
 		this.#losses.push({at: this.now + proofMilliseconds, member: node.member, wasHandedOver: isWhole});
 	}
 
-	#readList(node: Node): void {
+	#readList(node: RegistryNode): void {
 		if (this.#isPlatformAway || this.now % listPeriodMilliseconds !== 0) {
 			return;
 		}
@@ -364,12 +255,9 @@
 	}
 
 	#deliverFlights(): void {
-		const flights = this.#flights;
-		this.#flights = [];
-		for (const flight of flights) {
+		for (const flight of this.#flights.take()) {
 			const node = this.nodes.find(({member}) => member.id === flight.to);
-			const isCut = this.#cuts.has(`${flight.from}|${flight.to}`);
-			if (node?.state === 'live' && !isCut) {
+			if (node?.state === 'live') {
 				this.#reach(node, () => {
 					this.#arrive(node, flight);
 				});
@@ -377,7 +265,7 @@
 		}
 	}
 
-	#reach(node: Node, deliver: () => void): void {
+	#reach(node: RegistryNode, deliver: () => void): void {
 		if (this.#isAwake(node)) {
 			deliver();
 		} else {
@@ -385,7 +273,7 @@
 		}
 	}
 
-	#arrive(node: Node, {from, message}: Flight): void {
+	#arrive(node: RegistryNode, {from, message}: Flight): void {
 		node.heardAt.set(from, this.now);
 		if (message.kind === 'ping' || message.kind === 'pong') {
 			this.#arriveProbe(node, from, message);
@@ -402,9 +290,9 @@
 			});
 	}
 
-	#arriveProbe(node: Node, from: MemberId, {kind, stamp}: Probe): void {
+	#arriveProbe(node: RegistryNode, from: MemberId, {kind, stamp}: Extract<Flight['message'], {kind: 'ping' | 'pong'}>): void {
 		if (kind === 'ping') {
-			this.#send(node.member.id, from, {kind: 'pong', stamp});
+			this.#flights.send(node.member.id, from, {kind: 'pong', stamp});
 		} else {
 			node.reachedAt.set(from, stamp);
 		}
