Operators' word on zones to evacuate is read; failing test: targets of an evacuated zone get nothing new

Change: the keys are followed with the configuration, from its own read of the topic (no call more), and kept as ZoneEvacuations; nothing acts on them yet. The test fails and is listed.

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -13,6 +13,7 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import {wait} from '../../base/wait.js';
 import {RoutingTable} from '../../features/routing/routing-table.js';
+import {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import {StatusServer} from '../../runtime/metrics/status-server.js';
 import type {TextMetrics} from '../../runtime/metrics/text-metrics.js';
@@ -78,8 +79,9 @@
 		const store = own.add(new StoreClient(settings.storeAddress, journal));
 		const freshMilliseconds = settings.applyMilliseconds * freshShare;
 		this.#routing = new RoutingTable(freshMilliseconds, clock, journal);
+		const evacuations = own.add(new ZoneEvacuations(journal));
 		this.#storeRouting = own.add(new StoreRouting({
-			store, table: this.#routing, freshMilliseconds, clock, journal,
+			store, table: this.#routing, evacuations, freshMilliseconds, clock, journal,
 		}));
 		this.#catalogue = own.add(new StoreCatalogue({
 			store, zones: settings.zones, services: () => this.#routing.services, drainMilliseconds: settings.drainMilliseconds, clock, journal,
@@ -91,6 +93,7 @@
 			network: this.#network,
 			group: new StoreGroup(store, settings.partitionCount, Math.max(membershipMilliseconds, settings.shortestMembershipMilliseconds)),
 			catalogue: this.#catalogue,
+			evacuations,
 			orders: new TargetClient(journal),
 			routing: this.#routing,
 			clock,
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -21,6 +21,7 @@
 import type {RoutingTable} from '../../features/routing/routing-table.js';
 import type {TargetCatalogue} from '../../features/targets/target-catalogue.js';
 import type {TargetOrders} from '../../features/targets/target-orders.js';
+import type {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 
@@ -38,6 +39,7 @@
 	readonly network: PeerNetwork;
 	readonly group: PartitionGroup;
 	readonly catalogue: TargetCatalogue;
+	readonly evacuations: ZoneEvacuations;
 	readonly orders: TargetOrders;
 	readonly routing: RoutingTable;
 	readonly clock: Clock;
@@ -55,7 +57,7 @@
 	#isLeaving = false;
 
 	constructor(private readonly parts: PooledEntryParts) {
-		const {zone, member, leaseMilliseconds, network, group, catalogue, orders, clock, journal} = parts;
+		const {zone, member, leaseMilliseconds, network, group, catalogue, evacuations, orders, clock, journal} = parts;
 		const own = this.#store;
 		this.executor = own.add(new Executor({
 			leaseMilliseconds, orders, health: new TargetHealth(journal), clock, journal,
@@ -69,7 +71,7 @@
 		}));
 		own.add(new RemoteRuns(this.pool, this.executor, clock, journal));
 		this.ownership = own.add(new Ownership({
-			zone, member, store: group, catalogue, executor: this.executor, orders, clock, journal,
+			zone, member, store: group, catalogue, evacuations, executor: this.executor, orders, clock, journal,
 		}));
 		this.dispatcher = own.add(new Dispatcher({
 			zone,
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -13,6 +13,7 @@
 import type {TargetCatalogue} from '../targets/target-catalogue.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
+import type {ZoneEvacuations} from '../targets/zone-evacuations.js';
 import {GroupMember} from './group-member.js';
 import type {PartitionGroup} from './partition-group.js';
 
@@ -33,6 +34,7 @@
 	readonly member: string;
 	readonly store: PartitionGroup;
 	readonly catalogue: TargetCatalogue;
+	readonly evacuations: ZoneEvacuations;
 	readonly executor: Executor;
 	readonly orders: TargetOrders;
 	readonly clock: Clock;
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -192,6 +192,9 @@
 		meaning: 'A target\'s entry in the store counts as older than the one that is kept and has no effect',
 		fields: ['target', 'incarnation', 'sequence', 'isDraining', 'keptIncarnation', 'keptSequence'],
 	},
+	zoneEvacuated: {
+		number: 322, level: 'notice', meaning: 'Operators want a zone emptied, or take it back', fields: ['zone', 'isEvacuated'],
+	},
 	poolMemberMet: {
 		number: 330, level: 'notice', meaning: 'Another entry shares its room from now on', fields: ['member', 'zone'],
 	},
--- a/test/entries/edge/pooled-entry-ownership.test.ts
+++ b/test/entries/edge/pooled-entry-ownership.test.ts
@@ -1,6 +1,7 @@
 /** Targets and zones that change owners among entries that share them. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {OwnershipGroupName} from '../../../src/base/ownership-group-name.js';
 import {Resources} from '../../../src/base/resources.js';
@@ -149,3 +150,24 @@
 	await world.pass(50);
 	assert.deepEqual(world.journal.named('runStopped').map(({cause}) => cause), ['its entry is not heard here']);
 });
+
+// Operators empty a zone before work on its power supply. Its targets went on getting tasks, which would have gone down with it;
+// its entries still serve their callers, on the targets of the other zones.
+test('the targets of an evacuated zone get nothing new and finish what they have, until it is taken back', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 2);
+	const zone = 'a' as AvailabilityZone;
+	await world.start();
+	const before = world.submit('a-1', '00000000000000aa', {payload: '500', declared: 500, patience: 2000});
+	await world.pass(100);
+	world.evacuations.set(zone, true);
+	await world.pass(600);
+	const meanwhile = world.submit('a-1', '00000000000000bb', {tasks: 4});
+	await world.pass(600);
+	assert.deepEqual([before.verdict?.kind, meanwhile.verdict?.kind], ['answered', 'answered']);
+	assert.deepEqual([...new Set(world.orders.starts.slice(1).map(({target}) => target.split('-')[0]))], ['b']);
+	world.evacuations.set(zone, false);
+	await world.pass(100);
+	world.submit('a-1', '00000000000000cc', {tasks: 8});
+	await world.pass(600);
+	assert.ok(world.orders.starts.slice(5).some(({target}) => target.startsWith('a-')));
+});
--- a/test/platform/store-routing.test.ts
+++ b/test/platform/store-routing.test.ts
@@ -4,6 +4,7 @@
 import {StoreClient} from '../../platform/store-client.js';
 import {StoreRouting} from '../../platform/store-routing.js';
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
+import {ZoneEvacuations} from '../../src/features/targets/zone-evacuations.js';
 import {FakeClock} from '../support/fake-clock.js';
 import {passTime} from '../support/pass-time.js';
 import {RecordingJournal} from '../support/recording-journal.js';
@@ -33,7 +34,7 @@
 	const journal = new RecordingJournal();
 	const table = new RoutingTable(1500, clock, journal);
 	const routing = new StoreRouting({
-		store: new CalmStore(clock, journal), table, freshMilliseconds: 1500, clock, journal,
+		store: new CalmStore(clock, journal), table, evacuations: new ZoneEvacuations(journal), freshMilliseconds: 1500, clock, journal,
 	});
 	routing.start();
 	await passTime(clock, 50);
@@ -55,7 +56,7 @@
 	const journal = new RecordingJournal();
 	const table = new RoutingTable(1500, clock, journal);
 	const routing = new StoreRouting({
-		store: new CalmStore(clock, journal, 0.5), table, freshMilliseconds: 1500, clock, journal,
+		store: new CalmStore(clock, journal, 0.5), table, evacuations: new ZoneEvacuations(journal), freshMilliseconds: 1500, clock, journal,
 	});
 	routing.start();
 	await passTime(clock, 600);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -5,8 +5,10 @@
 import {StoreGroup} from '../../platform/store-group.js';
 import {StoreRouting} from '../../platform/store-routing.js';
 import {SystemClock} from '../../src/base/system-clock.js';
+import type {AvailabilityZone} from '../../src/base/availability-zone.js';
 import type {OwnershipGroupName} from '../../src/base/ownership-group-name.js';
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
+import {ZoneEvacuations} from '../../src/features/targets/zone-evacuations.js';
 import {type RecordingJournal} from '../support/recording-journal.js';
 import {storeOf} from '../support/store-of.js';
 import {until} from '../support/until.js';
@@ -21,9 +23,9 @@
 	});
 }
 
-function routingOf(store: StoreClient, table: RoutingTable, journal: RecordingJournal) {
+function routingOf(store: StoreClient, table: RoutingTable, journal: RecordingJournal, evacuations = new ZoneEvacuations(journal)) {
 	return new StoreRouting({
-		store, table, freshMilliseconds: 1500, clock, journal,
+		store, table, evacuations, freshMilliseconds: 1500, clock, journal,
 	});
 }
 
@@ -46,6 +48,29 @@
 	client.dispose();
 });
 
+test('zones are evacuated while their keys are there, also where a key went unheard', async () => {
+	const {service, journal, client} = await storeOf();
+	const table = new RoutingTable(1500, clock, journal);
+	const evacuations = new ZoneEvacuations(journal);
+	const routing = routingOf(client, table, journal, evacuations);
+	const [first, second] = ['one' as AvailabilityZone, 'two' as AvailabilityZone];
+	service.put('keyed.op', 'evacuate/one', '{}');
+	routing.start();
+	await until(() => evacuations.has(first));
+	service.put('keyed.op', 'evacuate/two', 'anything');
+	await until(() => evacuations.has(second));
+	service.put('keyed.op', 'evacuate/two', '');
+	await until(() => !evacuations.has(second));
+	service.fail({status: 503});
+	service.put('keyed.op', 'evacuate/one', '');
+	service.fail({dropHistoryOf: 'keyed.op'});
+	await until(() => journal.named('storeAway').length === 1);
+	service.fail({status: 0});
+	await until(() => !evacuations.has(first));
+	routing.dispose();
+	client.dispose();
+});
+
 // An operator's change is lost on an entry: the store drops its history just after the change, so that the record is never
 // read. The entry has to notice and read the newest value of the key.
 test('a configuration whose record was dropped is read as the newest of its key', async () => {
--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -14,6 +14,7 @@
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
 import {TargetCatalogue} from '../../src/features/targets/target-catalogue.js';
 import type {TargetRecord} from '../../src/features/targets/target-record.js';
+import {ZoneEvacuations} from '../../src/features/targets/zone-evacuations.js';
 import {FakeClock} from './fake-clock.js';
 import {ModelGroup} from './model-group.js';
 import {ModelNetwork} from './model-network.js';
@@ -52,6 +53,8 @@
 	readonly network = new ModelNetwork(this.clock);
 	readonly group = new ModelGroup();
 	readonly entries = new Map<string, PooledEntry>();
+	/** One word of the operators for all entries. */
+	readonly evacuations = new ZoneEvacuations(this.journal);
 	readonly #catalogue = new ModelCatalogue();
 
 	constructor(entryNames: readonly string[], targetsInZone: number) {
@@ -145,6 +148,7 @@
 			network: this.network.join(name, zoneOf(name)),
 			group: this.group,
 			catalogue: this.#catalogue,
+			evacuations: this.evacuations,
 			orders: this.orders,
 			routing: new RoutingTable(1500, this.clock, this.journal),
 			clock: this.clock,
