The targets of an evacuated zone get nothing new until it is taken back

Cause: no entry acted on the operators' word. Change: ownership hands such targets to the executor as draining ones, as soon as the word comes; what runs there ends well, and the zone's entries serve their callers on other zones' targets.

--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -49,13 +49,13 @@
 	readonly #members = new Map<AvailabilityZone, GroupMember>();
 	readonly #consideredAt = new Map<AvailabilityZone, number>();
 	readonly #handOver = new Emitter<readonly Handover[]>();
-	readonly #subscription: Disposable;
+	readonly #subscriptions: readonly Disposable[];
 	#isLeaving = false;
 
 	constructor(private readonly parts: OwnershipParts) {
-		this.#subscription = parts.catalogue.onDidChange(() => {
+		this.#subscriptions = [parts.catalogue.onDidChange, parts.evacuations.onDidChange].map(onDidChange => onDidChange(() => {
 			this.#assign();
-		});
+		}));
 	}
 
 	/** Fires when targets were given up: the entry that gets them next needs these. */
@@ -95,7 +95,10 @@
 	}
 
 	dispose(): void {
-		this.#subscription.dispose();
+		for (const subscription of this.#subscriptions) {
+			subscription.dispose();
+		}
+
 		this.#handOver.dispose();
 		for (const member of this.#members.values()) {
 			member.dispose();
@@ -192,13 +195,18 @@
 		for (const target of this.parts.catalogue.targets.values()) {
 			const claim = this.#members.get(target.zone)?.claim;
 			if (claim?.partitions.has(this.#partitionOf(target.id))) {
-				owned.set(target.id, {target, fence: claim.fence});
+				owned.set(target.id, {target: this.#asOrdered(target), fence: claim.fence});
 			}
 		}
 
 		this.parts.executor.assign(owned);
 	}
 
+	/** A target of an evacuated zone is treated as one that announced its leaving itself. */
+	#asOrdered(target: TargetRecord): TargetRecord {
+		return this.parts.evacuations.has(target.zone) ? {...target, isDraining: true} : target;
+	}
+
 	#partitionOf(target: InstanceId): number {
 		return hashText(target) % this.parts.store.partitionCount;
 	}
