--- a/src/features/execution/report-order.ts
+++ b/src/features/execution/report-order.ts
@@ -22,29 +22,28 @@
 export class ReportOrder {
 	#incarnation: Incarnation | undefined;
 	#clock = Number.NEGATIVE_INFINITY;
-	/** The step of its session at which the latest report that counted was asked for. */
-	#askedAtStep: number | undefined;
+	/** The step of its session at which the latest report that counted was asked for; 0 before there was one. */
+	#askedAtStep = 0;
 
 	/** The life that reported last. */
 	get incarnation(): Incarnation | undefined {
 		return this.#incarnation;
 	}
 
-	/** Takes a report that was asked for at a step of its session. */
+	/** Takes a report that was asked for at a step of its session, which are counted from 1. */
 	take({incarnation, clock}: Report, askedAtStep: number): ReportAge {
-		const isFirst = this.#askedAtStep === undefined;
-		const isSameLife = isFirst || incarnation === this.#incarnation;
+		const isSameLife = this.#askedAtStep === 0 || incarnation === this.#incarnation;
 		if (isSameLife && clock < this.#clock) {
 			return 'overtaken';
 		}
 
-		if (!isSameLife && askedAtStep < this.#askedAtStep!) {
+		if (!isSameLife && askedAtStep < this.#askedAtStep) {
 			return 'former';
 		}
 
 		this.#incarnation = incarnation;
 		this.#clock = clock;
-		this.#askedAtStep = Math.max(askedAtStep, this.#askedAtStep ?? askedAtStep);
+		this.#askedAtStep = Math.max(askedAtStep, this.#askedAtStep);
 		return isSameLife ? 'newest' : 'restarted';
 	}
 }
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -316,7 +316,6 @@
 		}
 
 		this.#takeRuns(report, sentAtStep, now);
-
 		this.#plan.isLooked = true;
 		this.parts.listener.onDidReport();
 		this.parts.listener.onDidChange();
