A target that rejects a start for want of room isn't asked again before it has reported; tests of capacities that change

Cause: a target's capacity may shrink while it runs tasks, and its own word of that is read up to a third of the time to drain later. Until then it was asked for each task that waited, and rejected each. Seen: the test of a target that guards less than its entry says failed on the code before (asked again at once). The tests of shrunk and grown capacity held already: the entry in the list is the latest word, what is being stopped counts, runs beyond it are left to end. Ruled out: reports of runs as a second source, since they don't state a capacity. Two ways: until an end or a new entry (a target filled by somebody else's run would have stayed closed for good); until its next report, some 250 to 600 ms later. The second is kept.

--- a/src/base/resources.ts
+++ b/src/base/resources.ts
@@ -14,6 +14,10 @@
 		return new Resources(this.cpuMillis - other.cpuMillis, this.memoryMegabytes - other.memoryMegabytes, this.accelerators - other.accelerators);
 	}
 
+	equals(other: Resources): boolean {
+		return this.cpuMillis === other.cpuMillis && this.memoryMegabytes === other.memoryMegabytes && this.accelerators === other.accelerators;
+	}
+
 	/** Whether all of this can be taken from the given room. */
 	fitsInto(room: Resources): boolean {
 		return this.cpuMillis <= room.cpuMillis && this.memoryMegabytes <= room.memoryMegabytes && this.accelerators <= room.accelerators;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -43,6 +43,8 @@
 	readonly #reports = new ReportOrder();
 	#isClosed = false;
 	#isPaused = false;
+	/** It has rejected a start for want of room, and has told nothing new since. */
+	#isFull = false;
 	#hasOverdue = false;
 	/** Counts what is sent and what is confirmed: times can't tell before from after within one millisecond. */
 	#step = 0;
@@ -75,9 +77,9 @@
 		return this.#runs.hasRunOf(task);
 	}
 
-	/** Whether new tasks may be started: the target answers, isn't draining, and holds nothing unknown or overdue. */
+	/** Whether new tasks may be started: the target answers, isn't draining, isn't full by its own word, and holds nothing unknown or overdue. */
 	get isOpen(): boolean {
-		const isOurs = !this.#isClosed && !this.#isPaused && this.#plan.isLooked && !this.#strangers.areThere;
+		const isOurs = !this.#isClosed && !this.#isPaused && !this.#isFull && this.#plan.isLooked && !this.#strangers.areThere;
 		return isOurs && this.isReachable && this.#isDescribed && !this.target.isDraining && !this.#hasOverdue;
 	}
 
@@ -117,6 +119,7 @@
 
 	/** Takes a newer state of the same life, or a newer token. */
 	update(target: TargetRecord, fence: FencingToken): void {
+		this.#isFull &&= target.capacity.equals(this.target.capacity);
 		this.#orders.target = target;
 		this.#orders.fence = fence;
 		this.#runs.resize(target.capacity);
@@ -213,7 +216,12 @@
 				run.confirmedAtStep = this.#nextStep();
 				run.state = run.state === 'starting' ? 'running' : run.state;
 			})
-			.with({kind: 'noRoom'}, {kind: 'superseded'}, ({kind}) => {
+			.with({kind: 'noRoom'}, ({kind}) => {
+				// It has shrunk, and its entry in the list isn't read yet: it would be asked for each task that waits, again and again.
+				this.#isFull = true;
+				this.#refuse(run, kind);
+			})
+			.with({kind: 'superseded'}, ({kind}) => {
 				this.#refuse(run, kind);
 			})
 			.with({kind: 'expired'}, () => {
@@ -311,6 +319,7 @@
 		const now = this.parts.clock.now();
 		const wasReachable = this.#plan.isReachable;
 		const unanswered = this.#plan.answer();
+		this.#isFull = false;
 		if (!wasReachable) {
 			this.parts.journal.record('targetAnswers', {target: this.target.id, unanswered});
 		}
--- a/test/support/model-targets.ts
+++ b/test/support/model-targets.ts
@@ -34,6 +34,8 @@
 	readonly waiting: Set<{readonly acknowledged: number; readonly wake: () => void}>;
 };
 
+/** What each task here needs. */
+const taskCpuMillis = 27_000;
 /** A task with this payload takes its target down with all that runs there; the target is back under its id after a while. */
 const crashingPayload = 'crashes its target';
 const crashMilliseconds = 20;
@@ -46,6 +48,8 @@
 export class ModelTargets extends TargetOrders {
 	/** What a target does: answer, be silent, carry out but not answer (any order, or renewals only), never get starts, refuse connections. */
 	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses starts' | 'refuses'>();
+	/** Targets that reject what is beyond so much processor; others start whatever they're told to. */
+	readonly guardedCpuMillis = new Map<InstanceId, number>();
 	/** So many times as long as its payload says a task takes on a target. */
 	readonly slowness = new Map<InstanceId, number>();
 	/** Every target that a task has crashed, in order. */
@@ -84,6 +88,10 @@
 		}
 
 		this.#renewLease(model, order.leaseUntil);
+		if ((model.runs.size + 1) * taskCpuMillis > (this.guardedCpuMillis.get(id) ?? Number.POSITIVE_INFINITY)) {
+			return {kind: 'noRoom', clock};
+		}
+
 		this.#run(id, model, order);
 		return {kind: 'started', clock};
 	}
