Requests of other entries are remembered for half a minute: one that stood still repeats them

An entry stood still for 2.9 s, was taken as lost, and repeated its requests on a new connection as it went on; the owner had forgotten the first of them 50 ms before (3.05 s, remembered for 3.0) and began its task again, beside the run of the caller's next submission. Proof: the new test has one task run twice at a time on the code before. Cost, worked out: some hundred bytes for each task of the last half minute, 1650 tasks of a busy entry.

--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -12,8 +12,12 @@
 import type {Pool} from './pool.js';
 import type {PoolMessage} from './pool-message.js';
 
-/** How long a request is remembered: as long as its sender may send it again after a lost connection. */
-const rememberedMilliseconds = 3000;
+/**
+ * How long a request is remembered: as long as its sender may send it again. After a lost connection that's within a second; an
+ * entry that stood still repeats what it had asked for as it goes on, when its callers have long submitted their jobs
+ * again elsewhere. Begun anew here, their tasks would run twice at a time.
+ */
+const rememberedMilliseconds = 30_000;
 
 type Remembered = {
 	readonly requester: MemberId;
--- a/test/entries/edge/pooled-entry-resubmission.test.ts
+++ b/test/entries/edge/pooled-entry-resubmission.test.ts
@@ -94,3 +94,26 @@
 	await world.pass(200);
 	assert.deepEqual([world.orders.mostAtOnce, world.running()], [1, ['00000000000000aa.0.0.0']]);
 });
+
+// An entry stands still for three seconds, is taken as lost, and what it had asked for is stopped; the caller submits its job
+// again elsewhere. As the entry goes on it finds its connection broken and repeats its requests on a new one: taken for new ones,
+// by an owner that had forgotten them, they began the task beside the caller's present run of it.
+test('a request that is repeated by an entry that stood still starts nothing', async () => {
+	const world = new PooledWorld(['a-1', 'b-1', 'c-1'], 4);
+	await world.start();
+	const poolOf = (name: string) => world.entries.get(name)!.pool;
+	const owner = poolOf('b-1').self;
+	poolOf('a-1').send(owner, {kind: 'run', request: firstTaskOfJob});
+	await world.pass(20);
+	world.network.isolate('a-1', true);
+	await world.pass(1400);
+	assert.deepEqual(world.running(), []);
+	world.submit('c-1', '00000000000000aa', {payload: '5000', declared: 5000, patience: 9000});
+	await world.pass(1700);
+	world.network.isolate('a-1', false);
+	poolOf('c-1').send(owner, {kind: 'run', request: requestOf('00000000000000bb.0.0.0', '10')});
+	poolOf('a-1').send(owner, {kind: 'run', request: firstTaskOfJob});
+	await world.pass(100);
+	assert.equal(world.orders.mostAtOnce, 1);
+	assert.equal(world.orders.starts.filter(({task}) => task === firstTaskOfJob.task).length, 2);
+});
