What a job asks for is honoured or refused by name: data near its tasks, tasks on one target, the rest

Cause: fields of a job that nobody reads were dropped in silence. Tasks ran far from their data, in three times their time and late; more of them on one target than their caller allows; steps that should wait for others at once.

Change: a task runs near its data while there's room; far from it where it would be in time all the same, or can't be in time near it any more; else it waits. What it takes far from its data is neither counted against the target nor learned. Tasks of a job on one target are limited where their caller says so. What isn't done here (after, same_rack, fills, gangs, times) and what nobody knows is refused at once with the field's name; what only allows something (checkpoints, speculative) is not.

Seen before: the new tests of near data, limits and refusals fail on the code before (no such field of a request). Ways: far at once where there's no near room (a job of eight then has some tasks far and is late for these), against waiting for near room up to the last moment that is in time there; the second is kept, by the test of two jobs on one near target.

--- a/bench/model/pool-model.ts
+++ b/bench/model/pool-model.ts
@@ -64,7 +64,9 @@
 			},
 			payload: '',
 			shape: {
-				count: runMilliseconds.length, need: Resources.none, declaredMilliseconds: kind.taskMilliseconds, label: undefined,
+				count: runMilliseconds.length, need: Resources.none, declaredMilliseconds: kind.taskMilliseconds, place: {
+					label: undefined, nearLabel: undefined, farFactor: 1, mostOnTarget: undefined,
+				},
 			},
 			patienceMilliseconds,
 		}, {receivedAt: now, settle: nobodyWaits}, kind.taskMilliseconds);
--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -102,7 +102,7 @@
 		this.#storePatience = own.add(new StorePatience(store, this.#entry.patience, clock));
 		const pauses = own.add(new PauseWatch(clock));
 		this.#front = own.add(new JobFront({
-			dispatcher: this.#entry.dispatcher, routing: this.#routing, pauses, journal,
+			dispatcher: this.#entry.dispatcher, routing: this.#routing, pauses, farFactor: settings.farFactor, journal,
 		}));
 		this.#directory = own.add(new EntryDirectory({
 			store,
--- a/src/features/dispatch/choose-share.ts
+++ b/src/features/dispatch/choose-share.ts
@@ -1,6 +1,7 @@
 /** The choice among other entries' targets. */
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Random} from '../../base/random.js';
+import {isPlaceFor} from '../execution/is-place-for.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {OpenShare} from './open-share.js';
 
@@ -21,6 +22,6 @@
 
 function suits(share: OpenShare['share'], request: RunRequest): boolean {
 	return share.service === request.service
-		&& (request.label === undefined || share.labels.includes(request.label))
+		&& isPlaceFor(request, share.labels)
 		&& request.need.fitsInto(share.room);
 }
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -356,6 +356,12 @@
 			return;
 		}
 
+		if (!job.takesFar && job.hasWaiting) {
+			job.takeFar();
+			this.#pumpSoon();
+			return;
+		}
+
 		this.#end(job, job.mayHaveRun
 			? doubt('waitExpired', 'not ended in time')
 			: {
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -22,6 +22,8 @@
 	isOver = false;
 
 	#submission: Submission;
+	#takesFar: boolean;
+	#hasWaitedForNear = false;
 
 	/** With the tasks of a former submission, the job goes on from where they are. */
 	constructor(
@@ -32,6 +34,7 @@
 		former?: readonly TaskSlot[],
 	) {
 		this.#submission = submission;
+		this.#takesFar = this.receivedAt + (this.job.shape.place.farFactor * expectedMilliseconds) <= this.objectiveAt;
 		this.slots = former?.length === job.shape.count ? former : Array.from({length: job.shape.count}, (_, index) => newSlot(job.id, index));
 		// It was begun before, so that it can't be told as not run now.
 		this.orderedStarts = former === undefined ? 0 : 1;
@@ -73,10 +76,21 @@
 		}
 
 		const latestStart = this.objectiveAt - this.expectedMilliseconds;
-		const isOfUseLate = this.mayHaveRun || latestStart < this.receivedAt;
+		const isOfUseLate = this.mayHaveRun || latestStart < this.receivedAt || this.#hasWaitedForNear;
 		return isOfUseLate ? this.uselessAt - this.expectedMilliseconds : latestStart;
 	}
 
+	/** Whether its tasks may run far from their data: they'd be in time there as well, or can't be in time any more. */
+	get takesFar(): boolean {
+		return this.#takesFar;
+	}
+
+	/** No room near its data came in time: a late answer is still of some use to its submitter. */
+	takeFar(): void {
+		this.#takesFar = true;
+		this.#hasWaitedForNear = true;
+	}
+
 	get mayHaveRun(): boolean {
 		return this.orderedStarts > 0;
 	}
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -61,15 +61,24 @@
 		return job.waiting.every(slot => this.#place(job, slot, open));
 	}
 
-	/** Places one task, on this entry's own targets first; false where it has to wait. */
+	/** Places one task, near its data and on this entry's own targets first; false where it has to wait. */
 	#place(job: RunningJob, slot: TaskSlot, open: readonly OpenShare[]): boolean {
-		const {zone, executor, pool, random} = this.parts;
+		const {executor} = this.parts;
 		if (executor.isRunning(slot.id)) {
 			// Its caller submitted here after the loss of another entry, for which the task is still being stopped here.
 			return false;
 		}
 
 		const request = requestOf(job, slot);
+		if (request.place.nearLabel === undefined) {
+			return this.#start(job, slot, request, open);
+		}
+
+		return this.#start(job, slot, {...request, isNearOnly: true}, open) || (job.takesFar && this.#start(job, slot, request, open));
+	}
+
+	#start(job: RunningJob, slot: TaskSlot, request: RunRequest, open: readonly OpenShare[]): boolean {
+		const {zone, executor, pool, random} = this.parts;
 		if (executor.start(request, pool.self) !== undefined) {
 			note(job, slot, pool.self);
 			return true;
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -15,6 +15,7 @@
 import {AnswerTimes} from './answer-times.js';
 import type {ExecutionReport} from './execution-report.js';
 import type {Handover} from './handover.js';
+import {isPlaceFor} from './is-place-for.js';
 import type {LossBook} from './loss-book.js';
 import type {RoomShare} from './room-share.js';
 import type {Run} from './run.js';
@@ -170,7 +171,7 @@
 			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.room.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
 		});
 		session.start({
-			request, requester, state: 'starting', startedAt: clock.now(), confirmedAtStep: undefined, stopConfirmedAtStep: undefined, stopCause: undefined,
+			request, requester, slowdown: session.slowdownOf(request), state: 'starting', startedAt: clock.now(), confirmedAtStep: undefined, stopConfirmedAtStep: undefined, stopCause: undefined,
 		});
 		return target.id;
 	}
@@ -330,7 +331,7 @@
 			target: id,
 			profile: run.request.queue,
 			runMilliseconds: now - run.startedAt,
-			expectedMilliseconds: run.request.expectedMilliseconds,
+			expectedMilliseconds: run.slowdown * run.request.expectedMilliseconds,
 			job: jobOfTask(run.request.task),
 			hasFailedElsewhere: run.request.avoid.length > 0,
 		};
@@ -389,8 +390,8 @@
 
 	#suits(session: TargetSession, request: RunRequest, room: Resources): boolean {
 		const {target} = session;
-		const isKind = target.service === request.service && (request.label === undefined || target.labels.includes(request.label));
-		if (!isKind || !session.isOpen || !request.need.fitsInto(room) || request.avoid.includes(target.id)) {
+		const isKind = target.service === request.service && isPlaceFor(request, target.labels);
+		if (!isKind || !session.isOpen || !request.need.fitsInto(room) || request.avoid.includes(target.id) || session.isFullOfJob(request)) {
 			return false;
 		}
 
--- a/src/features/execution/outcome-of-end.ts
+++ b/src/features/execution/outcome-of-end.ts
@@ -6,7 +6,8 @@
 /** The outcome of a run whose end a target lists now. */
 export function outcomeOfEnd(run: Run, {how}: RunEnd, target: string, now: number): RunOutcome {
 	if (how === 'done') {
-		return {kind: 'done', target, ranMilliseconds: now - run.startedAt};
+		// What is learned from it says how long such tasks take near their data.
+		return {kind: 'done', target, ranMilliseconds: (now - run.startedAt) / run.slowdown};
 	}
 
 	if (how === 'failed') {
--- a/src/features/execution/overdue-of.ts
+++ b/src/features/execution/overdue-of.ts
@@ -29,5 +29,5 @@
 }
 
 function isOver(run: Run, reportedAt: number, factor: number): boolean {
-	return reportedAt - run.startedAt > (factor * run.request.expectedMilliseconds) + overdueSlackMilliseconds;
+	return reportedAt - run.startedAt > (factor * run.slowdown * run.request.expectedMilliseconds) + overdueSlackMilliseconds;
 }
--- a/src/features/execution/run-request.ts
+++ b/src/features/execution/run-request.ts
@@ -3,6 +3,7 @@
 import type {Resources} from '../../base/resources.js';
 import type {ServiceName} from '../../base/service-name.js';
 import type {TaskId} from '../../base/task-id.js';
+import type {TaskPlace} from './task-place.js';
 
 /** One attempt of one task. `avoid` lists targets that an earlier attempt failed on. */
 export type RunRequest = {
@@ -12,8 +13,9 @@
 	readonly need: Resources;
 	readonly queue: ProfileName;
 	readonly service: ServiceName;
-	/** A label that the target must have. */
-	readonly label: string | undefined;
+	readonly place: TaskPlace;
+	/** It's not to be started far from its data. */
+	readonly isNearOnly: boolean;
 	readonly avoid: readonly string[];
 	/** How many tasks the job has: all of them wait for the last one. */
 	readonly jobTasks: number;
--- a/src/features/execution/run.ts
+++ b/src/features/execution/run.ts
@@ -11,6 +11,8 @@
 	readonly request: RunRequest;
 	/** The entry whose job it belongs to. */
 	readonly requester: MemberId;
+	/** So many times as long as expected it takes on this target, being far from its data. */
+	readonly slowdown: number;
 	state: 'starting' | 'running' | 'stopping';
 	startedAt: number;
 	/** The step of its session at which the target's confirmation came; none before it. */
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
 import type {Incarnation} from '../../base/incarnation.js';
+import {jobOfTask} from '../../base/job-of-task.js';
 import type {Resources} from '../../base/resources.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {OrderFailure} from '../targets/order-failure.js';
@@ -19,6 +20,7 @@
 import {RunTable} from './run-table.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
+import type {RunRequest} from './run-request.js';
 import {SessionOrders} from './session-orders.js';
 import type {SessionParts} from './session-parts.js';
 import {StrangerRuns} from './stranger-runs.js';
@@ -125,6 +127,17 @@
 		this.#runs.resize(target.capacity);
 	}
 
+	/** So many times as long as near its data a task takes here. */
+	slowdownOf({place}: RunRequest): number {
+		return place.nearLabel === undefined || this.target.labels.includes(place.nearLabel) ? 1 : place.farFactor;
+	}
+
+	/** Whether as many tasks of its job run here as may. */
+	isFullOfJob({place, task}: RunRequest): boolean {
+		return place.mostOnTarget !== undefined
+			&& [...this.#runs].filter(run => jobOfTask(run.request.task) === jobOfTask(task)).length >= place.mostOnTarget;
+	}
+
 	/** Takes the former owner's runs as its own; the next report shows which of them still run. */
 	adopt(handover: Handover): void {
 		const now = this.parts.clock.now();
@@ -133,7 +146,7 @@
 		this.#lease.noteRenewal(now);
 		for (const {request, requester} of handover.runs) {
 			this.#runs.add({
-				request, requester, state: 'running', startedAt: now, confirmedAtStep: this.#nextStep(), stopConfirmedAtStep: undefined, stopCause: undefined,
+				request, requester, slowdown: this.slowdownOf(request), state: 'running', startedAt: now, confirmedAtStep: this.#nextStep(), stopConfirmedAtStep: undefined, stopCause: undefined,
 			});
 		}
 
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -9,6 +9,7 @@
 import type {ServiceName} from '../../base/service-name.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
+import type {TaskPlace} from '../execution/task-place.js';
 import type {TargetLoss} from '../execution/target-loss.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {EntryState} from './entry-state.js';
@@ -135,13 +136,21 @@
 		need: decodeAmounts(values),
 		queue: values.text<ProfileName>(),
 		service: values.text<ServiceName>(),
-		label: values.optionalText(),
+		place: decodePlace(values),
+		isNearOnly: values.flag(),
 		avoid: values.texts(),
 		jobTasks: values.number(),
 		expectedMilliseconds: values.number(),
 	};
 }
 
+function decodePlace(values: EncodedValues): TaskPlace {
+	const [label, nearLabel, farFactor, most] = [values.optionalText(), values.optionalText(), values.number(), values.number()];
+	return {
+		label, nearLabel, farFactor, mostOnTarget: most === unstated ? undefined : most,
+	};
+}
+
 function decodeNextRequest(values: EncodedValues, previous: RunRequest | undefined): RunRequest {
 	if (previous === undefined) {
 		throw new TypeError('a run of the same job as the one before it, which is not there');
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -63,7 +63,11 @@
 		...amountsOf(request.need),
 		request.queue,
 		request.service,
-		request.label,
+		request.place.label,
+		request.place.nearLabel,
+		request.place.farFactor,
+		request.place.mostOnTarget ?? unstated,
+		request.isNearOnly,
 		request.avoid,
 		request.jobTasks,
 		request.expectedMilliseconds,
@@ -89,7 +93,8 @@
 		&& left.need === right.need
 		&& left.queue === right.queue
 		&& left.service === right.service
-		&& left.label === right.label
+		&& left.place === right.place
+		&& left.isNearOnly === right.isNearOnly
 		&& left.jobTasks === right.jobTasks
 		&& left.expectedMilliseconds === right.expectedMilliseconds;
 }
--- a/src/features/pool/unstated.ts
+++ b/src/features/pool/unstated.ts
@@ -1,2 +1,2 @@
-/** In the place of a number that an installation doesn't state: no life begins before 1970. */
+/** In the place of a number that isn't there: all that are told are zero or more. */
 export const unstated = -1;
--- a/test/features/dispatch/reachable-objective.test.ts
+++ b/test/features/dispatch/reachable-objective.test.ts
@@ -6,6 +6,7 @@
 import {Resources} from '../../../src/base/resources.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
 import {ReachableObjective} from '../../../src/features/dispatch/reachable-objective.js';
+import {anyPlace} from '../../support/any-place.js';
 import {RunningJob} from '../../../src/features/dispatch/running-job.js';
 
 type Begun = {readonly name: string; readonly tasks: number; readonly started: number; readonly expected: number; readonly receivedAt: number; readonly priority?: number};
@@ -18,7 +19,7 @@
 		},
 		payload: '',
 		shape: {
-			count: tasks, need: Resources.none, declaredMilliseconds: expected, label: undefined,
+			count: tasks, need: Resources.none, declaredMilliseconds: expected, place: anyPlace,
 		},
 		patienceMilliseconds: 5000,
 	}, {
--- a/test/platform/job-front.test.ts
+++ b/test/platform/job-front.test.ts
@@ -7,6 +7,7 @@
 import type {ServiceName} from '../../src/base/service-name.js';
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
 import {PauseWatch} from '../../src/runtime/pause-watch.js';
+import {passTime} from '../support/pass-time.js';
 import {PooledWorld} from '../support/pooled-world.js';
 import {snapshotsOf} from '../support/snapshots.js';
 
@@ -22,7 +23,7 @@
 	const routing = new RoutingTable(1500, world.clock, world.journal);
 	const pauses = new PauseWatch(world.clock);
 	const front = new JobFront({
-		dispatcher: world.entries.get('a-1')!.dispatcher, routing, pauses, journal: world.journal,
+		dispatcher: world.entries.get('a-1')!.dispatcher, routing, pauses, farFactor: 3, journal: world.journal,
 	});
 	await front.listen(`127.0.0.1:${port}`);
 	after(() => {
@@ -58,6 +59,11 @@
 		['no tasks', `/queue/${id}`, JSON.stringify({best_effort: true, steps: [{...step, count: 0}]})],
 		['a job that is to be kept', `/queue/${id}`, JSON.stringify({steps: [step]})],
 		['two steps', `/queue/${id}`, JSON.stringify({best_effort: true, steps: [step, step]})],
+		['a step that waits for others', `/queue/${id}`, JSON.stringify({best_effort: true, steps: [{...step, after: [0]}]})],
+		['tasks that want one rack for all', `/queue/${id}`, JSON.stringify({best_effort: true, steps: [{...step, same_rack: true}]})],
+		['tasks that fill what others leave', `/queue/${id}`, JSON.stringify({best_effort: true, steps: [{...step, fills: true}]})],
+		['a field of a step that nobody knows', `/queue/${id}`, JSON.stringify({best_effort: true, steps: [{...step, affinity: 'x'}]})],
+		['a field of a job that nobody knows', `/queue/${id}`, JSON.stringify({best_effort: true, retries: 3, steps: [step]})],
 		['a body over the limit', `/queue/${id}`, JSON.stringify({best_effort: true, spec: 'x'.repeat(300_000), steps: [step]})],
 		['an id of other letters', '/queue/5c0e7a21d94b36fX', JSON.stringify({best_effort: true, steps: [step]})],
 		['a short id', '/queue/5c0e', JSON.stringify({best_effort: true, steps: [step]})],
@@ -89,3 +95,21 @@
 	matches('question', await call('GET', `/queue/${id}`));
 	matches('cancellation', await call('DELETE', `/queue/${id}`));
 });
+
+// A job that allows more than is made of it is served: its caller loses nothing by that.
+test('fields that allow something, or ask for nothing, keep no job from being served', async () => {
+	const {world, call, publish} = await frontOf(0);
+	publish();
+	const fields = {
+		checkpoints: true, speculative: true, image: 'a', after: [], same_rack: false, max_per_server: 0, data_rack: '',
+	};
+	const answer = call('POST', `/queue/${id}`, JSON.stringify({
+		best_effort: true, spec: '20', times: 0, steps: [{...step, ...fields}],
+	}));
+	while (world.journal.named('jobEnded').length === 0) {
+		await passTime(world.clock, 5);
+	}
+
+	const {status, body} = await answer;
+	assert.deepEqual([status, body], [200, {state: 'complete'}]);
+});
--- a/test/platform/read-boot-settings.test.ts
+++ b/test/platform/read-boot-settings.test.ts
@@ -19,6 +19,7 @@
 bounds.apply_ms=2000
 bounds.drain_ms=2000
 bounds.grace_s=6
+bounds.far_x=2
 bounds.hold_max_ms=1000
 platform.addr=10.200.1.7:8169
 platform.parts=24
--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -15,6 +15,8 @@
 import {TargetCatalogue} from '../../src/features/targets/target-catalogue.js';
 import type {TargetRecord} from '../../src/features/targets/target-record.js';
 import {ZoneEvacuations} from '../../src/features/targets/zone-evacuations.js';
+import type {TaskPlace} from '../../src/features/execution/task-place.js';
+import {anyPlace} from './any-place.js';
 import {FakeClock} from './fake-clock.js';
 import {ModelGroup} from './model-group.js';
 import {ModelNetwork} from './model-network.js';
@@ -42,6 +44,17 @@
 	}
 }
 
+/** What a test's job may differ in. */
+type JobOptions = {
+	readonly tasks?: number;
+	/** The milliseconds that each task runs, or what else it does. */
+	readonly payload?: string;
+	readonly declared?: number;
+	readonly patience?: number;
+	readonly attempts?: number;
+	readonly place?: Partial<TaskPlace>;
+};
+
 /** A job under way in a test. */
 type Submitted = {verdict: Verdict<JobOutcome> | undefined; readonly cancel: () => void};
 
@@ -93,9 +106,9 @@
 		await passTime(this.clock, 1000);
 	}
 
-	addTarget(name: string, zone: string, isDraining = false): void {
+	addTarget(name: string, zone: string, isDraining = false, labels: readonly string[] = []): void {
 		this.#catalogue.put({
-			id: name as InstanceId, incarnation: undefined, address: `${name}:1`, zone: zone as AvailabilityZone, service, isDraining, capacity: new Resources(64_000, 262_144, 0), labels: [],
+			id: name as InstanceId, incarnation: undefined, address: `${name}:1`, zone: zone as AvailabilityZone, service, isDraining, capacity: new Resources(64_000, 262_144, 0), labels,
 		});
 	}
 
@@ -105,7 +118,7 @@
 		this.network.kill(name);
 	}
 
-	submit(entry: string, id: string, {tasks = 1, payload = '100', declared = 100, patience = 1500, attempts = 3} = {}): Submitted {
+	submit(entry: string, id: string, {tasks = 1, payload = '100', declared = 100, patience = 1500, attempts = 3, place = {}}: JobOptions = {}): Submitted {
 		const route: QueueRoute = {
 			queue: 'queue' as ProfileName, host: 'host', pathPrefix: '/', service, priority: 0, attempts, stretch: 1.6, slackMilliseconds: 60,
 		};
@@ -122,7 +135,7 @@
 				route,
 				payload,
 				shape: {
-					count: tasks, need: new Resources(27_000, 64, 0), declaredMilliseconds: declared, label: undefined,
+					count: tasks, need: new Resources(27_000, 64, 0), declaredMilliseconds: declared, place: {...anyPlace, ...place},
 				},
 				patienceMilliseconds: patience,
 			}, caller.token);
--- a/test/support/run-request-of.ts
+++ b/test/support/run-request-of.ts
@@ -4,6 +4,7 @@
 import type {ServiceName} from '../../src/base/service-name.js';
 import type {TaskId} from '../../src/base/task-id.js';
 import type {RunRequest} from '../../src/features/execution/run-request.js';
+import {anyPlace} from './any-place.js';
 
 /** A run of 27 cores that takes its payload's milliseconds. */
 export function requestOf(task: string, payload: string, attempt = 1): RunRequest {
@@ -14,7 +15,8 @@
 		need: new Resources(27_000, 64, 0),
 		queue: 'queue' as ProfileName,
 		service: 'service' as ServiceName,
-		label: undefined,
+		place: anyPlace,
+		isNearOnly: false,
 		avoid: [],
 		jobTasks: 1,
 		expectedMilliseconds: Number(payload),
