After a start: former lives leave their groups, and jobs that come before any target is known are answered late

Change: an entry that starts looks who holds its group, and takes its own former lives out of it: whoever listens at an address knows that they have ended. A job that comes before any room was known isn't refused at the last moment that would be in time, but goes on while a late answer is of use.

--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -61,6 +61,8 @@
 	readonly #placer: TaskPlacer;
 	readonly #store = new DisposableStore();
 	#isWaiting = false;
+	/** Whether any target with room was known since the start. */
+	#hasSeenRoom = false;
 	#isPumpDue = false;
 	#checks: Disposable | undefined;
 	#checkDue = 0;
@@ -223,6 +225,7 @@
 		const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
 		const former = this.#jobs.takeFormer(job.id);
 		const running = new RunningJob(job, submission, Math.max(expected, job.shape.declaredMilliseconds), former);
+		running.isBeforeRoom = !this.#seesRoom();
 		this.#jobs.add(running);
 		journal.record('jobAccepted', {
 			job: job.id,
@@ -233,6 +236,7 @@
 			patienceMilliseconds: job.patienceMilliseconds,
 			ageMilliseconds: Math.round(submission.ageMilliseconds ?? 0),
 			isResubmitted: former !== undefined,
+			isBeforeRoom: running.isBeforeRoom,
 		});
 		this.#watchSubmitter(running, token);
 		if (running.isComplete) {
@@ -250,6 +254,17 @@
 		this.#pumpSoon();
 	}
 
+	/**
+	 * For a moment after its start an entry knows of no target: it owns none yet, and the others haven't told of theirs. That
+	 * isn't overload. Refused by the rule for that, all that comes in this time would be lost, while most of it could still
+	 * be answered, if late, and the targets stand free.
+	 */
+	#seesRoom(): boolean {
+		const {executor, pool} = this.parts;
+		this.#hasSeenRoom ||= executor.room.length > 0 || [...pool.members].some(({room}) => room.length > 0);
+		return this.#hasSeenRoom;
+	}
+
 	/** What other entries have told of the job's tasks: an earlier submission of it has run there. */
 	#takeLosses(job: RunningJob): void {
 		const {losses} = this.parts;
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -20,6 +20,8 @@
 	/** Starts that were ordered and not provably refused. With any of them it can't be said that the job never ran. */
 	orderedStarts = 0;
 	isOver = false;
+	/** It came when nobody could know of any room: it's not refused for what it missed by that. */
+	isBeforeRoom = false;
 
 	#submission: Submission;
 	#takesFar: boolean;
@@ -67,7 +69,7 @@
 	/**
 	 * When to stop trying. A job of which nothing has begun is refused once it would miss its objective: under overload,
 	 * jobs that are late anyway would make those behind them late as well. One that was late when it came, since it had been
-	 * lost elsewhere, and one that has begun go on while their answers are of some use; one whose tasks all run, for as long
+	 * lost elsewhere, one that came before any room was known, and one that has begun go on while their answers are of some use; one whose tasks all run, for as long
 	 * as its submitter waits.
 	 */
 	get giveUpAt(): number {
@@ -76,7 +78,7 @@
 		}
 
 		const latestStart = this.objectiveAt - this.expectedMilliseconds;
-		const isOfUseLate = this.mayHaveRun || latestStart < this.receivedAt || this.#hasWaitedForNear;
+		const isOfUseLate = this.mayHaveRun || latestStart < this.receivedAt || this.#hasWaitedForNear || this.isBeforeRoom;
 		return isOfUseLate ? this.uselessAt - this.expectedMilliseconds : latestStart;
 	}
 
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -14,6 +14,7 @@
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import type {ZoneEvacuations} from '../targets/zone-evacuations.js';
+import {endFormerLives} from './end-former-lives.js';
 import {GroupMember} from './group-member.js';
 import type {PartitionGroup} from './partition-group.js';
 
@@ -171,6 +172,16 @@
 		});
 		this.#members.set(zone, joined);
 		joined.renew();
+		void this.#takeOver(zone, joined);
+	}
+
+	/** What a former life of this entry held is free now, and not only after its time to live. */
+	async #takeOver(zone: AvailabilityZone, joined: GroupMember): Promise<void> {
+		const {member, store, journal} = this.parts;
+		const hadFormer = await endFormerLives({group: groupOf(zone), member: `${memberPrefixOf(this.parts.zone)}${member}`}, store, journal);
+		if (hadFormer) {
+			joined.renew();
+		}
 	}
 
 	async #leave(zone: AvailabilityZone, member: GroupMember): Promise<void> {
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -270,11 +270,14 @@
 	taskBarred: {
 		number: 726, level: 'warning', meaning: 'A task was lost with several targets: it\'s started no more, or not before it\'s known what became of them', fields: ['task', 'condition', 'targets'],
 	},
+	formerLifeEnded: {
+		number: 727, level: 'notice', meaning: 'This entry took the place of a former life of its own out of a group', fields: ['group', 'holder'],
+	},
 	jobAccepted: {
 		number: 800,
 		level: 'detail',
 		meaning: 'A job waits for room',
-		fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'objectiveMilliseconds', 'patienceMilliseconds', 'ageMilliseconds', 'isResubmitted'],
+		fields: ['job', 'queue', 'tasks', 'expectedMilliseconds', 'objectiveMilliseconds', 'patienceMilliseconds', 'ageMilliseconds', 'isResubmitted', 'isBeforeRoom'],
 	},
 	taskSent: {
 		number: 801, level: 'detail', meaning: 'A task goes to another entry\'s targets', fields: ['task', 'attempt', 'owner', 'heardAgoMilliseconds'],
--- a/test/entries/edge/pooled-entry.test.ts
+++ b/test/entries/edge/pooled-entry.test.ts
@@ -205,3 +205,26 @@
 	assert.equal(job.verdict?.kind, 'answered');
 	assert.deepEqual([world.orders.starts.length, world.orders.mostAtOnce], [2, 1]);
 });
+
+// All entries are killed and start again. In the half second before their targets are theirs callers come, and were refused as
+// in an overload, since no target had room in time; then the targets stood free. Their answers are late now, but they come.
+test('a job that comes before any target is known is answered late, not refused', async () => {
+	const world = new PooledWorld(['a-1'], 4);
+	const early = world.submit('a-1', '0000000000000001', {tasks: 2, payload: '60', declared: 60});
+	await world.pass(150);
+	assert.equal(early.verdict, undefined);
+	await world.start();
+	assert.deepEqual(early.verdict, {kind: 'answered', answer: 'complete'});
+});
+
+test('once targets are known, a job that finds no room in time is refused at the last moment to begin it', async () => {
+	const world = new PooledWorld(['a-1'], 1);
+	await world.start();
+	world.submit('a-1', '0000000000000001', {
+		tasks: 2, payload: '1000', declared: 1000, patience: 5000,
+	});
+	await world.pass(50);
+	const refused = world.submit('a-1', '0000000000000002', {tasks: 1, payload: '60', declared: 60});
+	await world.pass(150);
+	assert.equal(refused.verdict?.kind, 'notRun');
+});
