--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -18,6 +18,7 @@
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
 import type {BestEffortJob} from './best-effort-job.js';
+import {JobChecks} from './job-checks.js';
 import type {JobOutcome} from './job-outcome.js';
 import {JobTable} from './job-table.js';
 import type {PatienceBook} from './patience-book.js';
@@ -28,10 +29,6 @@
 import {TaskPlacer} from './task-placer.js';
 import type {TaskSlot} from './task-slot.js';
 
-/** Waiting jobs are checked for having become useless no later than this after it, and no more often. */
-const checkMilliseconds = 20;
-/** Unless one falls due sooner. */
-const longestCheckMilliseconds = 200;
 type OwnedRun = {readonly task: TaskId; readonly attempt: number; readonly owner: MemberId};
 
 /** What the dispatcher works with. */
@@ -64,12 +61,14 @@
 	/** Whether any target with room was known since the start. */
 	#hasSeenRoom = false;
 	#isPumpDue = false;
-	#checks: Disposable | undefined;
-	#checkDue = 0;
+	readonly #checks: JobChecks;
 
 	constructor(private readonly parts: DispatcherParts) {
 		const {executor, pool} = parts;
 		this.#placer = new TaskPlacer(parts);
+		this.#checks = this.#store.add(new JobChecks(this.#jobs, parts.clock, () => {
+			this.#check();
+		}));
 		this.#results = new RunResults({
 			...parts,
 			jobs: this.#jobs,
@@ -177,7 +176,6 @@
 	}
 
 	dispose(): void {
-		this.#checks?.dispose();
 		this.#store.dispose();
 	}
 
@@ -202,7 +200,7 @@
 		this.parts.clock.defer(() => {
 			this.#isPumpDue = false;
 			this.#pump();
-			this.#checkLater();
+			this.#checks.schedule();
 		});
 	}
 
@@ -330,34 +328,6 @@
 		}
 	}
 
-	/** Goes on while there are jobs: looks when the first of them falls due, which may be sooner than it was. */
-	#checkLater(): void {
-		const due = this.parts.clock.now() + this.#untilDue();
-		if (this.#checks !== undefined && due >= this.#checkDue) {
-			return;
-		}
-
-		this.#checks?.dispose();
-		this.#checkDue = due;
-		this.#checks = this.parts.clock.schedule(due - this.parts.clock.now(), () => {
-			this.#checks = undefined;
-			this.#check();
-			if (this.#jobs.size > 0) {
-				this.#checkLater();
-			}
-		});
-	}
-
-	#untilDue(): number {
-		const now = this.parts.clock.now();
-		let until = longestCheckMilliseconds;
-		for (const job of this.#jobs) {
-			until = Math.min(until, job.giveUpAt - now);
-		}
-
-		return Math.max(checkMilliseconds, until);
-	}
-
 	#check(): void {
 		const now = this.parts.clock.now();
 		for (const job of this.#jobs) {
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -6,16 +6,15 @@
 import type {InstanceId} from '../../base/instance-id.js';
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
-import type {Resources} from '../../base/resources.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import {AnswerTimes} from './answer-times.js';
+import {chooseTarget} from './choose-target.js';
 import type {ExecutionReport} from './execution-report.js';
 import type {Handover} from './handover.js';
-import {isPlaceFor} from './is-place-for.js';
 import type {LossBook} from './loss-book.js';
 import type {RoomShare} from './room-share.js';
 import type {Run} from './run.js';
@@ -28,9 +27,6 @@
 /** How long a release waits for starts that are under way. */
 const pendingStartMilliseconds = 60;
 
-/** A probe may be late or fail, and all of its job with it: only narrow jobs, of which little is lost, are used for it. */
-const probeJobTasks = 2;
-
 /** A target that this entry owns, with the token for it. */
 type OwnedTarget = {readonly target: TargetRecord; readonly fence: FencingToken};
 
@@ -156,7 +152,7 @@
 
 	/** Starts a run on the fullest target that has room for it; returns the target, or nothing where none has room. */
 	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
-		const session = this.#choose(request);
+		const session = chooseTarget(this.#sessions.values(), request, {...this.parts, now: this.parts.clock.now()});
 		if (session === undefined) {
 			return undefined;
 		}
@@ -354,48 +350,4 @@
 			requester, task: request.task, attempt: request.attempt, outcome,
 		});
 	}
-
-	/**
-	 * Best fit: the target with the least room left keeps whole targets free for wide tasks. One that was lost with a target
-	 * before has as little company as can be had: if it has crashed that target, it takes little with it the next time.
-	 */
-	#choose(request: RunRequest): TargetSession | undefined {
-		let best: {readonly session: TargetSession; readonly company: number; readonly rest: number} | undefined;
-		for (const session of this.#sessions.values()) {
-			const {room} = session;
-			if (!this.#suits(session, request, room)) {
-				continue;
-			}
-
-			const company = this.#company(session, request);
-			const rest = room.cpuMillis - request.need.cpuMillis;
-			if (best === undefined || company < best.company || (company === best.company && rest < best.rest)) {
-				best = {session, company, rest};
-			}
-		}
-
-		return best?.session;
-	}
-
-	/** How many runs of other jobs would be beside a suspect's run. */
-	#company(session: TargetSession, {task}: RunRequest): number {
-		const {losses} = this.parts;
-		if (losses.isEmpty) {
-			return 0;
-		}
-
-		const others = [...session.runs].map(({request}) => request.task).filter(other => jobOfTask(other) !== jobOfTask(task));
-		return losses.conditionOf(task) === 'sound' ? others.filter(other => losses.conditionOf(other) !== 'sound').length : others.length;
-	}
-
-	#suits(session: TargetSession, request: RunRequest, room: Resources): boolean {
-		const {target} = session;
-		const isKind = target.service === request.service && isPlaceFor(request, target.labels);
-		if (!isKind || !session.isOpen || !request.need.fitsInto(room) || request.avoid.includes(target.id) || session.isFullOfJob(request)) {
-			return false;
-		}
-
-		const condition = this.parts.health.condition(target.id, this.parts.clock.now());
-		return condition === 'probe' ? request.jobTasks <= probeJobTasks : condition !== 'out';
-	}
 }
