--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -20,6 +20,7 @@
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
+import {slowdownOf} from './slowdown-of.js';
 import {TargetSession} from './target-session.js';
 
 /** A handover that nobody took is forgotten when all that it names has ended with its lease. */
@@ -167,7 +168,7 @@
 			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.room.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
 		});
 		session.start({
-			request, requester, slowdown: session.slowdownOf(request), state: 'starting', startedAt: clock.now(), confirmedAtStep: undefined, stopConfirmedAtStep: undefined, stopCause: undefined,
+			request, requester, slowdown: slowdownOf(request.place, target.labels), state: 'starting', startedAt: clock.now(), confirmedAtStep: undefined, stopConfirmedAtStep: undefined, stopCause: undefined,
 		});
 		return target.id;
 	}
--- a/src/features/execution/is-place-for.ts
+++ b/src/features/execution/is-place-for.ts
@@ -1,4 +1,5 @@
 /** Whether a target is of the kind that a task may run on. */
+import {isNear} from './is-near.js';
 import type {RunRequest} from './run-request.js';
 
 /** By the target's labels alone; room, health and what else runs there are looked at elsewhere. */
@@ -6,7 +7,3 @@
 	const isLabelled = place.label === undefined || labels.includes(place.label);
 	return isLabelled && (!isNearOnly || isNear(place, labels));
 }
-
-function isNear({nearLabel}: RunRequest['place'], labels: readonly string[]): boolean {
-	return nearLabel === undefined || labels.includes(nearLabel);
-}
--- a/src/features/execution/loss-book.ts
+++ b/src/features/execution/loss-book.ts
@@ -38,6 +38,7 @@
  */
 export class LossBook {
 	readonly #tasks = new Map<TaskId, LostTask>();
+	#lostAt = Number.NEGATIVE_INFINITY;
 	readonly #note = new Emitter<TargetLoss>();
 	readonly #bar = new Emitter<TaskId>();
 
@@ -53,8 +54,9 @@
 		return this.#bar.event;
 	}
 
+	/** Whether all tasks are sound: most of the time, and then nobody needs to ask for each. */
 	get isEmpty(): boolean {
-		return this.#tasks.size === 0;
+		return this.clock.now() - this.#lostAt > keptMilliseconds;
 	}
 
 	conditionOf(task: TaskId): TaskCondition {
@@ -126,6 +128,7 @@
 		const lost = this.#tasks.get(task) ?? {losses: [], lostAt: 0};
 		lost.losses.push(loss);
 		lost.lostAt = this.clock.now();
+		this.#lostAt = lost.lostAt;
 		// Insertion order is age.
 		this.#tasks.delete(task);
 		this.#tasks.set(task, lost);
--- a/src/features/execution/run-table.ts
+++ b/src/features/execution/run-table.ts
@@ -1,4 +1,6 @@
 /** The runs on one target. */
+import type {JobId} from '../../base/job-id.js';
+import {jobOfTask} from '../../base/job-of-task.js';
 import type {Resources} from '../../base/resources.js';
 import type {TaskId} from '../../base/task-id.js';
 import {runKeyOf} from './run-key-of.js';
@@ -47,6 +49,10 @@
 		return this.#attempts.has(task);
 	}
 
+	countOfJob(job: JobId): number {
+		return [...this.#runs.values()].filter(({request}) => jobOfTask(request.task) === job).length;
+	}
+
 	add(run: Run): void {
 		const {task} = run.request;
 		this.#runs.set(runKeyOf(run.request), run);
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -23,6 +23,7 @@
 import type {RunRequest} from './run-request.js';
 import {SessionOrders} from './session-orders.js';
 import type {SessionParts} from './session-parts.js';
+import {slowdownOf} from './slowdown-of.js';
 import {StrangerRuns} from './stranger-runs.js';
 
 /** Between renewals of a target that doesn't answer. */
@@ -127,15 +128,9 @@
 		this.#runs.resize(target.capacity);
 	}
 
-	/** So many times as long as near its data a task takes here. */
-	slowdownOf({place}: RunRequest): number {
-		return place.nearLabel === undefined || this.target.labels.includes(place.nearLabel) ? 1 : place.farFactor;
-	}
-
 	/** Whether as many tasks of its job run here as may. */
 	isFullOfJob({place, task}: RunRequest): boolean {
-		return place.mostOnTarget !== undefined
-			&& [...this.#runs].filter(run => jobOfTask(run.request.task) === jobOfTask(task)).length >= place.mostOnTarget;
+		return place.mostOnTarget !== undefined && this.#runs.countOfJob(jobOfTask(task)) >= place.mostOnTarget;
 	}
 
 	/** Takes the former owner's runs as its own; the next report shows which of them still run. */
@@ -146,7 +141,7 @@
 		this.#lease.noteRenewal(now);
 		for (const {request, requester} of handover.runs) {
 			this.#runs.add({
-				request, requester, slowdown: this.slowdownOf(request), state: 'running', startedAt: now, confirmedAtStep: this.#nextStep(), stopConfirmedAtStep: undefined, stopCause: undefined,
+				request, requester, slowdown: slowdownOf(request.place, this.target.labels), state: 'running', startedAt: now, confirmedAtStep: this.#nextStep(), stopConfirmedAtStep: undefined, stopCause: undefined,
 			});
 		}
 
