A start without an answer is looked for before it's stopped: its task goes on where it was carried out

Cause: answers of targets are lost on their way. The owner stopped what it couldn't know to have been started, and its task was begun elsewhere: work thrown away, and a short task late for certain. The new test had both of its tasks end gone and begun again before. Change: the owner looks what runs there; the run is taken as started where it's listed, and stopped where it isn't or the look has no answer either. Nothing is lent twice: its room is held all the while. The test of a start that is stopped has its answers lost until the look is over, 180 ms longer than before, and checks once more that the run goes on then; what it demands at the end is the same.

--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -236,8 +236,7 @@
 				this.#refuse(run, 'targetRefused');
 			})
 			.with({kind: 'unanswered'}, () => {
-				// The start may be carried out later: only a stop of the same attempt proves that it won't.
-				this.#beginStop(run, 'start without an answer');
+				void this.#findUnanswered(run);
 			})
 			.with({kind: 'fenced'}, {kind: 'replaced'}, failure => {
 				this.#finish(failure);
@@ -251,6 +250,26 @@
 			.exhaustive();
 	}
 
+	/**
+	 * Looks whether a start without an answer was carried out: its task goes on where it is then, and may still be in time.
+	 * If not, it may be carried out later: only a stop of the same attempt proves that it won't.
+	 */
+	async #findUnanswered(run: Run): Promise<void> {
+		const report = await this.#look();
+		if (this.#isClosed || !this.#runs.holds(run) || run.state !== 'starting') {
+			return;
+		}
+
+		if (report?.running.some(found => runKeyOf(found) === runKeyOf(run.request))) {
+			run.confirmedAtStep = this.#nextStep();
+			run.state = 'running';
+			this.parts.journal.record('runFound', {target: this.target.id, task: run.request.task, attempt: run.request.attempt});
+			return;
+		}
+
+		this.#beginStop(run, 'start without an answer');
+	}
+
 	#refuse(run: Run, cause: 'noRoom' | 'superseded' | 'targetRefused'): void {
 		this.#end(run, {kind: 'refused', cause});
 	}
@@ -287,16 +306,19 @@
 	}
 
 	/**
-	 * Asks at once whether a run that was stopped is there: if the target has never got its start, nothing else would say so
-	 * before the wait of the renewal that is under way is over, and its task would wait as long for another target.
+	 * Asks at once what runs there, and takes the report. Of a run that was stopped nothing else would say that the target has
+	 * never got its start before the wait of the renewal that is under way is over; its task would wait as long for another target.
 	 */
-	async #look(): Promise<void> {
+	async #look(): Promise<Report | undefined> {
 		const sentAtStep = this.#nextStep();
 		const reply = await this.#orders.look();
 		// Whatever else comes of it, the renewals find out themselves.
-		if (!this.#isClosed && reply.kind === 'report') {
-			this.#takeReport(reply, sentAtStep);
+		if (this.#isClosed || reply.kind !== 'report') {
+			return undefined;
 		}
+
+		this.#takeReport(reply, sentAtStep);
+		return reply;
 	}
 
 	#nextStep(): number {
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -273,6 +273,9 @@
 	formerLifeEnded: {
 		number: 727, level: 'notice', meaning: 'This entry took the place of a former life of its own out of a group', fields: ['group', 'holder'],
 	},
+	runFound: {
+		number: 728, level: 'detail', meaning: 'A start without an answer was carried out; the run goes on', fields: ['target', 'task', 'attempt'],
+	},
 	jobAccepted: {
 		number: 800,
 		level: 'detail',
--- a/test/features/execution/executor.test.ts
+++ b/test/features/execution/executor.test.ts
@@ -57,6 +57,9 @@
 	executor.start(requestOf('doubtful', '5000'), entry);
 	await passTime(clock, 100);
 	assert.deepEqual(orders.running(target.id), ['doubtful']);
+	// The look for it has no answer either.
+	await passTime(clock, 180);
+	assert.deepEqual(orders.running(target.id), ['doubtful']);
 	assert.equal(reports.length, 0);
 	orders.behaviour.set(target.id, 'answers');
 	await passTime(clock, 600);
@@ -64,6 +67,22 @@
 	assert.deepEqual(reports.map(({outcome}) => outcome.kind), ['gone']);
 });
 
+// Answers of targets are lost on their way. A task that had been started was stopped again, since nobody knew of it, and begun
+// elsewhere: a short one was late for certain, and its work thrown away.
+test('a task whose start was carried out without an answer goes on where it is', async () => {
+	const {clock, orders, executorOf, assign} = executorWorld();
+	const {executor, reports} = executorOf();
+	const target = targetNamed('target');
+	assign(executor, target, 1);
+	await passTime(clock, 20);
+	orders.behaviour.set(target.id, 'loses start answers');
+	executor.start(requestOf('lasts', '400'), entry);
+	executor.start(requestOf('short', '60'), entry);
+	await passTime(clock, 600);
+	assert.deepEqual(reports.map(({task, outcome}) => `${task} ${outcome.kind}`), ['short done', 'lasts done']);
+	assert.equal(orders.starts.length, 2);
+});
+
 // A target never gets one start in twenty-five: its task waits for the time limit, for the stop, and for a report that says
 // that nothing runs there. With 150 ms for the first and a wait of 100 ms for the last, a task of 60 ms began elsewhere after
 // 250 to 350 ms, twice its objective; a job of eight such tasks meets such a start one time in four.
--- a/test/support/model-targets.ts
+++ b/test/support/model-targets.ts
@@ -19,6 +19,12 @@
 /** A longer lease is shortened to this. */
 const longestLeaseMilliseconds = 1000;
 
+type OrderKind = 'start' | 'stop' | 'renewal';
+/** The kinds of orders that a target answers, by how it behaves; none where it's not named. */
+const answeredKinds: Readonly<Record<string, readonly OrderKind[]>> = {
+	answers: ['start', 'stop', 'renewal'], 'loses reports': ['start', 'stop'], 'loses start answers': ['stop', 'renewal'], 'loses starts': ['stop', 'renewal'],
+};
+
 type ModelRun = {readonly task: TaskId; readonly attempt: number; readonly endTimer: Disposable};
 type ModelTarget = {
 	readonly incarnation: Incarnation;
@@ -46,8 +52,8 @@
  * target. Leases lapse, fences are checked, and `behaviour` puts a target out of order.
  */
 export class ModelTargets extends TargetOrders {
-	/** What a target does: answer, be silent, carry out but not answer (any order, or renewals only), never get starts, refuse connections. */
-	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses starts' | 'refuses'>();
+	/** What a target does: answer, be silent, carry out but not answer (any order, renewals only, or starts only), never get starts, refuse connections. */
+	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses start answers' | 'loses starts' | 'refuses'>();
 	/** Targets that reject what is beyond so much processor; others start whatever they're told to. */
 	readonly guardedCpuMillis = new Map<InstanceId, number>();
 	/** So many times as long as its payload says a task takes on a target. */
@@ -167,14 +173,15 @@
 		return [...this.#modelOf(id).runs.values()].map(({task}) => task);
 	}
 
-	async #carryOut<Reply>(id: InstanceId, kind: 'start' | 'stop' | 'renewal', limitMilliseconds: number, action: () => Reply | Promise<Reply>): Promise<Reply | OrderFailure> {
+	async #carryOut<Reply>(id: InstanceId, kind: OrderKind, limitMilliseconds: number, action: () => Reply | Promise<Reply>): Promise<Reply | OrderFailure> {
 		this.calls += 1;
 		const behaviour = this.behaviour.get(id) ?? 'answers';
 		if (behaviour === 'refuses') {
 			return {kind: 'unreachable', detail: 'refused'};
 		}
 
-		const isSound = behaviour === 'answers' || (behaviour === 'loses reports' && kind !== 'renewal') || (behaviour === 'loses starts' && kind !== 'start');
+		const answered = answeredKinds[behaviour] ?? [];
+		const isSound = answered.includes(kind);
 		if (isSound) {
 			return action();
 		}
