--- /dev/null
+++ b/test/platform/catalogue-load.test.ts
@@ -0,0 +1,68 @@
+/** What the list of targets costs the store. */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {StoreCatalogue} from '../../platform/store-catalogue.js';
+import type {StoreClient} from '../../platform/store-client.js';
+import {FakeClock} from '../support/fake-clock.js';
+import {passTime} from '../support/pass-time.js';
+import {RecordingJournal} from '../support/recording-journal.js';
+
+const entries = 300;
+const targets = 3000;
+/** Each target writes so often. */
+const heartbeatMilliseconds = 1500;
+/** What all reads of the store share, by the installations' sheets. */
+const egressBytesPerSecond = 80_000_000;
+/** A record's length, and that of its key. */
+const headBytes = 5;
+const seconds = 3;
+
+/** Gives what the targets have written since an offset, and counts it. */
+class CountingStore {
+	bytes = 0;
+	readonly #startedAt: number;
+
+	constructor(private readonly clock: FakeClock) {
+		this.#startedAt = clock.now();
+	}
+
+	async newest() {
+		return {values: new Map<string, Uint8Array>(), end: 0};
+	}
+
+	async read(_topic: string, from: number) {
+		const next = Math.floor((this.clock.now() - this.#startedAt) * targets / heartbeatMilliseconds);
+		const records = Array.from({length: next - from}, (_, index) => recordOf(from + index));
+		for (const {key, value} of records) {
+			this.bytes += headBytes + key.length + value.length;
+		}
+
+		return {kind: 'records' as const, records, next};
+	}
+}
+
+function recordOf(offset: number) {
+	const id = offset % targets;
+	return {
+		key: `i-${id.toString(16).padStart(10, '0')}`,
+		value: Buffer.from(JSON.stringify({
+			service: 'flight-desk', addr: `10.1.64.${id % 250}:8524`, zone: 'z', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, born: 1_700_000_000_000, seq: Math.floor(offset / targets) + 1, capacity: {cpu: 64_000, mem_mb: 262_144, gpu: 0}, labels: ['a', 'r1-3'], clock_ms: offset,
+		})),
+	};
+}
+
+// A fleet of 300 entries and 3000 targets: every entry reads every target's heartbeats, twice what the store can give. All
+// reads wait, that of the configuration as well, which is in force after ten seconds and more.
+test('the entries of a fleet of 300 read no more of the list of targets than the store can give', async () => {
+	const clock = new FakeClock();
+	const store = new CountingStore(clock);
+	const catalogue = new StoreCatalogue({
+		store: store as unknown as StoreClient, zones: undefined, services: () => undefined, drainMilliseconds: 2000, clock, journal: new RecordingJournal(),
+	});
+	catalogue.start();
+	await passTime(clock, seconds * 1000);
+	catalogue.dispose();
+	const bytesPerSecond = store.bytes / seconds * entries;
+	assert.equal(bytesPerSecond <= egressBytesPerSecond, true, `${Math.round(bytesPerSecond / 1_000_000)} MB a second`);
+});
