Only what may have been missed is told again on a new connection

Found in reading the change. Requests of other entries are remembered for half a minute since they were begun anew after a pause; what is told again on a new connection is taken from the same table, and had grown with it from 3 s of ends to 30 s. A repeated end of an early submission could be taken for that of a later run under the same attempt. The new test had the end of five seconds before told again.

--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -18,6 +18,8 @@
  * again elsewhere. Begun anew here, their tasks would run twice at a time.
  */
 const rememberedMilliseconds = 30_000;
+/** How long after its request a run's end is told again on a new connection: the requester may have missed it. */
+const repeatedMilliseconds = 3000;
 
 type Remembered = {
 	readonly requester: MemberId;
@@ -152,8 +154,10 @@
 
 	#repeatReports(member: MemberId): void {
 		this.#forgetOld();
-		for (const {requester, report} of this.#remembered.values()) {
-			if (requester === member && report !== undefined) {
+		const now = this.clock.now();
+		for (const {requester, report, at, isEnded} of this.#remembered.values()) {
+			const mayBeMissed = !isEnded || now - at < repeatedMilliseconds;
+			if (requester === member && report !== undefined && mayBeMissed) {
 				this.pool.send(member, report);
 			}
 		}
--- a/test/entries/edge/pooled-entry-resubmission.test.ts
+++ b/test/entries/edge/pooled-entry-resubmission.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Resources} from '../../../src/base/resources.js';
+import type {Pool} from '../../../src/features/pool/pool.js';
 import {PooledWorld} from '../../support/pooled-world.js';
 import {requestOf} from '../../support/run-request-of.js';
 
@@ -117,3 +118,24 @@
 	assert.equal(world.orders.mostAtOnce, 1);
 	assert.equal(world.orders.starts.filter(({task}) => task === firstTaskOfJob.task).length, 2);
 });
+
+// An entry that finds a connection made anew tells again what its peer may have missed. Told again of all that is remembered, a
+// peer would be sent half a minute of ends each time; one of them could be taken for the end of a later submission's run.
+test('only what may have been missed is told again on a new connection', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 4);
+	await world.start();
+	const [requester, owner] = ['a-1', 'b-1'].map(name => world.entries.get(name)!.pool) as [Pool, Pool];
+	const told: string[] = [];
+	requester.onDidReceive(({message}) => {
+		if (message.kind === 'report') {
+			told.push(message.task);
+		}
+	});
+	requester.send(owner.self, {kind: 'run', request: requestOf('00000000000000cc.0.0.0', '10')});
+	await world.pass(5000);
+	requester.send(owner.self, {kind: 'run', request: requestOf('00000000000000dd.0.0.0', '10')});
+	await world.pass(100);
+	world.network.reconnect('b-1', 'a-1');
+	await world.pass(100);
+	assert.deepEqual(told, ['00000000000000cc.0.0.0', '00000000000000dd.0.0.0', '00000000000000dd.0.0.0']);
+});
--- a/test/support/model-network.ts
+++ b/test/support/model-network.ts
@@ -80,6 +80,11 @@
 		}
 	}
 
+	/** A member finds its connection to another one made anew. */
+	reconnect(name: string, other: string): void {
+		this.ends.get(`${name}#1` as MemberId)!.reconnecting.fire(this.ends.get(`${other}#1` as MemberId)!.self);
+	}
+
 	/** A member's process has ended: its port refuses connections. */
 	kill(name: string): void {
 		const id = `${name}#1` as MemberId;
