Once each: a start's confirmation, a target's answer in another life, a member's name, a stand-in's way down

Behaviour stays, but that a target which starts again is told of once in place of up to three times: its session told of the answer in the restart, and again with the report that brought it. The owner's name in its groups was put together in two places, a run's confirmation as well, the closure by which the worker's stand-in goes down in three.

--- a/src/features/execution/session-listener.ts
+++ b/src/features/execution/session-listener.ts
@@ -13,7 +13,7 @@
 	readonly onDidRestart: () => void;
 	/** These tasks are lost with the target, which has crashed or has been silent for longer than its lease. */
 	readonly onDidLose: (news: 'silent' | 'down' | 'unsure', incarnation: Incarnation | undefined, tasks: readonly TaskId[]) => void;
-	/** The target answers for the first time, or again. */
+	/** The target answers for the first time, again, or in another life. */
 	readonly onDidAnswer: (incarnation: Incarnation | undefined) => void;
 	/** Room, fitness or reachability changed. */
 	readonly onDidChange: () => void;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -221,8 +221,7 @@
 	#takeStartReply(run: Run, reply: StartReply): void {
 		match(reply)
 			.with({kind: 'started'}, () => {
-				run.confirmedAtStep = this.#nextStep();
-				run.state = run.state === 'starting' ? 'running' : run.state;
+				this.#confirm(run);
 			})
 			.with({kind: 'noRoom'}, ({kind}) => {
 				// It has shrunk, and its entry in the list isn't read yet: it would be asked for each task that waits, again and again.
@@ -261,8 +260,7 @@
 		}
 
 		if (report?.running.some(found => runKeyOf(found) === runKeyOf(run.request))) {
-			run.confirmedAtStep = this.#nextStep();
-			run.state = 'running';
+			this.#confirm(run);
 			this.parts.journal.record('runFound', {target: this.target.id, task: run.request.task, attempt: run.request.attempt});
 			return;
 		}
@@ -270,6 +268,12 @@
 		this.#beginStop(run, 'start without an answer');
 	}
 
+	/** The target has said that it started the run; one that is to be stopped meanwhile stays so. */
+	#confirm(run: Run): void {
+		run.confirmedAtStep = this.#nextStep();
+		run.state = run.state === 'starting' ? 'running' : run.state;
+	}
+
 	#refuse(run: Run, cause: 'noRoom' | 'superseded' | 'targetRefused'): void {
 		this.#end(run, {kind: 'refused', cause});
 	}
@@ -354,10 +358,11 @@
 			this.parts.journal.record('targetAnswers', {target: this.target.id, unanswered});
 		}
 
-		const isNews = !wasReachable || !this.#plan.isLooked;
+		const former = this.#reports.incarnation;
 		this.#takeRuns(report, sentAtStep, now);
-		if (isNews) {
-			this.parts.listener.onDidAnswer(this.#reports.incarnation);
+		const {incarnation} = this.#reports;
+		if (!wasReachable || !this.#plan.isLooked || incarnation !== former) {
+			this.parts.listener.onDidAnswer(incarnation);
 		}
 
 		this.#plan.isLooked = true;
@@ -395,7 +400,6 @@
 		this.#plan.restart();
 		// A run whose start is under way may be one of the new life.
 		this.#lose('down', former, [...this.#runs].filter(run => run.state !== 'starting'));
-		listener.onDidAnswer(incarnation);
 		listener.onDidRestart();
 	}
 
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -156,10 +156,10 @@
 	}
 
 	#join(zone: AvailabilityZone): void {
-		const {member, store, clock, journal} = this.parts;
+		const {store, clock, journal} = this.parts;
 		const joined = new GroupMember({
 			group: groupOf(zone),
-			member: `${memberPrefixOf(this.parts.zone)}${member}`,
+			member: this.#name,
 			store,
 			clock,
 			journal,
@@ -175,10 +175,15 @@
 		void this.#takeOver(zone, joined);
 	}
 
+	/** What this life of the entry is called in each group. */
+	get #name(): string {
+		return `${memberPrefixOf(this.parts.zone)}${this.parts.member}`;
+	}
+
 	/** What a former life of this entry held is free now, and not only after its time to live. */
 	async #takeOver(zone: AvailabilityZone, joined: GroupMember): Promise<void> {
-		const {member, store, journal} = this.parts;
-		const hadFormer = await endFormerLives({group: groupOf(zone), member: `${memberPrefixOf(this.parts.zone)}${member}`}, store, journal);
+		const {store, journal} = this.parts;
+		const hadFormer = await endFormerLives({group: groupOf(zone), member: this.#name}, store, journal);
 		if (hadFormer) {
 			joined.renew();
 		}
--- a/standins/worker/worker-host.ts
+++ b/standins/worker/worker-host.ts
@@ -36,10 +36,7 @@
 	/** Adds a worker and returns its port. It registers itself once it's told its address, which may be a relay's. */
 	async add(zone: string): Promise<number> {
 		const place: Place = {
-			service: this.#newLife(`i-${this.#places.length}-1`, () => {
-				this.#goDown(place);
-			}),
-			life: 1, sequence: 0, state: 'ready', address: undefined, zone,
+			service: this.#newLife(`i-${this.#places.length}-1`), life: 1, sequence: 0, state: 'ready', address: undefined, zone,
 		};
 		this.#places.push(place);
 		return new Promise(resolve => {
@@ -76,18 +73,21 @@
 		clearInterval(this.#timer);
 	}
 
-	#newLife(id: string, onFatal: () => void): WorkerService {
-		return new WorkerService(id, cpuCapacity, cpuOfTask, event => {
+	#newLife(id: string): WorkerService {
+		const life: WorkerService = new WorkerService(id, cpuCapacity, cpuOfTask, event => {
 			this.events.push(event);
-		}, onFatal);
+		}, () => {
+			this.#goDown(life);
+		});
+		return life;
 	}
 
 	/** A task has crashed the worker: nothing answers there until it starts again under its id. */
-	#goDown(place: Place): void {
-		const {service} = place;
-		service.crash();
+	#goDown(life: WorkerService): void {
+		life.crash();
 		setTimeout(() => {
-			if (place.service === service) {
+			const place = this.#places.find(({service}) => service === life);
+			if (place !== undefined) {
 				this.#restart(place);
 			}
 		}, downMilliseconds);
@@ -96,9 +96,7 @@
 	/** A new life under the same id, which knows nothing of before and counts anew. */
 	#restart(place: Place): void {
 		place.service.crash();
-		place.service = this.#newLife(place.service.id, () => {
-			this.#goDown(place);
-		});
+		place.service = this.#newLife(place.service.id);
 		place.sequence = 0;
 		place.state = 'ready';
 		void this.#register(place);
@@ -110,9 +108,7 @@
 		const former = place.service;
 		former.crash();
 		place.life += 1;
-		place.service = this.#newLife(`i-${index}-${place.life}`, () => {
-			this.#goDown(place);
-		});
+		place.service = this.#newLife(`i-${index}-${place.life}`);
 		place.sequence = 0;
 		place.state = 'ready';
 		void this.#register(place);
