Failing test: a request repeated after its owner has forgotten it

What callers see: a task runs twice at the same time. An entry stands still for 40 s, its caller has submitted elsewhere; as it goes on it repeats its request on a connection made anew, and its owner, which remembers requests for 30 s, begins the task beside the present run.

--- a/test/entries/edge/pooled-entry-resubmission.test.ts
+++ b/test/entries/edge/pooled-entry-resubmission.test.ts
@@ -119,6 +119,26 @@
 	assert.equal(world.orders.starts.filter(({task}) => task === firstTaskOfJob.task).length, 2);
 });
 
+// Guards against a request that an entry repeats after standing still for longer than its owner remembers requests.
+test('a request that is repeated after its owner has forgotten it starts nothing', async () => {
+	const world = new PooledWorld(['a-1', 'b-1', 'c-1'], 4);
+	await world.start();
+	const poolOf = (name: string) => world.entries.get(name)!.pool;
+	const owner = poolOf('b-1').self;
+	poolOf('a-1').send(owner, {kind: 'run', request: firstTaskOfJob});
+	await world.pass(20);
+	world.network.isolate('a-1', true);
+	await world.pass(1400);
+	world.submit('c-1', '00000000000000aa', {payload: '60000', declared: 60_000, patience: 90_000});
+	await world.pass(40_000);
+	world.network.isolate('a-1', false);
+	poolOf('c-1').send(owner, {kind: 'run', request: requestOf('00000000000000bb.0.0.0', '10')});
+	poolOf('a-1').send(owner, {kind: 'run', request: firstTaskOfJob});
+	await world.pass(100);
+	assert.equal(world.orders.mostAtOnce, 1);
+	assert.equal(world.orders.starts.filter(({task}) => task === firstTaskOfJob.task).length, 2);
+});
+
 // An entry that finds a connection made anew tells again what its peer may have missed. Told again of all that is remembered, a
 // peer would be sent half a minute of ends each time; one of them could be taken for the end of a later submission's run.
 test('only what may have been missed is told again on a new connection', async () => {
