Requests are ordered by epochs; an entry that was out of touch gives up what it held

What callers saw: a task ran twice at the same time. An entry stood still for 7 s; as it went on it repeated a request that its owner had stopped and forgotten, read that the run had been stopped, and asked another owner for the next attempt, while its caller may have submitted elsewhere.

Cause: nothing told the owner that a request was from before it had taken its sender as lost, and nothing told the sender that it had been lost. What held was the length of time for which requests are remembered.

Each entry now counts, for every other one, how often it has taken it as lost, and for itself how often it was out of touch (its epoch). A frame states the sender's epoch and the receiver's as it was heard; a request of another epoch than the present one is refused as outdated, and its job ends in doubt. An entry that hears that it was lost and hadn't noticed, whose steady clock shows a standstill, or whose targets' clocks have gone on without it (a suspended machine, whose own clock counts nothing) gives up its jobs and its runs for others before it acts on anything else. A run is remembered from its end on.

Two tests build an outbox and read frames in the new form; what they check is unchanged.

--- a/src/entries/command/explain-story.ts
+++ b/src/entries/command/explain-story.ts
@@ -22,7 +22,7 @@
 	'targetRestarted',
 ]);
 /** Events that concern all requests of the process that wrote them. */
-const everywhere = new Set(['edgeStarted', 'edgeStopping', 'edgeStopped', 'processPaused', 'storeAway', 'storeBack', 'errorUnhandled', 'linesDropped', 'routingChanged', 'zoneEvacuated']);
+const everywhere = new Set(['edgeStarted', 'edgeStopping', 'edgeStopped', 'processPaused', 'touchLost', 'storeAway', 'storeBack', 'errorUnhandled', 'linesDropped', 'routingChanged', 'zoneEvacuated']);
 
 /**
  * Lines that name the id, and near them those that tell of the targets and entries that took part; in the order of time.
--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -17,7 +17,6 @@
 import type {Journal} from '../../runtime/journal/journal.js';
 import {StatusServer} from '../../runtime/metrics/status-server.js';
 import type {TextMetrics} from '../../runtime/metrics/text-metrics.js';
-import {PauseWatch} from '../../runtime/pause-watch.js';
 import {TcpPeerNetwork} from '../../runtime/peers/tcp-peer-network.js';
 import {TcpTransport} from '../../runtime/peers/tcp-transport.js';
 import {version} from '../version.js';
@@ -100,7 +99,7 @@
 			journal,
 		}));
 		this.#storePatience = own.add(new StorePatience(store, this.#entry.patience, clock));
-		const pauses = own.add(new PauseWatch(clock));
+		const {pauses} = this.#entry;
 		this.#front = own.add(new JobFront({
 			dispatcher: this.#entry.dispatcher, routing: this.#routing, pauses, farFactor: settings.farFactor, journal,
 		}));
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -24,6 +24,7 @@
 import type {TargetOrders} from '../../features/targets/target-orders.js';
 import type {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import {PauseWatch} from '../../runtime/pause-watch.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 
 /** How long the pool may take to form before a zone without an entry is taken as such. */
@@ -54,6 +55,7 @@
 	readonly pool: Pool;
 	readonly dispatcher: Dispatcher;
 	readonly patience = new PatienceBook();
+	readonly pauses: PauseWatch;
 	readonly #store = new DisposableStore();
 	readonly #losses: LossBook;
 	#isLeaving = false;
@@ -62,6 +64,11 @@
 		const {zone, member, leaseMilliseconds, network, group, catalogue, evacuations, orders, clock, journal} = parts;
 		const own = this.#store;
 		this.#losses = new LossBook(clock, journal);
+		this.pauses = own.add(new PauseWatch(clock));
+		// Ahead of the pool's own listener: what is read after a pause must find it noticed.
+		own.add(network.onDidReceive(() => {
+			this.pauses.look();
+		}));
 		this.executor = own.add(new Executor({
 			leaseMilliseconds, orders, health: new TargetHealth(journal), losses: this.#losses, clock, journal,
 		}));
@@ -85,6 +92,7 @@
 			runTimes: new MeanRunTimes(),
 			patience: this.patience,
 			losses: this.#losses,
+			pauses: this.pauses,
 			random: new Random(hashText(member)),
 			clock,
 			journal,
@@ -118,6 +126,12 @@
 	#connect(): void {
 		const {routing} = this.parts;
 		const own = this.#store;
+		own.add(this.executor.onDidCompareClocks(uncounted => {
+			this.pauses.noteUncounted(uncounted);
+		}));
+		own.add(this.pauses.onDidStandStill(milliseconds => {
+			this.pool.notePause(milliseconds);
+		}));
 		own.add(this.executor.onDidChangeRoom(() => {
 			this.pool.tellRoom();
 		}));
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -11,6 +11,7 @@
 import type {TaskId} from '../../base/task-id.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import type {PauseWatch} from '../../runtime/pause-watch.js';
 import type {Handover} from '../execution/handover.js';
 import type {Executor} from '../execution/executor.js';
 import type {LossBook} from '../execution/loss-book.js';
@@ -43,6 +44,7 @@
 	readonly runTimes: MeanRunTimes;
 	readonly patience: PatienceBook;
 	readonly losses: LossBook;
+	readonly pauses: PauseWatch;
 	readonly random: Random;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -76,6 +78,9 @@
 				onDidSettle: (job, answer) => {
 					this.#end(job, {kind: 'answered', answer});
 				},
+				onDidOutdate: job => {
+					this.#end(job, doubt('executorLost', 'an owner has lost this entry'));
+				},
 				onDidFree: () => {
 					this.#pumpSoon();
 				},
@@ -103,6 +108,10 @@
 		this.#store.add(pool.onDidLose(member => {
 			this.#loseOwner(member);
 		}));
+		this.#store.add(pool.onDidLoseTouch(cause => {
+			parts.journal.record('touchLost', {cause, jobs: this.#jobs.size});
+			this.#giveUpAll('notReady', `the entry was out of touch: ${cause}`);
+		}));
 		this.#store.add(parts.losses.onDidBar(task => {
 			const found = this.#jobs.named(task);
 			if (found !== undefined) {
@@ -170,9 +179,7 @@
 
 	/** Answers every job as it stands; the process is about to end. */
 	giveUp(): void {
-		for (const job of this.#jobs) {
-			this.#end(job, job.mayHaveRun ? doubt('stopped', 'the entry ends') : {kind: 'notRun', cause: 'draining', detail: 'the entry ends'});
-		}
+		this.#giveUpAll('draining', 'the entry ends');
 	}
 
 	dispose(): void {
@@ -181,6 +188,7 @@
 
 	/** Places what can be placed now, in order. */
 	#pump(): void {
+		this.parts.pauses.look();
 		const isWaiting = !this.#placer.placeAll(this.#jobs);
 		if (isWaiting && !this.#isWaiting) {
 			// The others tell of their room at once while they know that somebody waits.
@@ -204,6 +212,12 @@
 		});
 	}
 
+	#giveUpAll(cause: 'draining' | 'notReady', detail: string): void {
+		for (const job of this.#jobs) {
+			this.#end(job, job.mayHaveRun ? doubt('stopped', detail) : {kind: 'notRun', cause, detail});
+		}
+	}
+
 	#receive(from: MemberId, message: PoolMessage): void {
 		if (message.kind === 'report') {
 			this.#results.take(message.task, message.attempt, message.outcome);
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -28,6 +28,8 @@
 		readonly onDidSettle: (job: RunningJob, answer: 'complete' | 'failed') => void;
 		/** A task's run is gone, perhaps with its target. */
 		readonly onDidLose: (job: RunningJob, slot: TaskSlot) => void;
+		/** A task's owner has lost this entry since it was asked. */
+		readonly onDidOutdate: (job: RunningJob) => void;
 		/** A task waits again. */
 		readonly onDidFree: () => void;
 		/** A run goes on that nobody here waits for. */
@@ -136,6 +138,11 @@
 	}
 
 	#takeRefusal(job: RunningJob, slot: TaskSlot, cause: Extract<RunOutcome, {kind: 'refused'}>['cause']): void {
+		if (cause === 'outdated') {
+			this.parts.listener.onDidOutdate(job);
+			return;
+		}
+
 		if (cause === 'superseded') {
 			// An earlier submission of the job ran there: this one can't be told as not run.
 			slot.attempt += attemptStep;
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -8,6 +8,7 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import type {UncountedTime} from '../../runtime/uncounted-time.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
@@ -50,6 +51,7 @@
 	readonly #report = new Emitter<ExecutionReport>();
 	readonly #adopt = new Emitter<{readonly requester: MemberId; readonly request: RunRequest}>();
 	readonly #change = new Emitter<void>();
+	readonly #compareClocks = new Emitter<UncountedTime>();
 
 	readonly #answerTimes = new AnswerTimes();
 
@@ -70,6 +72,11 @@
 		return this.#change.event;
 	}
 
+	/** Fires with each report of a target; a suspended machine learns from it that it stood still. */
+	get onDidCompareClocks() {
+		return this.#compareClocks.event;
+	}
+
 	get ownedTargets(): number {
 		return this.#sessions.size;
 	}
@@ -251,6 +258,9 @@
 				onDidRestart: () => {
 					this.parts.health.forget(id);
 				},
+				onDidCompareClocks: uncounted => {
+					this.#compareClocks.fire(uncounted);
+				},
 				onDidChange: () => {
 					this.#change.fire();
 				},
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -1,5 +1,6 @@
 /** The lease of everything that runs on one target. */
 import type {TargetTime} from '../../base/target-time.js';
+import type {UncountedTime} from '../../runtime/uncounted-time.js';
 
 /** A target's steady clock may be this much slower than ours, by the platform's own statement. */
 const clockDrift = 0.02;
@@ -18,6 +19,20 @@
 
 	constructor(private readonly leaseMilliseconds: number) {}
 
+	/** By how much the target's clock has gone on more than ours since it was read last; it shows a suspension that ours doesn't count. */
+	uncounted(clock: TargetTime, receivedAt: number): UncountedTime | undefined {
+		if (this.#clock === undefined) {
+			return undefined;
+		}
+
+		return {milliseconds: clock - this.#clock - (receivedAt - this.#clockReadAt), since: this.#clockReadAt};
+	}
+
+	/** The target started again, with another clock. */
+	restart(): void {
+		this.#clock = undefined;
+	}
+
 	/** Takes the clock of an answer that was received at a monotonic time. */
 	read(clock: TargetTime, receivedAt: number): void {
 		this.#clock = clock;
--- a/src/features/execution/session-listener.ts
+++ b/src/features/execution/session-listener.ts
@@ -1,6 +1,7 @@
 /** What a target's session tells its owner. */
 import type {Incarnation} from '../../base/incarnation.js';
 import type {TaskId} from '../../base/task-id.js';
+import type {UncountedTime} from '../../runtime/uncounted-time.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 
@@ -15,6 +16,8 @@
 	readonly onDidLose: (news: 'silent' | 'down' | 'unsure', incarnation: Incarnation | undefined, tasks: readonly TaskId[]) => void;
 	/** The target answers for the first time, again, or in another life. */
 	readonly onDidAnswer: (incarnation: Incarnation | undefined) => void;
+	/** The target's clock has gone on by so much more than this entry's. */
+	readonly onDidCompareClocks: (uncounted: UncountedTime) => void;
 	/** Room, fitness or reachability changed. */
 	readonly onDidChange: () => void;
 	/** The session can't go on: another owner has the target, or its life is over. All its runs have got an outcome. */
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -377,6 +377,7 @@
 			this.#noteRestart(report, former);
 		}
 
+		this.#compareClocks(report, now, age);
 		this.#takeEnds(report, now);
 		if (age === 'former') {
 			return;
@@ -391,6 +392,14 @@
 		}
 	}
 
+	/** A late answer of a former life, or one that was overtaken, says nothing of the time since the last one. */
+	#compareClocks({clock}: Report, now: number, age: ReturnType<ReportOrder['take']>): void {
+		const uncounted = age === 'newest' ? this.#lease.uncounted(clock, now) : undefined;
+		if (uncounted !== undefined) {
+			this.parts.listener.onDidCompareClocks(uncounted);
+		}
+	}
+
 	/** What is numbered or judged by life begins anew; what ran there is missing from the report that follows. */
 	#noteRestart({incarnation}: Report, former: Incarnation | undefined): void {
 		const {journal, listener} = this.parts;
@@ -398,6 +407,7 @@
 			target: this.target.id, incarnation, former, acknowledged: this.#plan.acknowledged, runs: this.#runs.size,
 		});
 		this.#plan.restart();
+		this.#lease.restart();
 		// A run whose start is under way may be one of the new life.
 		this.#lose('down', former, [...this.#runs].filter(run => run.state !== 'starting'));
 		listener.onDidRestart();
--- /dev/null
+++ b/src/features/pool/decode-frame.ts
@@ -0,0 +1,15 @@
+/** Reads frames of the pool. */
+import {decodeMessages} from './decode-messages.js';
+import {EncodedValues} from './encoded-values.js';
+import type {Epoch} from './epoch.js';
+import type {PoolFrame} from './pool-frame.js';
+
+/** A frame; throws a `TypeError` that says what can't be read. */
+export function decodeFrame(body: unknown): PoolFrame {
+	const values = new EncodedValues(Array.isArray(body) ? body : []);
+	return {epoch: decodeEpoch(values), heardEpoch: decodeEpoch(values), messages: decodeMessages(values.list())};
+}
+
+function decodeEpoch(values: EncodedValues): Epoch {
+	return {losses: values.number(), pauses: values.number()};
+}
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -19,7 +19,7 @@
 import type {PoolMessage} from './pool-message.js';
 
 const lossNews = ['silent', 'down', 'unsure', 'back'] as const;
-const refusals = ['noRoom', 'superseded', 'targetRefused'] as const;
+const refusals = ['noRoom', 'superseded', 'targetRefused', 'outdated'] as const;
 
 /** Comes seldom and decides for all jobs from then on: checked by schema. */
 const configurationSchema = z.object({
--- /dev/null
+++ b/src/features/pool/epochs.ts
@@ -0,0 +1,63 @@
+/** The epochs between this entry and each other one, both ways. */
+import type {MemberId} from '../../base/member-id.js';
+import type {Epoch} from './epoch.js';
+
+const first: Epoch = {losses: 0, pauses: 0};
+
+/** What a frame states: its sender's epoch for the receiver, and the receiver's for the sender as it was last heard. */
+type StatedEpochs = {readonly epoch: Epoch; readonly heardEpoch: Epoch};
+
+/**
+ * Orders what entries ask of each other by their losses and pauses, which holds for however long an entry stood still and
+ * whatever its clocks made of that.
+ */
+export class Epochs {
+	readonly #losses = new Map<MemberId, number>();
+	readonly #heard = new Map<MemberId, Epoch>();
+	/** Entries that were lost here and not heard since. */
+	readonly #lost = new Set<MemberId>();
+	#pauses = 0;
+
+	/** This entry's epoch for another one. */
+	own(member: MemberId): Epoch {
+		return {losses: this.#losses.get(member) ?? 0, pauses: this.#pauses};
+	}
+
+	/** Another entry's epoch for this one, as it was last heard. */
+	heard(member: MemberId): Epoch {
+		return this.#heard.get(member) ?? first;
+	}
+
+	/** This entry has taken another one as lost. */
+	noteLoss(member: MemberId): void {
+		this.#losses.set(member, this.own(member).losses + 1);
+		this.#lost.add(member);
+	}
+
+	/** This entry was out of touch with the others. */
+	notePause(): void {
+		this.#pauses += 1;
+	}
+
+	/** Whether what a member asks for was sent in this entry's present epoch. */
+	isCurrent(member: MemberId, {heardEpoch}: StatedEpochs): boolean {
+		const own = this.own(member);
+		return heardEpoch.losses === own.losses && heardEpoch.pauses === own.pauses;
+	}
+
+	/**
+	 * Takes what a member states; true where it has taken this entry as lost, and this entry hasn't noticed. Where it was lost
+	 * here as well, the silence went both ways. A member that hasn't heard of this entry's latest pause states the loss that
+	 * this entry has dealt with then.
+	 */
+	hear(member: MemberId, {epoch, heardEpoch}: StatedEpochs): boolean {
+		const known = this.#heard.get(member);
+		const isMutual = this.#lost.delete(member);
+		// Frames on a former connection may be read after those on the present one.
+		if (known === undefined || epoch.losses > known.losses || epoch.pauses > known.pauses) {
+			this.#heard.set(member, {losses: Math.max(epoch.losses, known?.losses ?? 0), pauses: Math.max(epoch.pauses, known?.pauses ?? 0)});
+		}
+
+		return known !== undefined && epoch.losses > known.losses && !isMutual && heardEpoch.pauses === this.#pauses;
+	}
+}
--- a/src/features/pool/outbox.ts
+++ b/src/features/pool/outbox.ts
@@ -3,10 +3,20 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {Member} from '../../runtime/peers/member.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
-import {encodeMessages} from './encode-messages.js';
+import {encodeFrame} from './encode-frame.js';
+import type {Epoch} from './epoch.js';
+import type {Epochs} from './epochs.js';
 import type {PoolMessage} from './pool-message.js';
 
-type Batch = {readonly member: Member; messages: PoolMessage[]};
+type Batch = {readonly member: Member; readonly heardEpoch: Epoch; messages: PoolMessage[]};
+
+/** What an outbox works with. */
+type OutboxParts = {
+	readonly network: PeerNetwork;
+	readonly channel: string;
+	readonly epochs: Epochs;
+	readonly clock: Clock;
+};
 
 /**
  * Sends all messages for one entry that come up while one event is handled in one frame, in their order. The tasks of a wide
@@ -16,17 +26,16 @@
 export class Outbox {
 	readonly #batches = new Map<MemberId, Batch>();
 
-	constructor(private readonly network: PeerNetwork, private readonly channel: string, private readonly clock: Clock) {}
+	constructor(private readonly parts: OutboxParts) {}
 
 	put(member: Member, message: PoolMessage): void {
 		if (this.#batches.size === 0) {
-			this.clock.defer(() => {
+			this.parts.clock.defer(() => {
 				this.#flush();
 			});
 		}
 
-		const batch = this.#batches.get(member.id) ?? {member, messages: []};
-		this.#batches.set(member.id, batch);
+		const batch = this.#batchFor(member);
 		if (message.kind === 'state') {
 			batch.messages = batch.messages.filter(({kind}) => kind !== 'state');
 		}
@@ -34,11 +43,33 @@
 		batch.messages.push(message);
 	}
 
+	/** A request keeps the epoch in which it was put here: what has waited from before a change leaves first, in a frame of its own. */
+	#batchFor(member: Member): Batch {
+		const heardEpoch = this.parts.epochs.heard(member.id);
+		const known = this.#batches.get(member.id);
+		if (known?.heardEpoch === heardEpoch) {
+			return known;
+		}
+
+		if (known !== undefined) {
+			this.#send(known);
+		}
+
+		const batch = {member, heardEpoch, messages: []};
+		this.#batches.set(member.id, batch);
+		return batch;
+	}
+
 	#flush(): void {
 		const batches = [...this.#batches.values()];
 		this.#batches.clear();
-		for (const {member, messages} of batches) {
-			this.network.send(member, {channel: this.channel, body: encodeMessages(messages)});
+		for (const batch of batches) {
+			this.#send(batch);
 		}
 	}
+
+	#send({member, heardEpoch, messages}: Batch): void {
+		const {network, channel, epochs} = this.parts;
+		network.send(member, {channel, body: encodeFrame({epoch: epochs.own(member.id), heardEpoch, messages})});
+	}
 }
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -5,18 +5,23 @@
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
 import type {Member} from '../../runtime/peers/member.js';
-import {decodeMessages} from './decode-messages.js';
+import {decodeFrame} from './decode-frame.js';
 import type {EntryState} from './entry-state.js';
+import {Epochs} from './epochs.js';
 import {heartbeats} from './heartbeats.js';
 import type {KnownEntry} from './known-entry.js';
 import {Introductions} from './introductions.js';
 import {Outbox} from './outbox.js';
 import {PoolLinks} from './pool-links.js';
+import type {PoolFrame} from './pool-frame.js';
 import type {PoolMember} from './pool-member.js';
 import type {PoolMessage} from './pool-message.js';
 import type {PoolParts} from './pool-parts.js';
 import {StateTeller} from './state-teller.js';
 
+/** `isCurrent` is unset for what was sent in a former epoch: its sender was lost here since, or this entry stood still. */
+type ReceivedPoolMessage = {readonly from: Member; readonly message: PoolMessage; readonly isCurrent: boolean};
+
 const channel = 'pool';
 /** How often it's looked which heartbeats are due, and who was silent for too long. */
 const lookMilliseconds = 100;
@@ -28,8 +33,10 @@
 	readonly #met = new Map<MemberId, Member>();
 	readonly #introductions = new Introductions();
 	readonly #store = new DisposableStore();
-	readonly #message = new Emitter<{readonly from: Member; readonly message: PoolMessage}>();
+	readonly #epochs = new Epochs();
+	readonly #message = new Emitter<ReceivedPoolMessage>();
 	readonly #lose = new Emitter<MemberId>();
+	readonly #loseTouch = new Emitter<string>();
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
 	readonly #outbox: Outbox;
@@ -39,7 +46,9 @@
 	constructor(private readonly parts: PoolParts) {
 		const {network, ownState, peersInUse, clock} = parts;
 		const members = () => this.#members.values();
-		this.#outbox = new Outbox(network, channel, clock);
+		this.#outbox = new Outbox({
+			network, channel, epochs: this.#epochs, clock,
+		});
 		this.#teller = this.#store.add(new StateTeller({
 			members, ownState, outbox: this.#outbox, clock,
 		}));
@@ -73,11 +82,16 @@
 		return this.#message.event;
 	}
 
-	/** Fires once an entry is gone or was silent for too long. */
+	/** Fires once an entry is gone or was silent for too long, or has to be taken as such since this one was out of touch itself. */
 	get onDidLose() {
 		return this.#lose.event;
 	}
 
+	/** Fires with the cause when the others have taken this entry as lost, or should have: what it held may go on elsewhere. */
+	get onDidLoseTouch() {
+		return this.#loseTouch.event;
+	}
+
 	/** Fires when a connection was made anew: messages on the former one may be lost. */
 	get onDidReconnect() {
 		return this.#reconnect.event;
@@ -152,6 +166,19 @@
 		}
 	}
 
+	/**
+	 * This entry stood still. What others had asked it for before has to be asked for again: they have begun it elsewhere, or may
+	 * have been lost meanwhile.
+	 */
+	notePause(milliseconds: number): void {
+		this.#epochs.notePause();
+		for (const id of this.#members.keys()) {
+			this.#lose.fire(id);
+		}
+
+		this.#loseTouch.fire(`stood still for ${Math.round(milliseconds)} ms`);
+	}
+
 	/** Tells all entries of a change, soon. */
 	tellChange(): void {
 		this.#teller.tellAll();
@@ -194,8 +221,8 @@
 	}
 
 	#receive(from: Member, body: unknown): void {
-		const messages = this.#read(from, body);
-		if (messages.length === 0) {
+		const frame = this.#read(from, body);
+		if (frame === undefined) {
 			return;
 		}
 
@@ -204,21 +231,28 @@
 		}
 
 		this.#members.get(from.id)!.heardAt = this.parts.clock.now();
-		for (const message of messages) {
-			this.#take(from, message);
+		// Before the messages: one of them may tell of runs that were stopped with the loss, which this entry would begin again.
+		if (this.#epochs.hear(from.id, frame)) {
+			this.#epochs.notePause();
+			this.#loseTouch.fire(`taken as lost by ${from.id}`);
+		}
+
+		const isCurrent = this.#epochs.isCurrent(from.id, frame);
+		for (const message of frame.messages) {
+			this.#take(from, message, isCurrent);
 		}
 	}
 
-	#read(from: Member, body: unknown): readonly PoolMessage[] {
+	#read(from: Member, body: unknown): PoolFrame | undefined {
 		try {
-			return decodeMessages(body);
+			return decodeFrame(body);
 		} catch (error) {
 			this.parts.journal.record('poolMessageUnreadable', {member: from.id, detail: (error as Error).message});
-			return [];
+			return undefined;
 		}
 	}
 
-	#take(from: Member, message: PoolMessage): void {
+	#take(from: Member, message: PoolMessage, isCurrent: boolean): void {
 		if (message.kind === 'entries') {
 			this.meet(message.entries);
 			return;
@@ -241,7 +275,7 @@
 			this.#takeLoss(message.member);
 		}
 
-		this.#message.fire({from, message});
+		this.#message.fire({from, message, isCurrent});
 	}
 
 	/** The member is gone where a listener of an earlier message of the batch has found it so. */
@@ -292,6 +326,7 @@
 
 	#drop(id: MemberId, cause: string): void {
 		if (this.#members.delete(id)) {
+			this.#epochs.noteLoss(id);
 			this.#links.noteLoss();
 			this.parts.journal.record('poolMemberLost', {member: id, cause});
 			this.#lose.fire(id);
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -13,22 +13,21 @@
 import type {PoolMessage} from './pool-message.js';
 
 /**
- * How long a request is remembered: as long as its sender may send it again. After a lost connection that's within a second; an
- * entry that stood still repeats what it had asked for as it goes on, when its callers have long submitted their jobs
- * again elsewhere. Begun anew here, their tasks would run twice at a time.
+ * How long after its end a run is remembered: its requester repeats the request on a new connection if it has missed the end.
+ * A requester that was silent for longer than it takes to be lost is refused by its epoch.
  */
 const rememberedMilliseconds = 30_000;
-/** How long after its request a run's end is told again on a new connection: the requester may have missed it. */
+/** How long after it a run's end is told again on a new connection: the requester may have missed it. */
 const repeatedMilliseconds = 3000;
 
 type Remembered = {
 	readonly requester: MemberId;
 	/** Another entry asked for the same run: its caller submitted again there. It's told when this one has ended. */
 	successor: MemberId | undefined;
-	readonly at: number;
+	readonly requestedAt: number;
 	/** What its requester has to know: that it was adopted, then how it ended. */
 	report: PoolMessage | undefined;
-	isEnded: boolean;
+	endedAt: number | undefined;
 };
 
 /**
@@ -40,8 +39,12 @@
 	readonly #remembered = new Map<string, Remembered>();
 
 	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock, private readonly journal: Journal) {
-		this.#store.add(pool.onDidReceive(({from, message}) => {
-			this.#receive(from.id, message);
+		this.#store.add(pool.onDidReceive(({from, message, isCurrent}) => {
+			if (message.kind === 'run' && !isCurrent) {
+				this.#refuseOutdated(from.id, message.request);
+			} else {
+				this.#receive(from.id, message);
+			}
 		}));
 		this.#store.add(executor.onDidReport(report => {
 			this.#report(report);
@@ -55,7 +58,7 @@
 
 			const adopted: PoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
 			this.#remembered.set(runKeyOf(request), {
-				requester, successor: undefined, at: clock.now(), report: adopted, isEnded: false,
+				requester, successor: undefined, requestedAt: clock.now(), report: adopted, endedAt: undefined,
 			});
 			pool.send(requester, adopted);
 		}));
@@ -98,7 +101,7 @@
 
 		this.#forgetOld();
 		this.#remembered.set(key, {
-			requester: from, successor: undefined, at: this.clock.now(), report: undefined, isEnded: false,
+			requester: from, successor: undefined, requestedAt: this.clock.now(), report: undefined, endedAt: undefined,
 		});
 		if (this.executor.start(request, from) === undefined) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
@@ -111,6 +114,14 @@
 		}
 	}
 
+	/** Its job was stopped here when the epoch changed; its callers may have submitted elsewhere since. */
+	#refuseOutdated(from: MemberId, {task, attempt}: RunRequest): void {
+		this.journal.record('requestOutdated', {task, attempt, requester: from});
+		this.pool.send(from, {
+			kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'outdated'},
+		});
+	}
+
 	/**
 	 * A request that was seen before: sent again after a lost connection, or by another entry, to which the caller of a lost
 	 * one has submitted again. The latter has to wait for the former run's end, and take a higher attempt then.
@@ -118,7 +129,7 @@
 	#repeat(from: MemberId, request: RunRequest, known: Remembered): void {
 		if (known.requester !== from) {
 			known.successor = from;
-			if (known.isEnded) {
+			if (known.endedAt !== undefined) {
 				this.#tellSuccessor(known, request.task, request.attempt);
 			}
 		} else if (known.report !== undefined) {
@@ -145,7 +156,7 @@
 		const known = this.#remembered.get(runKeyOf({task, attempt}));
 		if (known !== undefined) {
 			known.report = report;
-			known.isEnded = true;
+			known.endedAt ??= this.clock.now();
 			this.#tellSuccessor(known, task, attempt);
 		}
 
@@ -155,8 +166,8 @@
 	#repeatReports(member: MemberId): void {
 		this.#forgetOld();
 		const now = this.clock.now();
-		for (const {requester, report, at, isEnded} of this.#remembered.values()) {
-			const mayBeMissed = !isEnded || now - at < repeatedMilliseconds;
+		for (const {requester, report, endedAt} of this.#remembered.values()) {
+			const mayBeMissed = endedAt === undefined || now - endedAt < repeatedMilliseconds;
 			if (requester === member && report !== undefined && mayBeMissed) {
 				this.pool.send(member, report);
 			}
@@ -166,12 +177,13 @@
 	/** Insertion order is age. */
 	#forgetOld(): void {
 		const now = this.clock.now();
-		for (const [key, {at, isEnded}] of this.#remembered) {
-			if (now - at < rememberedMilliseconds) {
+		for (const [key, {requestedAt, endedAt}] of this.#remembered) {
+			if (now - requestedAt < rememberedMilliseconds) {
 				return;
 			}
 
-			if (isEnded || now - at > 10 * rememberedMilliseconds) {
+			const isForgotten = endedAt !== undefined && now - endedAt >= rememberedMilliseconds;
+			if (isForgotten || now - requestedAt > 10 * rememberedMilliseconds) {
 				this.#remembered.delete(key);
 			}
 		}
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -204,6 +204,9 @@
 	poolMessageUnreadable: {
 		number: 332, level: 'warning', meaning: 'A message of another entry can\'t be read and has no effect', fields: ['member', 'detail'],
 	},
+	touchLost: {
+		number: 333, level: 'warning', meaning: 'This entry was out of touch with the others, and gives up the jobs that it held', fields: ['cause', 'jobs'],
+	},
 	claimChanged: {
 		number: 700, level: 'notice', meaning: 'The group gave this entry other partitions', fields: ['group', 'generation', 'partitions', 'lost'],
 	},
@@ -267,6 +270,9 @@
 	runRefused: {
 		number: 725, level: 'detail', meaning: 'Another entry asked for a run, and no target here has room for it', fields: ['task', 'attempt', 'requester'],
 	},
+	requestOutdated: {
+		number: 729, level: 'detail', meaning: 'Another entry asked for a run in a former epoch: it was lost here since, or this entry stood still', fields: ['task', 'attempt', 'requester'],
+	},
 	taskBarred: {
 		number: 726, level: 'warning', meaning: 'A task was lost with several targets: it\'s started no more, or not before it\'s known what became of them', fields: ['task', 'condition', 'targets'],
 	},
--- a/src/runtime/pause-watch.ts
+++ b/src/runtime/pause-watch.ts
@@ -4,8 +4,11 @@
 import {Emitter} from '../base/emitter.js';
 import {repeat} from '../base/repeat.js';
 import {wait} from '../base/wait.js';
+import type {UncountedTime} from './uncounted-time.js';
 
 const checkMilliseconds = 100;
+/** Callers submit elsewhere no sooner after a loss. */
+const lossMilliseconds = 1200;
 /** Above what a busy event loop or a slow machine delays a timer by, below the time after which others take an entry as lost. */
 const pauseMilliseconds = 500;
 
@@ -19,16 +22,18 @@
  */
 export class PauseWatch implements Disposable {
 	readonly #pause = new Emitter<number>();
+	readonly #standstill = new Emitter<number>();
 	readonly #timer: Disposable;
 	#steady: number;
 	#wall: number;
 	#wokeAt = Number.NEGATIVE_INFINITY;
+	#stoodStillAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly clock: Clock) {
 		this.#steady = clock.now();
 		this.#wall = clock.wallTime();
 		this.#timer = repeat(clock, checkMilliseconds, () => {
-			this.#look();
+			this.look();
 		});
 	}
 
@@ -37,12 +42,42 @@
 		return this.#pause.event;
 	}
 
+	/** Fires where a pause is certain, and as long as that others have gone on without this process; before anything that follows. */
+	get onDidStandStill() {
+		return this.#standstill.event;
+	}
+
+	/** Compares the clocks now: after a pause messages may be read before the timer has fired. */
+	look(): void {
+		const now = this.clock.now();
+		const wall = this.clock.wallTime();
+		const counted = now - this.#steady;
+		const elapsed = Math.max(counted, wall - this.#wall);
+		this.#steady = now;
+		this.#wall = wall;
+		if (elapsed > pauseMilliseconds) {
+			this.#wokeAt = now;
+			this.#pause.fire(elapsed);
+		}
+
+		if (counted > lossMilliseconds) {
+			this.#standStill(counted);
+		}
+	}
+
+	/** Takes how another machine's steady clock compares; several of them show the same pause. */
+	noteUncounted({milliseconds, since}: UncountedTime): void {
+		if (milliseconds > lossMilliseconds && since > this.#stoodStillAt) {
+			this.#standStill(milliseconds);
+		}
+	}
+
 	/**
 	 * Resolves at once, but some time after a pause. What is read just after a pause may have been sent long before: whoever
 	 * sent it may have given up since, which shows when the end of the connection is read as well.
 	 */
 	async whenAwake(): Promise<void> {
-		this.#look();
+		this.look();
 		const left = this.#wokeAt + wakingMilliseconds - this.clock.now();
 		if (left > 0) {
 			await wait(this.clock, left);
@@ -52,15 +87,11 @@
 	dispose(): void {
 		this.#timer.dispose();
 		this.#pause.dispose();
+		this.#standstill.dispose();
 	}
 
-	#look(): void {
-		const elapsed = Math.max(this.clock.now() - this.#steady, this.clock.wallTime() - this.#wall);
-		this.#steady = this.clock.now();
-		this.#wall = this.clock.wallTime();
-		if (elapsed > pauseMilliseconds) {
-			this.#wokeAt = this.clock.now();
-			this.#pause.fire(elapsed);
-		}
+	#standStill(milliseconds: number): void {
+		this.#stoodStillAt = this.clock.now();
+		this.#standstill.fire(milliseconds);
 	}
 }
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -12,7 +12,9 @@
 import type {ServiceName} from '../../../src/base/service-name.js';
 import type {TaskId} from '../../../src/base/task-id.js';
 import type {RunRequest} from '../../../src/features/execution/run-request.js';
+import {decodeFrame} from '../../../src/features/pool/decode-frame.js';
 import {decodeMessages} from '../../../src/features/pool/decode-messages.js';
+import {encodeFrame} from '../../../src/features/pool/encode-frame.js';
 import {encodeMessages} from '../../../src/features/pool/encode-messages.js';
 import type {PoolMessage} from '../../../src/features/pool/pool-message.js';
 
@@ -88,6 +90,11 @@
 	assert.deepEqual(decodeMessages(decodeCbor(encodeCbor(encodeMessages(messages)))), messages);
 });
 
+test('a frame comes back from the wire with its epochs', () => {
+	const frame = {epoch: {losses: 2, pauses: 1}, heardEpoch: {losses: 0, pauses: 3}, messages};
+	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
+});
+
 // Eight tasks of a job go to one entry; its payload makes most of the bytes, and those between zones are paid for.
 test('tasks of one job that travel together carry the payload once', () => {
 	const runOf = (index: number) => ({kind: 'run' as const, request: {...request, task: `job.0.0.${index}` as TaskId}});
--- a/test/features/pool/pool.test.ts
+++ b/test/features/pool/pool.test.ts
@@ -4,7 +4,7 @@
 import type {MemberId} from '../../../src/base/member-id.js';
 import {Resources} from '../../../src/base/resources.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
-import {decodeMessages} from '../../../src/features/pool/decode-messages.js';
+import {decodeFrame} from '../../../src/features/pool/decode-frame.js';
 import {Pool} from '../../../src/features/pool/pool.js';
 import type {PeerMessage} from '../../../src/runtime/peers/peer-message.js';
 import {FakeClock} from '../../support/fake-clock.js';
@@ -29,7 +29,7 @@
 }
 
 function kindOf({body}: PeerMessage): string {
-	return decodeMessages(body).map(({kind}) => kind).join('+');
+	return decodeFrame(body).messages.map(({kind}) => kind).join('+');
 }
 
 const service = 'service' as ServiceName;
--- a/test/features/pool/state-teller.test.ts
+++ b/test/features/pool/state-teller.test.ts
@@ -7,6 +7,7 @@
 import {Resources} from '../../../src/base/resources.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
 import {heartbeats} from '../../../src/features/pool/heartbeats.js';
+import {Epochs} from '../../../src/features/pool/epochs.js';
 import {Outbox} from '../../../src/features/pool/outbox.js';
 import type {PoolMember} from '../../../src/features/pool/pool-member.js';
 import {StateTeller} from '../../../src/features/pool/state-teller.js';
@@ -55,7 +56,9 @@
 		ownState: () => ({
 			isLeaving: false, routingVersion: 0, wanted: [], room: Array.from({length: world.places}, () => ({service, labels: [], room: need})),
 		}),
-		outbox: new Outbox(network.join('self', 'z'), 'pool', clock),
+		outbox: new Outbox({
+			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), clock,
+		}),
 		clock,
 	});
 	const toldWithin = (milliseconds: number) => {
--- a/test/platform/drawn-inputs.test.ts
+++ b/test/platform/drawn-inputs.test.ts
@@ -7,6 +7,7 @@
 import {decodeReply} from '../../platform/decode-reply.js';
 import {decodeTarget} from '../../platform/decode-target.js';
 import {jobSchema} from '../../platform/job-schema.js';
+import {decodeFrame} from '../../src/features/pool/decode-frame.js';
 import {decodeMessages} from '../../src/features/pool/decode-messages.js';
 
 const seed = 7;
@@ -65,3 +66,15 @@
 		}
 	}), {seed, numRuns: runs});
 });
+
+test('a frame of a peer is read, or named as unreadable', () => {
+	const row = fc.tuple(fc.nat({max: 14}), fc.anything(), fc.anything()).map(parts => [...parts]);
+	const frame = fc.tuple(fc.nat(), fc.nat(), fc.oneof(fc.nat(), fc.anything()), fc.nat(), fc.array(row)).map(parts => [...parts]);
+	fc.assert(fc.property(fc.oneof(fc.anything(), frame), body => {
+		try {
+			decodeFrame(body);
+		} catch (error) {
+			assert.equal(error instanceof TypeError, true, String(error));
+		}
+	}), {seed, numRuns: runs});
+});
--- a/test/runtime/pause-watch.test.ts
+++ b/test/runtime/pause-watch.test.ts
@@ -55,3 +55,42 @@
 	await read('later');
 	assert.deepEqual(passed, ['before', 'after', 'later']);
 });
+
+function standstillsOf(watch: PauseWatch): number[] {
+	const standstills: number[] = [];
+	watch.onDidStandStill(milliseconds => {
+		standstills.push(milliseconds);
+	});
+	return standstills;
+}
+
+// Guards against an entry that reads messages after a pause before its timers have shown it.
+test('a standstill is noticed by whoever looks first, and a step of the time of day is none', () => {
+	const clock = new FakeClock();
+	const watch = new PauseWatch(clock);
+	const standstills = standstillsOf(watch);
+	clock.jumpWall(5000);
+	watch.look();
+	assert.deepEqual(standstills, []);
+	clock.sleep(4000);
+	watch.look();
+	assert.deepEqual(standstills, [4000]);
+	clock.advance(1000);
+	assert.deepEqual(standstills, [4000]);
+});
+
+// Guards against a suspended machine, whose clocks count nothing of it, that acts on its targets' former leases.
+test('a suspension shows once on the clocks of all targets', () => {
+	const clock = new FakeClock();
+	const watch = new PauseWatch(clock);
+	const standstills = standstillsOf(watch);
+	const since = clock.now();
+	clock.advance(50);
+	watch.noteUncounted({milliseconds: 300, since});
+	watch.noteUncounted({milliseconds: 3000, since});
+	watch.noteUncounted({milliseconds: 3010, since: since + 20});
+	assert.deepEqual(standstills, [3000]);
+	clock.advance(50);
+	watch.noteUncounted({milliseconds: 2000, since: since + 60});
+	assert.deepEqual(standstills, [3000, 2000]);
+});
