Tests can let one entry of a world stand still, suspended or frozen

Seen by callers: nothing yet; no test could put one entry to sleep while the others' time passed, so that what it does as it goes on was covered only by messages sent by hand.

A suspended entry's steady clock doesn't count the time, a frozen one's does; the time of day does for both.

--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -22,6 +22,7 @@
 import {ModelNetwork} from './model-network.js';
 import {ModelTargets} from './model-targets.js';
 import {passTime} from './pass-time.js';
+import {PausableSurroundings} from './pausable-surroundings.js';
 import {RecordingJournal} from './recording-journal.js';
 
 const service = 'service' as ServiceName;
@@ -69,6 +70,7 @@
 	/** One word of the operators for all entries. */
 	readonly evacuations = new ZoneEvacuations(this.journal);
 	readonly #catalogue = new ModelCatalogue();
+	readonly #surroundings = new Map<string, PausableSurroundings>();
 
 	constructor(entryNames: readonly string[], targetsInZone: number) {
 		for (const name of entryNames) {
@@ -118,6 +120,15 @@
 		this.network.kill(name);
 	}
 
+	/** A process stands still until `resume`; what arrives meanwhile waits. Only a frozen one's steady clock counts the time. */
+	pause(name: string, kind: 'suspended' | 'frozen'): void {
+		this.#surroundings.get(name)!.pause(kind);
+	}
+
+	resume(name: string): void {
+		this.#surroundings.get(name)!.resume();
+	}
+
 	submit(entry: string, id: string, {tasks = 1, payload = '100', declared = 100, patience = 1500, attempts = 3, place = {}}: JobOptions = {}): Submitted {
 		const route: QueueRoute = {
 			queue: 'queue' as ProfileName, host: 'host', pathPrefix: '/', service, priority: 0, attempts, stretch: 1.6, slackMilliseconds: 60,
@@ -153,18 +164,25 @@
 		return [...this.#catalogue.targets.keys()].flatMap(id => this.orders.running(id));
 	}
 
+	get #shared() {
+		return {clock: this.clock, orders: this.orders, group: this.group};
+	}
+
 	#addEntry(name: string): void {
+		const surroundings = new PausableSurroundings({...this.#shared, network: this.network.join(name, zoneOf(name))});
+		const {clock, network, group, orders} = surroundings;
+		this.#surroundings.set(name, surroundings);
 		this.entries.set(name, new PooledEntry({
 			zone: zoneOf(name) as AvailabilityZone,
 			member: name,
 			leaseMilliseconds: 1000,
-			network: this.network.join(name, zoneOf(name)),
-			group: this.group,
+			network,
+			group,
 			catalogue: this.#catalogue,
 			evacuations: this.evacuations,
-			orders: this.orders,
-			routing: new RoutingTable(1500, this.clock, this.journal),
-			clock: this.clock,
+			orders,
+			routing: new RoutingTable(1500, clock, this.journal),
+			clock,
 			journal: this.journal,
 		}));
 	}
