Red: a woken entry begins tasks whose callers have submitted them elsewhere

Seen by callers: a task runs twice at a time. An entry stands still for 3.3 s with a task that waits for room, or that its owner stopped since it was lost. As it goes on it reads of room, or of the stop, and begins the task before its caller's hang-up is handled: the look at the jobs that are past their time comes with a timer, and the end of a caller's connection only a round of the event loop after it was read (tried with Node's http and net: pump by setImmediate, then the response's close).

--- /dev/null
+++ b/test/entries/edge/standing-still-requester.test.ts
@@ -0,0 +1,57 @@
+/** Jobs of an entry that stands still until their callers have submitted them again elsewhere. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {PooledWorld} from '../../support/pooled-world.js';
+
+const id = '00000000000000aa';
+const job = {payload: '5000', declared: 2000, patience: 2000};
+
+for (const kind of ['suspended', 'frozen'] as const) {
+	// A task that only waits for room is begun by the woken entry, on room that it reads of, before its caller's hang-up is handled.
+	test(`a ${kind} entry that goes on begins no waiting task whose caller submitted elsewhere`, async () => {
+		const world = new PooledWorld(['a-1', 'b-1', 'c-1'], 0);
+		world.addTarget('b-target', 'b');
+		await world.start();
+		world.submit('c-1', '00000000000000bb', {
+			tasks: 2, payload: '300', declared: 300, patience: 2000,
+		});
+		await world.pass(50);
+		const first = world.submit('a-1', id, job);
+		await world.pass(100);
+		assert.equal(world.orders.starts.length, 2);
+		world.pause('a-1', kind);
+		world.addTarget('c-target', 'c');
+		await world.pass(3300);
+		world.submit('c-1', id, job);
+		await world.pass(200);
+		assert.deepEqual(world.running(), [`${id}.0.0.0`]);
+		world.resume('a-1');
+		await world.pass(5);
+		first.cancel();
+		await world.pass(200);
+		assert.equal(world.orders.mostAtOnce, 1);
+	});
+
+	// The owner has stopped a lost entry's run and says so: the woken entry begins the next attempt beside the caller's present run.
+	test(`a ${kind} entry that goes on begins no further attempt of a task that was stopped since it was lost`, async () => {
+		const world = new PooledWorld(['a-1', 'b-1', 'c-1'], 0);
+		world.addTarget('b-target-0', 'b');
+		world.addTarget('b-target-1', 'b');
+		await world.start();
+		const first = world.submit('a-1', id, job);
+		await world.pass(100);
+		assert.deepEqual(world.running(), [`${id}.0.0.0`]);
+		world.pause('a-1', kind);
+		world.addTarget('c-target', 'c');
+		await world.pass(3300);
+		assert.deepEqual(world.running(), []);
+		world.submit('c-1', id, job);
+		await world.pass(200);
+		assert.deepEqual(world.running(), [`${id}.0.0.0`]);
+		world.resume('a-1');
+		await world.pass(5);
+		first.cancel();
+		await world.pass(200);
+		assert.equal(world.orders.mostAtOnce, 1);
+	});
+}
