Time that a suspended entry didn't count counts towards the others' silence

After a pause that only the time of day shows, each entry has to be heard within its next heartbeat, or is lost as if the time had been counted. A time of day that was set forward costs nothing where the others are heard.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -129,6 +129,9 @@
 		own.add(this.executor.onDidCompareClocks(uncounted => {
 			this.pauses.noteUncounted(uncounted);
 		}));
+		own.add(this.pauses.onDidPause(milliseconds => {
+			this.pool.noteUncounted(milliseconds);
+		}));
 		own.add(this.pauses.onDidStandStill(milliseconds => {
 			this.pool.notePause(milliseconds);
 		}));
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -179,6 +179,19 @@
 		this.#loseTouch.fire(`stood still for ${Math.round(milliseconds)} ms`);
 	}
 
+	/**
+	 * This entry may have been suspended, and its clock with it: the others were silent for that much longer. Each has to be
+	 * heard within its next heartbeat, since the time of day may just have been set.
+	 */
+	noteUncounted(milliseconds: number): void {
+		const now = this.parts.clock.now();
+		for (const known of this.#members.values()) {
+			const {silenceMilliseconds, periodMilliseconds} = known.rhythm;
+			const nextDueBy = now - silenceMilliseconds + periodMilliseconds + lookMilliseconds;
+			known.heardAt = Math.min(known.heardAt, Math.max(known.heardAt - milliseconds, nextDueBy));
+		}
+	}
+
 	/** Tells all entries of a change, soon. */
 	tellChange(): void {
 		this.#teller.tellAll();
