Messages between entries that are lost, late or not the owner's begin nothing

Callers saw a task run twice without any entry standing still: a stop that was lost with its connection wasn't sent again; a request that came after its stop was started; a refusal of an entry that doesn't run the task counted as its end; an owner began another attempt of a task that it still ran for somebody else, or for itself. Stops are sent again on a new connection, an owner remembers a stop whose request hasn't come, a refusal or loss counts only from the run's owner, and a request waits for the end of any run of its task.

--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -119,7 +119,7 @@
 			}
 		}));
 		this.#store.add(pool.onDidReconnect(member => {
-			this.#repeatRequests(member);
+			this.#repeatOrders(member);
 		}));
 		this.#store.add(pool.onDidChangeRoom(() => {
 			this.#pumpSoon();
@@ -220,7 +220,7 @@
 
 	#receive(from: MemberId, message: PoolMessage): void {
 		if (message.kind === 'report') {
-			this.#results.take(message.task, message.attempt, message.outcome);
+			this.#results.takeReport(from, message);
 		}
 
 		if (message.kind === 'handover') {
@@ -332,7 +332,12 @@
 		}
 	}
 
-	#repeatRequests(member: MemberId): void {
+	/** What was sent on the former connection may be lost: requests, and stops of jobs that are over. */
+	#repeatOrders(member: MemberId): void {
+		for (const {id, attempt} of this.#jobs.formerRunsOn(member)) {
+			this.#stopRun({task: id, attempt, owner: member}, 'its job is over');
+		}
+
 		for (const job of this.#jobs) {
 			for (const slot of job.slots) {
 				if (slot.owner === member) {
--- a/src/features/dispatch/former-submissions.ts
+++ b/src/features/dispatch/former-submissions.ts
@@ -1,5 +1,6 @@
 /** Tasks of jobs that are over here, for the case that they are submitted again. */
 import type {JobId} from '../../base/job-id.js';
+import type {MemberId} from '../../base/member-id.js';
 import type {TaskSlot} from './task-slot.js';
 
 /**
@@ -40,6 +41,10 @@
 		return former?.slots;
 	}
 
+	runsOn(owner: MemberId): readonly TaskSlot[] {
+		return [...this.#former.values()].flatMap(({slots}) => slots.filter(slot => slot.owner === owner));
+	}
+
 	find(id: JobId, task: string): TaskSlot | undefined {
 		return this.#former.get(id)?.slots.find(slot => slot.id === task);
 	}
--- a/src/features/dispatch/job-table.ts
+++ b/src/features/dispatch/job-table.ts
@@ -77,6 +77,11 @@
 		return this.#former.take(id);
 	}
 
+	/** Tasks of jobs that are over which an entry may still run. */
+	formerRunsOn(owner: MemberId): readonly TaskSlot[] {
+		return this.#former.runsOn(owner);
+	}
+
 	formerNamed(task: string): TaskSlot | undefined {
 		return this.#former.find(jobOfTask(task), task);
 	}
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -16,6 +16,9 @@
 /** For the messages of the former owner and of the next one, also on a connection that's being made anew. */
 const adoptionSlackMilliseconds = 300;
 
+/** How an attempt ended, as an entry tells it. */
+type RunReport = {readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome};
+
 /** What the results work with. */
 type RunResultsParts = {
 	readonly jobs: JobTable;
@@ -41,6 +44,18 @@
 export class RunResults {
 	constructor(private readonly parts: RunResultsParts) {}
 
+	/**
+	 * Takes what an entry tells of an attempt's end. An end that was reached counts whoever tells it. That the attempt doesn't run
+	 * can be told only by its owner: another entry may have refused it in an earlier submission, and tell that again.
+	 */
+	takeReport(from: MemberId, {task, attempt, outcome}: RunReport): void {
+		const slot = this.parts.jobs.named(task)?.slot ?? this.parts.jobs.formerNamed(task);
+		const isOfOwner = slot?.owner === from || slot?.handedOverAt !== undefined;
+		if (isOfOwner || outcome.kind === 'done' || outcome.kind === 'failed') {
+			this.take(task, attempt, outcome);
+		}
+	}
+
 	/** Takes how an attempt of a task ended. */
 	take(task: string, attempt: number, outcome: RunOutcome): void {
 		const found = this.parts.jobs.named(task);
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -22,14 +22,15 @@
 
 type Remembered = {
 	readonly requester: MemberId;
-	/** Another entry asked for the same run: its caller submitted again there. It's told when this one has ended. */
-	successor: MemberId | undefined;
 	readonly requestedAt: number;
 	/** What its requester has to know: that it was adopted, then how it ended. */
 	report: PoolMessage | undefined;
 	endedAt: number | undefined;
 };
 
+/** A request for a task that still runs here for somebody else: its caller has submitted again. */
+type WaitingRequest = {readonly from: MemberId; readonly attempt: number};
+
 /**
  * Starts what other entries ask for and reports how it ended. Requests and reports are sent again when a connection was
  * lost; a request that was seen before isn't started again.
@@ -37,6 +38,7 @@
 export class RemoteRuns implements Disposable {
 	readonly #store = new DisposableStore();
 	readonly #remembered = new Map<string, Remembered>();
+	readonly #waiting = new Map<TaskId, WaitingRequest[]>();
 
 	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock, private readonly journal: Journal) {
 		this.#store.add(pool.onDidReceive(({from, message, isCurrent}) => {
@@ -58,7 +60,7 @@
 
 			const adopted: PoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
 			this.#remembered.set(runKeyOf(request), {
-				requester, successor: undefined, requestedAt: clock.now(), report: adopted, endedAt: undefined,
+				requester, requestedAt: clock.now(), report: adopted, endedAt: undefined,
 			});
 			pool.send(requester, adopted);
 		}));
@@ -82,7 +84,7 @@
 		}
 
 		if (message.kind === 'stop') {
-			this.executor.stop(message.task, message.attempt, message.cause);
+			this.#stop(from, message);
 			return;
 		}
 
@@ -94,14 +96,24 @@
 	#run(from: MemberId, request: RunRequest): void {
 		const key = runKeyOf(request);
 		const known = this.#remembered.get(key);
+		if (known?.requester === from) {
+			this.#repeat(known);
+			return;
+		}
+
+		if (this.executor.isRunning(request.task)) {
+			this.#wait(from, request);
+			return;
+		}
+
 		if (known !== undefined) {
-			this.#repeat(from, request, known);
+			this.#tellSuperseded({from, attempt: request.attempt}, request.task);
 			return;
 		}
 
 		this.#forgetOld();
 		this.#remembered.set(key, {
-			requester: from, successor: undefined, requestedAt: this.clock.now(), report: undefined, endedAt: undefined,
+			requester: from, requestedAt: this.clock.now(), report: undefined, endedAt: undefined,
 		});
 		if (this.executor.start(request, from) === undefined) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
@@ -122,30 +134,68 @@
 		});
 	}
 
-	/**
-	 * A request that was seen before: sent again after a lost connection, or by another entry, to which the caller of a lost
-	 * one has submitted again. The latter has to wait for the former run's end, and take a higher attempt then.
-	 */
-	#repeat(from: MemberId, request: RunRequest, known: Remembered): void {
-		if (known.requester !== from) {
-			known.successor = from;
-			if (known.endedAt !== undefined) {
-				this.#tellSuccessor(known, request.task, request.attempt);
-			}
-		} else if (known.report !== undefined) {
-			this.pool.send(from, known.report);
+	/** A request that was sent again after a lost connection. */
+	#repeat({requester, report}: Remembered): void {
+		if (report !== undefined) {
+			this.pool.send(requester, report);
 		}
 	}
 
-	#tellSuccessor(known: Remembered, task: TaskId, attempt: number): void {
-		if (known.successor !== undefined) {
-			this.pool.send(known.successor, {
-				kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
-			});
+	#wait(from: MemberId, {task, attempt}: RunRequest): void {
+		this.#stopWaiting(from, task);
+		this.#waiting.set(task, [...this.#waiting.get(task) ?? [], {from, attempt}]);
+	}
+
+	/** Its sender takes a higher attempt: the target may know this one as ended. */
+	#tellSuperseded({from, attempt}: WaitingRequest, task: TaskId): void {
+		this.pool.send(from, {
+			kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
+		});
+	}
+
+	#tellWaiting(task: TaskId): void {
+		if (this.executor.isRunning(task)) {
+			return;
+		}
+
+		for (const request of this.#waiting.get(task) ?? []) {
+			this.#tellSuperseded(request, task);
+		}
+
+		this.#waiting.delete(task);
+	}
+
+	#stop(from: MemberId, {task, attempt, cause}: Extract<PoolMessage, {kind: 'stop'}>): void {
+		const known = this.#remembered.get(runKeyOf({task, attempt}));
+		if (known !== undefined && known.requester !== from) {
+			this.#stopWaiting(from, task);
+			return;
+		}
+
+		this.executor.stop(task, attempt, cause);
+		if (known === undefined) {
+			this.#rememberStopped(from, {task, attempt});
 		}
 	}
 
+	#stopWaiting(from: MemberId, task: TaskId): void {
+		this.#waiting.set(task, (this.#waiting.get(task) ?? []).filter(waiting => waiting.from !== from));
+	}
+
+	/** The request may come after its stop, on another connection: it's remembered as ended. */
+	#rememberStopped(from: MemberId, {task, attempt}: {readonly task: TaskId; readonly attempt: number}): void {
+		const report: PoolMessage = {
+			kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
+		};
+		const now = this.clock.now();
+		this.#remembered.set(runKeyOf({task, attempt}), {
+			requester: from, requestedAt: now, report, endedAt: now,
+		});
+		this.pool.send(from, report);
+	}
+
 	#report({requester, task, attempt, outcome}: ExecutionReport): void {
+		this.#tellWaiting(task);
 		if (requester === this.pool.self) {
 			return;
 		}
@@ -157,7 +207,6 @@
 		if (known !== undefined) {
 			known.report = report;
 			known.endedAt ??= this.clock.now();
-			this.#tellSuccessor(known, task, attempt);
 		}
 
 		this.pool.send(requester, report);
