Red: adopted runs outlive what their entries and callers wait for

Seen by callers: a task runs twice at a time around planned work. An adoption that isn't heard for longer than a lease and its slack has its entry begin the task again, while the next owner, which hears the entry, renews the run. And an owner that adopts runs of an entry that it ran nothing for before counts that entry's silence from the adoption on: with the entry dead 0.6 s before, its runs end 1.6 s after the death; without a handover after 0.8 s; callers submit again after 1.3 s.

--- /dev/null
+++ b/test/entries/edge/adopted-runs.test.ts
@@ -0,0 +1,43 @@
+/** Runs that go on under another owner while their entry can't be heard, or can't hear. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {PooledWorld} from '../../support/pooled-world.js';
+
+const id = '00000000000000aa';
+const job = {payload: '5000', declared: 4000, patience: 9000};
+
+// An owner leaves, and the next one's word doesn't reach the run's entry, which it hears all the while: the entry counts the run as
+// ended with its lease and begins it elsewhere, while the next owner renews it.
+test('a run whose adoption its entry never heard of has ended when the entry begins it again', async () => {
+	const world = new PooledWorld(['a-1', 'b-1', 'b-2', 'c-1'], 0);
+	for (const index of [0, 1, 2, 3]) {
+		world.addTarget(`b-target-${index}`, 'b');
+	}
+
+	await world.start();
+	world.submit('a-1', id, job);
+	await world.pass(300);
+	world.addTarget('c-target', 'c');
+	const [sent] = world.journal.named('taskSent');
+	const [owner, next] = sent!.owner === 'b-1#1' ? ['b-1', 'b-2'] as const : ['b-2', 'b-1'] as const;
+	world.network.cuts.add(`${next}#1>a-1#1`);
+	await Promise.all([world.entries.get(owner)!.leave(), world.pass(2000)]);
+	assert.equal(world.orders.mostAtOnce, 1);
+});
+
+// In a large fleet an entry dies, and just before it's taken as lost an owner leaves. The next owners, which ran nothing for the entry,
+// count its silence from the handover on; callers submit again 1300 ms after the loss of their connection.
+test('runs of an entry that died before they were handed over have ended when its callers submit again', async () => {
+	const names = Array.from({length: 24}, (_, index) => `z${index % 3}-${Math.floor(index / 3)}`);
+	const world = new PooledWorld(names, 8);
+	await world.startByDirectory();
+	await world.pass(2000);
+	world.submit('z0-0', id, {...job, tasks: 20});
+	await world.pass(300);
+	const owners = new Set(world.journal.named('taskSent').map(({owner}) => String(owner).split('#')[0]!));
+	world.network.isolate('z0-0', true);
+	world.entries.get('z0-0')!.dispose();
+	await world.pass(600);
+	await Promise.all([...[...owners].slice(0, 2).map(async owner => world.entries.get(owner)!.leave()), world.pass(700)]);
+	assert.deepEqual(world.running(), []);
+});
