Red: a suspended owner starts what comes late from an entry that took it as lost; guards for what must go on

Seen by callers: a task runs twice at a time. The owner's steady clock says that it has lost nobody, so that a request from before its suspension is as good as a new one: it's refused as late by the target while the owner's picture of the target's clock is old (until a renewal's answer, up to 600 ms after the wake), and carried out after that. Here it comes 0.9 s after the wake.

Beside it three tests that pass, for what a mend must not give up: a time of day that is set forward, and pauses of 0.3 s, suspended or frozen, end no job and begin no task again.

--- a/test/entries/edge/standing-still-owner.test.ts
+++ b/test/entries/edge/standing-still-owner.test.ts
@@ -47,3 +47,25 @@
 	await world.pass(1000);
 	assert.equal(world.orders.mostAtOnce, 1);
 });
+
+// As above, but the request comes on the former connection some time after the owner goes on, by whose clock nobody was lost.
+test('an owner that was suspended starts nothing that comes late from an entry that took it as lost', async () => {
+	const world = new PooledWorld(['a-1', 'b-1', 'c-1'], 0);
+	world.addTarget('b-target', 'b');
+	await world.start();
+	world.pause('b-1', 'suspended');
+	world.network.delays.set('a-1#1>b-1#1', 3200);
+	const first = world.submit('a-1', id, job);
+	await world.pass(20);
+	world.network.delays.delete('a-1#1>b-1#1');
+	await world.pass(1000);
+	assert.equal(first.verdict?.kind, 'mayHaveRun');
+	world.addTarget('c-target', 'c');
+	await world.pass(1300);
+	world.resume('b-1');
+	world.submit('c-1', id, job);
+	await world.pass(100);
+	assert.deepEqual(world.running(), [`${id}.0.0.0`]);
+	await world.pass(1000);
+	assert.equal(world.orders.mostAtOnce, 1);
+});
--- a/test/entries/edge/standing-still-requester.test.ts
+++ b/test/entries/edge/standing-still-requester.test.ts
@@ -55,3 +55,29 @@
 		assert.equal(world.orders.mostAtOnce, 1);
 	});
 }
+
+// A clock that is set looks like a suspension: jobs given up for that would be lost with every correction of the time of day.
+test('a time of day that is set forward ends no job and begins no task again', async () => {
+	const world = new PooledWorld(['a-1', 'b-1'], 2);
+	await world.start();
+	const submitted = world.submit('a-1', id, {tasks: 4, payload: '600', declared: 600});
+	await world.pass(200);
+	world.clock.jumpWall(5000);
+	await world.pass(600);
+	assert.deepEqual([submitted.verdict, world.orders.starts.length], [{kind: 'answered', answer: 'complete'}, 4]);
+});
+
+for (const kind of ['suspended', 'frozen'] as const) {
+	// Entries stand still for a moment all the time: jobs that were given up for that would be lost on every busy machine.
+	test(`an entry that was ${kind} too briefly to be lost goes on with its jobs`, async () => {
+		const world = new PooledWorld(['a-1', 'b-1'], 2);
+		await world.start();
+		const submitted = world.submit('a-1', id, {tasks: 4, payload: '900', declared: 900});
+		await world.pass(200);
+		world.pause('a-1', kind);
+		await world.pass(300);
+		world.resume('a-1');
+		await world.pass(600);
+		assert.deepEqual([submitted.verdict, world.orders.starts.length], [{kind: 'answered', answer: 'complete'}, 4]);
+	});
+}
