--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -141,7 +141,7 @@
 		own.add(this.ownership.onDidHandOver(handovers => {
 			this.dispatcher.noteHandovers(handovers, this.pool.self);
 			const requesters = new Set(handovers.flatMap(({runs}) => runs.map(({requester}) => requester)));
-			this.pool.broadcast({kind: 'handover', handovers, requesters: this.pool.named(requesters)});
+			this.pool.broadcast({kind: 'handover', handovers, requesters: this.pool.introduce(requesters)});
 		}));
 		own.add(this.#losses.onDidNote(loss => {
 			this.pool.broadcast({kind: 'loss', loss});
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -227,8 +227,8 @@
 			this.#results.noteHandovers(message.handovers, from);
 		}
 
-		if (message.kind === 'adopted') {
-			this.#results.adopt(message.task, message.attempt, from);
+		if (message.kind === 'adopted' && this.#results.adopt(message.task, message.attempt, from)) {
+			this.parts.pool.send(from, {kind: 'adoptionHeard', task: message.task, attempt: message.attempt});
 		}
 	}
 
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -103,17 +103,18 @@
 		this.parts.listener.onDidFree();
 	}
 
-	/** A run goes on under another owner. */
-	adopt(task: TaskId, attempt: number, owner: MemberId): void {
+	/** A run goes on under another owner; false where nobody here waits for it. */
+	adopt(task: TaskId, attempt: number, owner: MemberId): boolean {
 		const found = this.parts.jobs.named(task);
 		if (found?.slot.attempt === attempt && found.slot.owner !== undefined) {
 			found.slot.owner = owner;
 			found.slot.handedOverAt = undefined;
-			return;
+			return true;
 		}
 
 		// The job is over, or another attempt is under way: what was adopted must end.
 		this.parts.listener.onDidFindUnwanted(task, attempt, owner);
+		return false;
 	}
 
 	/**
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -12,6 +12,7 @@
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
+import type {Adoption} from './adoption.js';
 import {AnswerTimes} from './answer-times.js';
 import {chooseTarget} from './choose-target.js';
 import type {ExecutionReport} from './execution-report.js';
@@ -32,6 +33,9 @@
 /** A target that this entry owns, with the token for it. */
 type OwnedTarget = {readonly target: TargetRecord; readonly fence: FencingToken};
 
+/** A former owner's word, with the time at which it came. */
+type ReceivedHandover = {readonly handover: Handover; readonly at: number};
+
 /** What the executor works with. */
 type ExecutorParts = {
 	readonly leaseMilliseconds: number;
@@ -47,9 +51,10 @@
 	readonly #sessions = new Map<InstanceId, TargetSession>();
 	/** The highest token that a target rejected: it isn't ordered again with that one or a lower one. */
 	readonly #fenced = new Map<InstanceId, FencingToken>();
-	readonly #handovers = new Map<InstanceId, Handover>();
+	readonly #handovers = new Map<InstanceId, ReceivedHandover>();
 	readonly #report = new Emitter<ExecutionReport>();
-	readonly #adopt = new Emitter<{readonly requester: MemberId; readonly request: RunRequest}>();
+	readonly #adopt = new Emitter<Adoption>();
+	readonly #willRelease = new Emitter<Run>();
 	readonly #change = new Emitter<void>();
 	readonly #compareClocks = new Emitter<UncountedTime>();
 
@@ -67,6 +72,11 @@
 		return this.#adopt.event;
 	}
 
+	/** Fires for each run before its target is given up; one that is stopped then isn't handed over. */
+	get onWillRelease() {
+		return this.#willRelease.event;
+	}
+
 	/** Fires when there may be more room than before. */
 	get onDidChangeRoom() {
 		return this.#change.event;
@@ -119,6 +129,9 @@
 		const leaving = [...this.#sessions.values()].filter(session => ids.has(session.target.id));
 		for (const session of leaving) {
 			session.pause();
+			for (const run of session.runs) {
+				this.#willRelease.fire(run);
+			}
 		}
 
 		if (leaving.some(session => session.hasPendingStarts)) {
@@ -133,15 +146,16 @@
 	/** Keeps a former owner's word until the target is this entry's. */
 	expect(handover: Handover): void {
 		const {clock} = this.parts;
+		const received = {handover, at: clock.now()};
 		const session = this.#sessions.get(handover.target);
 		if (session !== undefined) {
-			this.#adoptInto(session, handover);
+			this.#adoptInto(session, received);
 			return;
 		}
 
-		this.#handovers.set(handover.target, handover);
+		this.#handovers.set(handover.target, received);
 		clock.schedule(handoverMilliseconds, () => {
-			if (this.#handovers.get(handover.target) === handover) {
+			if (this.#handovers.get(handover.target) === received) {
 				this.#handovers.delete(handover.target);
 			}
 		});
@@ -270,20 +284,20 @@
 			},
 		});
 		this.#sessions.set(id, session);
-		const handover = this.#handovers.get(id);
+		const received = this.#handovers.get(id);
 		this.#handovers.delete(id);
-		if (handover !== undefined) {
-			this.#adoptInto(session, handover);
+		if (received !== undefined) {
+			this.#adoptInto(session, received);
 		}
 
-		journal.record('targetOwned', {target: id, fence, adopted: handover?.runs.length ?? 0});
+		journal.record('targetOwned', {target: id, fence, adopted: received?.handover.runs.length ?? 0});
 		session.open();
 	}
 
-	#adoptInto(session: TargetSession, handover: Handover): void {
+	#adoptInto(session: TargetSession, {handover, at}: ReceivedHandover): void {
 		session.adopt(handover);
 		for (const {request, requester} of handover.runs) {
-			this.#adopt.fire({requester, request});
+			this.#adopt.fire({requester, request, handedOverAt: at});
 		}
 	}
 
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -91,8 +91,11 @@
 					target: handover.text<InstanceId>(),
 					runs: handover.lists(run => ({requester: run.text<MemberId>(), request: decodeRequest(run)})),
 				})),
-				requesters: values.lists(member => ({
-					id: member.text<MemberId>(), instance: member.text<InstanceId>(), zone: member.text<AvailabilityZone>(), peerAddress: member.text(),
+				requesters: values.lists(requester => ({
+					member: {
+						id: requester.text<MemberId>(), instance: requester.text<InstanceId>(), zone: requester.text<AvailabilityZone>(), peerAddress: requester.text(),
+					},
+					silentMilliseconds: requester.number(),
 				})),
 			};
 		}
@@ -105,6 +108,10 @@
 			return {kind: 'adopted', task: values.text<TaskId>(), attempt: values.number()};
 		}
 
+		case messageCode.adoptionHeard: {
+			return {kind: 'adoptionHeard', task: values.text<TaskId>(), attempt: values.number()};
+		}
+
 		case messageCode.wantRouting: {
 			return {kind: 'wantRouting'};
 		}
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -38,8 +38,9 @@
 		.with({kind: 'stop'}, ({task, attempt, cause}) => [messageCode.stop, task, attempt, cause])
 		.with({kind: 'handover'}, ({handovers, requesters}) => [messageCode.handover, handovers.map(({target, runs}) => [
 			target, runs.map(({request, requester}) => [requester, ...encodeRequest(request)]),
-		]), requesters.map(({id, instance, zone, peerAddress}) => [id, instance, zone, peerAddress])])
+		]), requesters.map(({member: {id, instance, zone, peerAddress}, silentMilliseconds}) => [id, instance, zone, peerAddress, silentMilliseconds])])
 		.with({kind: 'adopted'}, ({task, attempt}) => [messageCode.adopted, task, attempt])
+		.with({kind: 'adoptionHeard'}, ({task, attempt}) => [messageCode.adoptionHeard, task, attempt])
 		.with({kind: 'loss'}, ({loss: {target, incarnation, news, tasks}}) => [messageCode.loss, target, incarnation ?? unstated, news, ...tasks])
 		.with({kind: 'wantRouting'}, () => [messageCode.wantRouting])
 		.with({kind: 'routing'}, ({configuration}) => [messageCode.routing, configuration])
--- /dev/null
+++ b/src/features/pool/introduction.ts
@@ -0,0 +1,5 @@
+/** An entry that another one makes known. */
+import type {Member} from '../../runtime/peers/member.js';
+
+/** `silentMilliseconds` is for how long it hadn't been heard by whoever introduces it. */
+export type Introduction = {readonly member: Member; readonly silentMilliseconds: number};
--- a/src/features/pool/message-code.ts
+++ b/src/features/pool/message-code.ts
@@ -15,4 +15,5 @@
 	entries: 10,
 	lost: 11,
 	loss: 12,
+	adoptionHeard: 15,
 } as const;
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -1,13 +1,13 @@
 /** What entries of a pool say to each other. */
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
-import type {Member} from '../../runtime/peers/member.js';
 import type {Handover} from '../execution/handover.js';
 import type {TargetLoss} from '../execution/target-loss.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {EntryState} from './entry-state.js';
+import type {Introduction} from './introduction.js';
 import type {KnownEntry} from './known-entry.js';
 
 /** `state` goes to all regularly and is each entry's heartbeat; the others are for one entry each, but for `handover` and `loss`. */
@@ -21,8 +21,10 @@
 	| {readonly kind: 'report'; readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome}
 	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string}
 	/** The next owner may never have met the entries of the runs. */
-	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]; readonly requesters: readonly Member[]}
+	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]; readonly requesters: readonly Introduction[]}
 	| {readonly kind: 'adopted'; readonly task: TaskId; readonly attempt: number}
+	/** The receiver's word that it goes on with a run has come, and the sender waits for that run. */
+	| {readonly kind: 'adoptionHeard'; readonly task: TaskId; readonly attempt: number}
 	/** What became of a target and the tasks that were lost with it; it goes to all. */
 	| {readonly kind: 'loss'; readonly loss: TargetLoss}
 	| {readonly kind: 'wantRouting'}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -10,6 +10,7 @@
 import {Epochs} from './epochs.js';
 import {heartbeats} from './heartbeats.js';
 import type {KnownEntry} from './known-entry.js';
+import type {Introduction} from './introduction.js';
 import {Introductions} from './introductions.js';
 import {Outbox} from './outbox.js';
 import {PoolLinks} from './pool-links.js';
@@ -116,6 +117,12 @@
 		return this.parts.clock.now() - heardAt <= rhythm.freshMilliseconds;
 	}
 
+	/** Whether an entry gave its last heartbeat, for as often as entries in use give one. */
+	hears(id: MemberId): boolean {
+		const known = this.#members.get(id);
+		return known !== undefined && this.parts.clock.now() - known.heardAt <= heartbeats.close.freshMilliseconds;
+	}
+
 	start(): void {
 		this.#store.add(repeat(this.parts.clock, lookMilliseconds, () => {
 			this.#links.update();
@@ -142,9 +149,19 @@
 		}
 	}
 
-	/** Lives that were met, by their ids. */
-	named(ids: Iterable<MemberId>): readonly Member[] {
-		return [...ids].map(id => id === this.self ? this.parts.network.self : this.#met.get(id)).filter(member => member !== undefined);
+	/** Makes lives that were met known to others, by their ids. */
+	introduce(ids: Iterable<MemberId>): readonly Introduction[] {
+		const {network, clock} = this.parts;
+		return [...ids].flatMap(id => {
+			const member = id === this.self ? network.self : this.#met.get(id);
+			const heardAt = this.#members.get(id)?.heardAt ?? clock.now();
+			return member === undefined ? [] : [{member, silentMilliseconds: id === this.self ? 0 : Math.round(clock.now() - heardAt)}];
+		});
+	}
+
+	/** For how long an entry hadn't been heard by the one that introduced it here last. */
+	silenceBeforeIntroduction(id: MemberId): number {
+		return this.#introductions.named(id)?.silentMilliseconds ?? 0;
 	}
 
 	/**
@@ -154,7 +171,7 @@
 	reach(id: MemberId): boolean {
 		const introduced = this.#introductions.named(id);
 		if (introduced !== undefined && !this.#met.has(id)) {
-			this.#meet(introduced);
+			this.#meet(introduced.member);
 		}
 
 		return this.#members.has(id);
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -5,10 +5,12 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import type {Adoption} from '../execution/adoption.js';
 import type {ExecutionReport} from '../execution/execution-report.js';
 import type {Executor} from '../execution/executor.js';
 import {runKeyOf} from '../execution/run-key-of.js';
 import type {RunRequest} from '../execution/run-request.js';
+import {heartbeats} from './heartbeats.js';
 import type {Pool} from './pool.js';
 import type {PoolMessage} from './pool-message.js';
 
@@ -26,6 +28,8 @@
 	/** What its requester has to know: that it was adopted, then how it ended. */
 	report: PoolMessage | undefined;
 	endedAt: number | undefined;
+	/** Whether its requester is known to know that it runs here. */
+	isHeard: boolean;
 };
 
 /** A request for a task that still runs here for somebody else: its caller has submitted again. */
@@ -51,18 +55,16 @@
 		this.#store.add(executor.onDidReport(report => {
 			this.#report(report);
 		}));
-		this.#store.add(executor.onDidAdopt(({requester, request}) => {
-			if (requester !== pool.self && !pool.reach(requester)) {
-				// It can't be told that the run goes on, and begins the task elsewhere once the lease should have passed.
-				executor.stop(request.task, request.attempt, 'its entry is not heard here');
-				return;
+		this.#store.add(executor.onDidAdopt(adoption => {
+			if (adoption.requester !== pool.self) {
+				this.#adopt(adoption);
+			}
+		}));
+		this.#store.add(executor.onWillRelease(({requester, request}) => {
+			// Its entry may be gone. Without an owner the run would go on for the rest of its lease, beside the caller's next submission.
+			if (requester !== pool.self && !pool.hears(requester)) {
+				executor.stop(request.task, request.attempt, 'its entry was not heard when the target changed hands');
 			}
-
-			const adopted: PoolMessage = {kind: 'adopted', task: request.task, attempt: request.attempt};
-			this.#remembered.set(runKeyOf(request), {
-				requester, requestedAt: clock.now(), report: adopted, endedAt: undefined,
-			});
-			pool.send(requester, adopted);
 		}));
 		this.#store.add(pool.onDidLose(member => {
 			// The entry's job may be submitted again elsewhere: nothing of it may run beside that.
@@ -88,11 +90,40 @@
 			return;
 		}
 
+		if (message.kind === 'adoptionHeard') {
+			this.#noteHeard(from, message);
+			return;
+		}
+
 		for (const handover of message.kind === 'handover' ? message.handovers : []) {
 			this.executor.expect(handover);
 		}
 	}
 
+	#adopt({requester, request, handedOverAt}: Adoption): void {
+		const {task, attempt} = request;
+		if (!this.pool.reach(requester)) {
+			// It can't be told that the run goes on, and begins the task elsewhere once the lease should have passed.
+			this.executor.stop(task, attempt, 'its entry is not heard here');
+			return;
+		}
+
+		const now = this.clock.now();
+		const adopted: PoolMessage = {kind: 'adopted', task, attempt};
+		const run: Remembered = {
+			requester, requestedAt: now, report: adopted, endedAt: undefined, isHeard: false,
+		};
+		this.#remembered.set(runKeyOf(request), run);
+		this.pool.send(requester, adopted);
+		// The silence before the handover counts: the entry would have been lost so long after it by the former owner.
+		const silenceLeft = heartbeats.close.silenceMilliseconds - this.pool.silenceBeforeIntroduction(requester);
+		this.clock.schedule(Math.max(0, handedOverAt + silenceLeft - now), () => {
+			if (!run.isHeard && run.endedAt === undefined) {
+				this.executor.stop(task, attempt, 'its entry has not heard of its next owner');
+			}
+		});
+	}
+
 	#run(from: MemberId, request: RunRequest): void {
 		const key = runKeyOf(request);
 		const known = this.#remembered.get(key);
@@ -113,7 +144,7 @@
 
 		this.#forgetOld();
 		this.#remembered.set(key, {
-			requester: from, requestedAt: this.clock.now(), report: undefined, endedAt: undefined,
+			requester: from, requestedAt: this.clock.now(), report: undefined, endedAt: undefined, isHeard: true,
 		});
 		if (this.executor.start(request, from) === undefined) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
@@ -134,10 +165,18 @@
 		});
 	}
 
-	/** A request that was sent again after a lost connection. */
-	#repeat({requester, report}: Remembered): void {
-		if (report !== undefined) {
-			this.pool.send(requester, report);
+	/** A request that was sent again after a lost connection; who repeats it here knows of an adoption. */
+	#repeat(known: Remembered): void {
+		known.isHeard = true;
+		if (known.report !== undefined) {
+			this.pool.send(known.requester, known.report);
+		}
+	}
+
+	#noteHeard(from: MemberId, run: {readonly task: TaskId; readonly attempt: number}): void {
+		const known = this.#remembered.get(runKeyOf(run));
+		if (known?.requester === from) {
+			known.isHeard = true;
 		}
 	}
 
@@ -189,7 +228,7 @@
 		};
 		const now = this.clock.now();
 		this.#remembered.set(runKeyOf({task, attempt}), {
-			requester: from, requestedAt: now, report, endedAt: now,
+			requester: from, requestedAt: now, report, endedAt: now, isHeard: true,
 		});
 		this.pool.send(from, report);
 	}
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -61,10 +61,14 @@
 	},
 	{
 		kind: 'handover', handovers: [{target: 'target-1' as InstanceId, runs: [{request, requester: 'entry#1' as MemberId}]}], requesters: [{
-			id: 'entry#1' as MemberId, instance: 'entry' as InstanceId, zone: 'zone' as AvailabilityZone, peerAddress: '10.0.0.2:1',
+			member: {
+				id: 'entry#1' as MemberId, instance: 'entry' as InstanceId, zone: 'zone' as AvailabilityZone, peerAddress: '10.0.0.2:1',
+			},
+			silentMilliseconds: 120,
 		}],
 	},
 	{kind: 'adopted', task, attempt: 1},
+	{kind: 'adoptionHeard', task, attempt: 1},
 	{kind: 'lost', member: 'entry#1' as MemberId},
 	{
 		kind: 'loss', loss: {
