Tests say whether a woken entry's timers or its messages come first

Seen by callers: nothing.

The frozen owner's test now has its timers first, and is red either way: the owner drops the entry, and meets it again as it reads the request.

--- a/test/entries/edge/standing-still-owner.test.ts
+++ b/test/entries/edge/standing-still-owner.test.ts
@@ -23,7 +23,7 @@
 	world.submit('c-1', id, job);
 	await world.pass(100);
 	assert.deepEqual(world.running(), [`${id}.0.0.0`]);
-	world.resume('b-1');
+	world.resume('b-1', 'timers');
 	await world.pass(500);
 	assert.equal(world.orders.mostAtOnce, 1);
 });
--- a/test/support/pausable-clock.ts
+++ b/test/support/pausable-clock.ts
@@ -6,7 +6,7 @@
 /** How a process stands still: a suspended machine's steady clock doesn't count the time, a frozen process's does. */
 type Pause = 'suspended' | 'frozen';
 
-/** Follows a world's clock but for the pauses; timers that fell due in one run after what is handled at its end. */
+/** Follows a world's clock but for the pauses; timers that fell due in one run with the world's next timers. */
 export class PausableClock extends Clock {
 	#pause: {readonly kind: Pause; readonly since: number} | undefined;
 	#uncounted = 0;
--- a/test/support/pausable-surroundings.ts
+++ b/test/support/pausable-surroundings.ts
@@ -54,7 +54,7 @@
 	}
 }
 
-/** Peers' messages are read before the answers of targets and of the store; timers come last, as with libuv. */
+/** Peers' messages are read before the answers of targets and of the store. */
 export class PausableSurroundings {
 	readonly clock: PausableClock;
 	readonly network: PeerNetwork;
@@ -76,8 +76,10 @@
 		this.#answers.close();
 	}
 
-	resume(): void {
+	/** `runTimers` is called between: timers that are due may run before anything is read. */
+	resume(runTimers: () => void): void {
 		this.clock.resume();
+		runTimers();
 		this.#peers.open();
 		this.#answers.open();
 	}
--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -125,8 +125,16 @@
 		this.#surroundings.get(name)!.pause(kind);
 	}
 
-	resume(name: string): void {
-		this.#surroundings.get(name)!.resume();
+	/**
+	 * What comes first as a process goes on hangs on what it was doing: one that is stopped while it waits for events runs its
+	 * timers first, one that was handling them, or whose clock counted nothing, reads on.
+	 */
+	resume(name: string, first: 'messages' | 'timers' = 'messages'): void {
+		this.#surroundings.get(name)!.resume(() => {
+			if (first === 'timers') {
+				this.clock.advance(0);
+			}
+		});
 	}
 
 	submit(entry: string, id: string, {tasks = 1, payload = '100', declared = 100, patience = 1500, attempts = 3, place = {}}: JobOptions = {}): Submitted {
