--- a/test/entries/edge/adopted-runs.test.ts
+++ b/test/entries/edge/adopted-runs.test.ts
@@ -6,8 +6,7 @@
 const id = '00000000000000aa';
 const job = {payload: '5000', declared: 4000, patience: 9000};
 
-// An owner leaves, and the next one's word doesn't reach the run's entry, which it hears all the while: the entry counts the run as
-// ended with its lease and begins it elsewhere, while the next owner renews it.
+// The next owner's word doesn't reach the run's entry, which begins the task elsewhere after a lease while that owner renews it.
 test('a run whose adoption its entry never heard of has ended when the entry begins it again', async () => {
 	const world = new PooledWorld(['a-1', 'b-1', 'b-2', 'c-1'], 0);
 	for (const index of [0, 1, 2, 3]) {
@@ -25,8 +24,7 @@
 	assert.equal(world.orders.mostAtOnce, 1);
 });
 
-// In a large fleet an entry dies, and just before it's taken as lost an owner leaves. The next owners, which ran nothing for the entry,
-// count its silence from the handover on; callers submit again 1300 ms after the loss of their connection.
+// Owners that ran nothing for a dead entry before count its silence from a handover on, beyond the 1300 ms that its callers wait.
 test('runs of an entry that died before they were handed over have ended when its callers submit again', async () => {
 	const names = Array.from({length: 24}, (_, index) => `z${index % 3}-${Math.floor(index / 3)}`);
 	const world = new PooledWorld(names, 8);
--- a/test/entries/edge/late-messages.test.ts
+++ b/test/entries/edge/late-messages.test.ts
@@ -19,8 +19,7 @@
 	return world;
 }
 
-// A stop goes down with a connection that fell silent. Requests and reports are sent again on the next one, stops weren't: the run
-// went on beside the one of the caller's next submission.
+// A stop is lost with a connection that fell silent: the run goes on beside the one of the caller's next submission.
 test('a run whose stop was lost with its connection ends once the connection is made anew', async () => {
 	const world = await worldOfOneOwner();
 	const first = world.submit('a-1', id, job);
@@ -72,8 +71,7 @@
 	assert.equal(world.orders.mostAtOnce, 1);
 });
 
-// A refused job's caller comes again to the same entry; an owner tells its refusal of before again on a new connection. Taken for the
-// end of the present run, which another owner has, it begins the task a second time beside it.
+// A refusal of a job's former submission is told again: taken for the end of another owner's run, it begins the task beside that.
 test('the report of an entry that does not run the task ends no run of another one', async () => {
 	const world = await worldOfOneOwner();
 	const [requester, other] = ['a-1', 'c-1'].map(name => world.entries.get(name)!.pool);
--- a/test/platform/job-front-hang-ups.test.ts
+++ b/test/platform/job-front-hang-ups.test.ts
@@ -53,8 +53,7 @@
 	return {world, pauses, port: front.port};
 }
 
-// A request is held up on its way until its caller has given up and submitted elsewhere; its end comes with it, and was seen a
-// round of the event loop after the job had begun.
+// A request is held up until its caller has submitted elsewhere: its hang-up is read a round of the event loop after the job has begun.
 test('a request that comes together with its caller\'s hang-up is not begun', async () => {
 	const {world, pauses, port} = await frontOfOneRoute();
 	spawnSync(process.execPath, ['-e', hangUp, String(port), head + body]);
