A pause of an entry is checked against its targets' clocks at once, also by a start they refuse as late

Callers saw short jobs late: after a pause of 3 s each start on an idle target was refused as late until the held renewal was answered, since that renewal's first answer had set the picture of the target's clock back: 100 ms of work answered after 605 ms, 202 starts refused. The clock of such a refusal is read, each target is asked at once after a pause, and an answer that was overtaken doesn't set the clock back.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -131,6 +131,7 @@
 		}));
 		own.add(this.pauses.onDidPause(milliseconds => {
 			this.pool.noteUncounted(milliseconds);
+			this.executor.look();
 		}));
 		own.add(this.pauses.onDidStandStill(milliseconds => {
 			this.pool.notePause(milliseconds);
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -194,6 +194,13 @@
 		return target.id;
 	}
 
+	/** Asks all targets what runs there, and what time it is by their clocks. */
+	look(): void {
+		for (const session of this.#sessions.values()) {
+			session.look();
+		}
+	}
+
 	stop(task: string, attempt: number, cause: string): void {
 		for (const session of this.#sessions.values()) {
 			session.stop(task, attempt, cause);
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -5,6 +5,7 @@
 import type {Incarnation} from '../../base/incarnation.js';
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {Resources} from '../../base/resources.js';
+import type {TargetTime} from '../../base/target-time.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {RenewalReply} from '../targets/renewal-reply.js';
@@ -115,6 +116,11 @@
 		return this.#runs.room;
 	}
 
+	/** Asks what runs there without waiting for the renewal under way. */
+	look(): void {
+		void this.#look();
+	}
+
 	/** Begins to look and to renew. */
 	open(): void {
 		void this.#renewLoop();
@@ -231,7 +237,11 @@
 			.with({kind: 'superseded'}, ({kind}) => {
 				this.#refuse(run, kind);
 			})
-			.with({kind: 'expired'}, () => {
+			.with({kind: 'expired'}, ({clock}) => {
+				if (clock !== undefined) {
+					this.#readClock(clock, this.parts.clock.now());
+				}
+
 				this.#refuse(run, 'targetRefused');
 			})
 			.with({kind: 'unanswered'}, () => {
@@ -377,24 +387,28 @@
 			this.#noteRestart(report, former);
 		}
 
-		this.#compareClocks(report, now, age);
+		if (age === 'newest') {
+			this.#readClock(report.clock, now);
+		}
+
 		this.#takeEnds(report, now);
 		if (age === 'former') {
 			return;
 		}
 
 		this.#plan.processed(report.ended);
-		this.#lease.read(report.clock, now);
 		if (age !== 'overtaken') {
+			this.#lease.read(report.clock, now);
 			this.#reportedAt = now;
 			this.#dropMissing(new Set(report.running.map(run => runKeyOf(run))), sentAtStep);
 			this.#stopStrangers(report, now);
 		}
 	}
 
-	/** A late answer of a former life, or one that was overtaken, says nothing of the time since the last one. */
-	#compareClocks({clock}: Report, now: number, age: ReturnType<ReportOrder['take']>): void {
-		const uncounted = age === 'newest' ? this.#lease.uncounted(clock, now) : undefined;
+	/** The clock may show that this entry was suspended: whoever hears of it comes before what follows from the answer. */
+	#readClock(clock: TargetTime, now: number): void {
+		const uncounted = this.#lease.uncounted(clock, now);
+		this.#lease.read(clock, now);
 		if (uncounted !== undefined) {
 			this.parts.listener.onDidCompareClocks(uncounted);
 		}
