A loss that was noticed on both sides isn't taken for an unnoticed one after frames that a cut held up

A frame from before the cut was read first and used up the mark of that. Only what a member states of this entry's present epoch counts now. The test of a loss on both sides reads frames that were held up first; it fails on the code before.

--- a/src/features/pool/epochs.ts
+++ b/src/features/pool/epochs.ts
@@ -14,8 +14,8 @@
 export class Epochs {
 	readonly #losses = new Map<MemberId, number>();
 	readonly #heard = new Map<MemberId, Epoch>();
-	/** Entries that were lost here and not heard since. */
-	readonly #lost = new Set<MemberId>();
+	/** Entries of whose latest loss of this one nothing more has to be learned: the silence was noticed here as well. */
+	readonly #noticed = new Set<MemberId>();
 	#pauses = 0;
 
 	/** This entry's epoch for another one. */
@@ -31,12 +31,15 @@
 	/** This entry has taken another one as lost. */
 	noteLoss(member: MemberId): void {
 		this.#losses.set(member, this.own(member).losses + 1);
-		this.#lost.add(member);
+		this.#noticed.add(member);
 	}
 
 	/** This entry was out of touch with the others. */
 	notePause(): void {
 		this.#pauses += 1;
+		for (const member of this.#heard.keys()) {
+			this.#noticed.add(member);
+		}
 	}
 
 	/** Whether what a member asks for was sent in this entry's present epoch. */
@@ -46,18 +49,18 @@
 	}
 
 	/**
-	 * Takes what a member states; true where it has taken this entry as lost, and this entry hasn't noticed. Where it was lost
-	 * here as well, the silence went both ways. A member that hasn't heard of this entry's latest pause states the loss that
-	 * this entry has dealt with then.
+	 * Takes what a member states; true where it has taken this entry as lost, and this entry hasn't noticed. What a member states
+	 * before it has heard of this entry's present epoch was under way while that changed.
 	 */
-	hear(member: MemberId, {epoch, heardEpoch}: StatedEpochs): boolean {
+	hear(member: MemberId, stated: StatedEpochs): boolean {
+		const {epoch} = stated;
 		const known = this.#heard.get(member);
-		const isMutual = this.#lost.delete(member);
-		// Frames on a former connection may be read after those on the present one.
 		if (known === undefined || epoch.losses > known.losses || epoch.pauses > known.pauses) {
+			// Frames on a former connection may be read after those on the present one.
 			this.#heard.set(member, {losses: Math.max(epoch.losses, known?.losses ?? 0), pauses: Math.max(epoch.pauses, known?.pauses ?? 0)});
 		}
 
-		return known !== undefined && epoch.losses > known.losses && !isMutual && heardEpoch.pauses === this.#pauses;
+		const isNew = this.isCurrent(member, stated) && !this.#noticed.delete(member);
+		return isNew && known !== undefined && epoch.losses > known.losses;
 	}
 }
--- a/test/features/pool/epochs.test.ts
+++ b/test/features/pool/epochs.test.ts
@@ -65,9 +65,11 @@
 // Guards against jobs that are given up though their entry was there all the time.
 test('a loss that was noticed on both sides says nothing new', () => {
 	const pair = acquainted();
+	const [heldUp, alsoHeldUp] = [pair.fromRight, pair.fromLeft];
 	pair.left.noteLoss(right);
 	pair.right.noteLoss(left);
-	assert.deepEqual(pair.talk(), [false, false]);
+	assert.deepEqual([pair.left.hear(right, heldUp), pair.right.hear(left, alsoHeldUp)], [false, false]);
+	assert.deepEqual([...pair.talk(), ...pair.talk(), ...pair.talk()], [false, false, false, false, false, false]);
 });
 
 // Guards against jobs that are given up again and again while one member after the other tells of the same silence.
@@ -77,7 +79,7 @@
 	const late = pair.fromRight;
 	pair.left.notePause();
 	assert.equal(pair.left.hear(right, late), false);
-	pair.right.hear(left, pair.fromLeft);
+	assert.deepEqual([...pair.talk(), ...pair.talk()], [false, false, false, false]);
 	pair.right.noteLoss(left);
 	assert.equal(pair.left.hear(right, pair.fromRight), true);
 });
