--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -298,7 +298,7 @@
 		}
 
 		if (message.kind === 'state') {
-			this.#takeState(this.#members.get(from.id), message);
+			this.#takeState(this.#members.get(from.id), message, isCurrent);
 		}
 
 		if (message.kind === 'lost') {
@@ -309,13 +309,14 @@
 	}
 
 	/** The member is gone where a listener of an earlier message of the batch has found it so. */
-	#takeState(known: PoolMember | undefined, {state, isForWatcher}: Extract<PoolMessage, {kind: 'state'}>): void {
+	#takeState(known: PoolMember | undefined, {state, isForWatcher}: Extract<PoolMessage, {kind: 'state'}>, isCurrent: boolean): void {
 		if (known === undefined) {
 			return;
 		}
 
 		const beginsToWait = known.wanted.length === 0 && state.wanted.length > 0;
-		Object.assign(known, state, {isWatched: isForWatcher, offers: 0});
+		// A request for room that was told in a former epoch would be refused: it may have waited in a cut.
+		Object.assign(known, state, {isWatched: isForWatcher, offers: 0, room: isCurrent ? state.room : []});
 		this.#room.fire();
 		if (beginsToWait) {
 			// It may not know of room that is here since the last heartbeat.
