The arbiter's requesters, waiting tickets, lending, reconciliation and audit are modules of their own

Cause: 472 lines had five reasons to change. Who changes the order of waiting tickets or the binding isn't who changes leases and what is learned from a release (lending), who counts as awake (requesters), how counts that differ are settled (reconciliation), or what is believed of targets after an arbiter or a requester is gone (slot audit). The arbiter keeps admission, the kinds of requests, and the round that lends free slots. The age from which a lent slot has arrived was one constant with two uses; it's one question to lending now.

Behaviour stays.

--- /dev/null
+++ b/src/features/placement/lending.ts
@@ -0,0 +1,124 @@
+/** Lends slots under leases, and takes them back. */
+import type {Clock} from '../../base/clock.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {TicketId} from '../../base/ticket-id.js';
+import type {Instance} from '../../runtime/instances/instance.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {HeldSlot} from './held-slot.js';
+import type {PlacementRequest} from './placement-request.js';
+import type {RunTimes} from './run-times.js';
+import type {SlotLedger} from './slot-ledger.js';
+import type {TargetHealth} from './target-health.js';
+import {taskIdOf} from './task-id-of.js';
+import type {WaitingTicket} from './waiting-ticket.js';
+
+/** What a target may take beyond a task's limit to stop it, and a grant to reach its requester. */
+const leaseMarginMilliseconds = 1500;
+/** A slot that was lent this long before has reached its requester, or never will. */
+const arrivalMilliseconds = 1500;
+
+/** What lending works with. */
+type LendingParts = {
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly ledger: SlotLedger;
+	readonly health: TargetHealth;
+	readonly runTimes: RunTimes;
+};
+
+/** Learns from each slot that comes back how its target does and how long its profile's tasks run. */
+export class Lending {
+	constructor(private readonly parts: LendingParts) {}
+
+	lend(ticket: WaitingTicket, instance: Instance): void {
+		const {clock, journal, ledger, health} = this.parts;
+		const now = clock.now();
+		const {request, task, requester} = ticket;
+		ledger.lend({
+			requester,
+			ticket: task.ticket,
+			target: instance.id,
+			profile: request.profile,
+			job: request.job,
+			grantedAt: now,
+			leaseEndsAt: now + request.limitMilliseconds + leaseMarginMilliseconds,
+			memoryMegabytes: task.memoryMegabytes,
+			accelerators: task.accelerators,
+			isOrphaned: false,
+		});
+		const condition = health.condition(instance.id, now);
+		if (condition === 'probe') {
+			health.beginProbe(instance.id);
+		}
+
+		journal.record('slotLent', {
+			ticket: task.ticket, target: instance.id, requester, profile: request.profile, waitedMilliseconds: Math.round(now - ticket.arrivedAt), condition,
+		});
+	}
+
+	/** Takes over a slot that a former arbiter lent. */
+	adopt(requester: MemberId, slot: Pick<HeldSlot, 'ticket' | 'target' | 'profile'>, endsInMilliseconds: number): void {
+		const now = this.parts.clock.now();
+		this.parts.ledger.lend({
+			...slot,
+			requester,
+			job: taskIdOf(slot.ticket).split('/')[0] as HeldSlot['job'],
+			grantedAt: now,
+			leaseEndsAt: now + endsInMilliseconds + leaseMarginMilliseconds,
+			memoryMegabytes: 0,
+			accelerators: 0,
+			isOrphaned: false,
+		});
+	}
+
+	release(from: MemberId, {ticket, outcome, runMilliseconds}: Extract<PlacementRequest, {kind: 'release'}>): void {
+		const {clock, ledger, health, runTimes} = this.parts;
+		const slot = ledger.slotOf(ticket);
+		if (slot?.requester !== from || slot.isOrphaned) {
+			return;
+		}
+
+		// A connection that broke says nothing of the task: its slot is free when the target says so, or the lease ends.
+		if (outcome === 'lost') {
+			slot.isOrphaned = true;
+		} else {
+			ledger.free(ticket);
+		}
+
+		if (outcome === 'unused') {
+			health.cancelProbe(slot.target);
+			return;
+		}
+
+		const expectedMilliseconds = runTimes.mean(slot.profile, runMilliseconds);
+		health.report({
+			target: slot.target, profile: slot.profile, outcome, runMilliseconds, expectedMilliseconds,
+		}, clock.now());
+		if (outcome === 'result') {
+			runTimes.record(slot.profile, runMilliseconds);
+		}
+	}
+
+	/** Frees the slots whose leases have ended. */
+	endLeases(): void {
+		const {clock, journal, ledger} = this.parts;
+		const now = clock.now();
+		for (const slot of ledger.held) {
+			if (now > slot.leaseEndsAt) {
+				journal.record('leaseEnded', {ticket: slot.ticket, target: slot.target, requester: slot.requester});
+				this.reclaim(slot);
+			}
+		}
+	}
+
+	/** Frees a slot of whose task nothing was learned. */
+	reclaim(slot: HeldSlot): void {
+		this.parts.ledger.free(slot.ticket);
+		this.parts.health.cancelProbe(slot.target);
+	}
+
+	/** Whether news that lag by so much tell of a slot: those sent before its grant arrived don't. */
+	hasArrived(slot: HeldSlot, lagMilliseconds = 0): boolean {
+		return this.parts.clock.now() - slot.grantedAt > arrivalMilliseconds + lagMilliseconds;
+	}
+}
--- /dev/null
+++ b/src/features/placement/slot-audit.ts
@@ -0,0 +1,49 @@
+/** Finds out from targets which slots are free that no living entry accounts for. */
+import type {InstanceId} from '../../base/instance-id.js';
+import type {Instance} from '../../runtime/instances/instance.js';
+import type {TargetUsage} from '../../runtime/targets/target-usage.js';
+import type {Lending} from './lending.js';
+import type {SlotLedger} from './slot-ledger.js';
+import {taskIdOf} from './task-id-of.js';
+
+/** Slots of former requesters are orphaned, slots that a former arbiter may have lent are in quarantine. */
+export class SlotAudit {
+	constructor(private readonly ledger: SlotLedger, private readonly lending: Lending) {}
+
+	/** Withholds every slot that isn't accounted for, since the former arbiter may have lent it. */
+	beginQuarantine(): void {
+		this.ledger.quarantineUnaccounted();
+	}
+
+	get quarantinedTargets(): readonly Instance[] {
+		return this.ledger.quarantinedTargets;
+	}
+
+	/** Ends all quarantine: every lease of the former arbiter has ended by now. */
+	endQuarantine(): void {
+		for (const {id} of this.ledger.quarantinedTargets) {
+			this.ledger.setQuarantine(id, 0);
+		}
+	}
+
+	/** Targets that run tasks of entries that are gone. */
+	get orphanedTargets(): readonly Instance[] {
+		const ids = new Set(this.ledger.held.filter(slot => slot.isOrphaned).map(slot => slot.target));
+		return this.ledger.targets.filter(target => ids.has(target.id));
+	}
+
+	/** Takes a target's own word on what it runs. */
+	takeUsage(target: InstanceId, usage: TargetUsage): void {
+		const running = new Set(usage.running);
+		for (const slot of this.ledger.held) {
+			if (slot.target === target && slot.isOrphaned && this.lending.hasArrived(slot, usage.lagMilliseconds) && !running.has(taskIdOf(slot.ticket))) {
+				this.ledger.free(slot.ticket);
+			}
+		}
+
+		const accounted = new Set(this.ledger.held.filter(slot => slot.target === target).map(slot => taskIdOf(slot.ticket)));
+		if (this.ledger.quarantinedTargets.some(({id}) => id === target)) {
+			this.ledger.setQuarantine(target, usage.running.filter(task => !accounted.has(task)).length);
+		}
+	}
+}
--- /dev/null
+++ b/src/features/placement/waiting-tickets.ts
@@ -0,0 +1,130 @@
+/** The wishes that wait for a slot, and which of them is next. */
+import type {Clock} from '../../base/clock.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {Random} from '../../base/random.js';
+import type {TicketId} from '../../base/ticket-id.js';
+import type {Instance} from '../../runtime/instances/instance.js';
+import type {FairQueue} from './fair-queue.js';
+import type {Placement} from './placement.js';
+import type {PlacementRequest} from './placement-request.js';
+import type {Requesters} from './requesters.js';
+import type {RunTimes} from './run-times.js';
+import type {SlotLedger} from './slot-ledger.js';
+import type {WaitingTicket} from './waiting-ticket.js';
+
+type Want = Extract<PlacementRequest, {kind: 'want'}>;
+
+/** What the choice of the next wish works with. */
+type WaitingTicketsParts = {
+	readonly placement: Placement;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly queue: FairQueue;
+	readonly ledger: SlotLedger;
+	readonly runTimes: RunTimes;
+	readonly requesters: Requesters;
+};
+
+/** Late binding keeps wishes in a queue until a slot is free; early binding ties each to a target when it comes. */
+export class WaitingTickets {
+	readonly #tickets = new Map<TicketId, WaitingTicket>();
+
+	constructor(private readonly parts: WaitingTicketsParts) {}
+
+	get size(): number {
+		return this.#tickets.size;
+	}
+
+	has(ticket: TicketId): boolean {
+		return this.#tickets.has(ticket);
+	}
+
+	of(requester: MemberId): readonly WaitingTicket[] {
+		return [...this.#tickets.values()].filter(ticket => ticket.requester === requester);
+	}
+
+	/** Those whose deadline has passed. */
+	late(now: number): readonly WaitingTicket[] {
+		return [...this.#tickets.values()].filter(ticket => now >= ticket.deadlineAt);
+	}
+
+	add(requester: MemberId, request: Want, task: Want['tasks'][number]): void {
+		const {placement, clock, random, queue, ledger, runTimes, requesters} = this.parts;
+		const now = clock.now();
+		const expectedMilliseconds = runTimes.mean(request.profile, task.declaredMilliseconds);
+		const deadlineAt = now + request.remainingMilliseconds;
+		const partition = placement.partitionOf(requester);
+		const ticket: WaitingTicket = {
+			requester, request, task, partition, arrivedAt: now, deadlineAt, expectedMilliseconds, isGone: false,
+		};
+		this.#tickets.set(task.ticket, ticket);
+		if (placement.binding === 'late') {
+			queue.push(ticket);
+			return;
+		}
+
+		const target = placement.choose(ledger.candidatesFor(ticket, false, now), requesters.size, random);
+		if (target !== undefined) {
+			ledger.bind(ticket, target.instance.id);
+		}
+	}
+
+	withdraw(requester: MemberId, tickets: readonly TicketId[]): void {
+		for (const id of tickets) {
+			const ticket = this.#tickets.get(id);
+			if (ticket?.requester === requester) {
+				this.drop(ticket);
+			}
+		}
+	}
+
+	dropAll(requester: MemberId): void {
+		for (const ticket of this.of(requester)) {
+			this.drop(ticket);
+		}
+	}
+
+	drop(ticket: WaitingTicket): void {
+		this.#tickets.delete(ticket.task.ticket);
+		if (this.parts.placement.binding === 'late') {
+			this.parts.queue.remove(ticket);
+		}
+
+		ticket.isGone = true;
+	}
+
+	/** Takes the next wish that a free slot suits, with the target; nothing where there's none. */
+	takeNext(): {readonly ticket: WaitingTicket; readonly instance: Instance} | undefined {
+		const next = this.parts.placement.binding === 'late' ? this.#takeQueued() : this.#takeBound();
+		if (next !== undefined) {
+			this.#tickets.delete(next.ticket.task.ticket);
+		}
+
+		return next;
+	}
+
+	#takeQueued(): {readonly ticket: WaitingTicket; readonly instance: Instance} | undefined {
+		const {placement, clock, random, queue, ledger, requesters} = this.parts;
+		const now = clock.now();
+		let chosen: Instance | undefined;
+		const ticket = queue.takeNext(now, head => {
+			if (!requesters.isAwake(head.requester)) {
+				return false;
+			}
+
+			const candidates = ledger.candidatesFor(head, true, now);
+			chosen = placement.choose(candidates, requesters.size, random)?.instance;
+			return chosen !== undefined;
+		});
+		return ticket === undefined || chosen === undefined ? undefined : {ticket, instance: chosen};
+	}
+
+	#takeBound(): {readonly ticket: WaitingTicket; readonly instance: Instance} | undefined {
+		const bound = this.parts.ledger.takeBound();
+		if (bound !== undefined) {
+			bound.ticket.isGone = true;
+		}
+
+		return bound;
+	}
+}
