The tenure's lease, its candidacy and the inquiry after a silent holder are modules of their own

Cause: 377 lines had three rules that are changed for different reasons: how long a holder may grant and what it does to go on (lease), when an entry that isn't the holder may take the office (candidacy), and what counts as proof that a holder is silent (silence inquiry, both sides of it). The tenure keeps who holds the office by which epoch, and the ways it passes on.

Behaviour stays.

--- /dev/null
+++ b/src/features/placement/candidacy.ts
@@ -0,0 +1,101 @@
+/** When an entry may take the arbiter's office of its zone. */
+import type {Clock} from '../../base/clock.js';
+import type {MemberId} from '../../base/member-id.js';
+import {rankByKey} from '../../base/rank-by-key.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {Member} from '../../runtime/peers/member.js';
+import type {Membership} from '../membership/membership.js';
+import type {SilenceInquiry} from './silence-inquiry.js';
+import type {TenureMessage} from './tenure-message.js';
+import {zoneNeighboursOf} from './zone-neighbours-of.js';
+
+/** A holder that nobody heard for so long has certainly stopped granting, whatever it still believes. */
+const holderSilenceMilliseconds = 2500;
+/** How often an entry that knows of no holder asks for one. */
+const askMilliseconds = 200;
+/** How long an entry that knows of no holder asks before it may take the office. */
+const askingMilliseconds = 300;
+
+/** What a candidacy works with. */
+type CandidacyParts = {
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly inquiry: SilenceInquiry;
+	readonly send: (to: Member, message: TenureMessage) => void;
+};
+
+/** Only the first in rank takes the office: a vacant one when nobody told of a holder, a silent one's on witnesses' word. */
+export class Candidacy {
+	#heardAt: number;
+	#askedAt = Number.NEGATIVE_INFINITY;
+	#askingSince: number;
+
+	constructor(private readonly parts: CandidacyParts) {
+		this.#heardAt = parts.clock.now();
+		this.#askingSince = parts.clock.now();
+	}
+
+	/** Looks for a holder, or for a sign of life of the known one; returns whether this entry is to take the office now. */
+	seek(holder: MemberId | undefined): boolean {
+		return holder === undefined ? this.#seekVacant() : this.#watchHolder(holder);
+	}
+
+	/** The holder gave a sign of life, or this entry couldn't have heard one. */
+	resetSilence(): void {
+		this.#heardAt = this.parts.clock.now();
+	}
+
+	/** This entry lost the office in a pause, and doesn't know who has it. */
+	startAgain(): void {
+		this.resetSilence();
+		this.#askingSince = this.parts.clock.now();
+	}
+
+	/** The holder is gone for certain: there's nobody to ask for. */
+	holderLost(): void {
+		this.#askingSince = Number.NEGATIVE_INFINITY;
+	}
+
+	/** Whoever knows of no holder asks; only the first in rank may take the office, when nobody told of one. */
+	#seekVacant(): boolean {
+		const {membership, clock, send} = this.parts;
+		const now = clock.now();
+		if (now - this.#askedAt >= askMilliseconds) {
+			this.#askedAt = now;
+			for (const member of zoneNeighboursOf(membership)) {
+				send(member, {kind: 'who', zone: membership.self.zone});
+			}
+		}
+
+		if (membership.isUnresolved(membership.self.zone) || !this.#isFirst()) {
+			this.#askingSince = Number.isFinite(this.#askingSince) ? now : this.#askingSince;
+			return false;
+		}
+
+		return now - this.#askingSince >= askingMilliseconds;
+	}
+
+	#watchHolder(holder: MemberId): boolean {
+		const {membership, clock, journal, inquiry} = this.parts;
+		const heardAgo = membership.heardAgo(holder) ?? Number.POSITIVE_INFINITY;
+		if (Math.min(heardAgo, clock.now() - this.#heardAt) <= holderSilenceMilliseconds) {
+			return false;
+		}
+
+		const witnesses = inquiry.witnessesOf(holder);
+		if (witnesses === 0 || !this.#isFirst()) {
+			return false;
+		}
+
+		journal.record('holderSilent', {holder, witnesses});
+		return true;
+	}
+
+	#isFirst(): boolean {
+		const {membership} = this.parts;
+		const {self} = membership;
+		const awake = zoneNeighboursOf(membership).filter(member => !membership.isSilent(member.id));
+		return rankByKey(self.zone, [self, ...awake], member => member.instance)[0]?.id === self.id;
+	}
+}
--- a/src/features/placement/tenure.ts
+++ b/src/features/placement/tenure.ts
@@ -3,39 +3,23 @@
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
-import type {MemberId} from '../../base/member-id.js';
 import {rankByKey} from '../../base/rank-by-key.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {Member} from '../../runtime/peers/member.js';
 import type {Loss} from '../membership/loss.js';
 import type {Membership} from '../membership/membership.js';
+import {Candidacy} from './candidacy.js';
 import type {Holder} from './holder.js';
+import {SilenceInquiry} from './silence-inquiry.js';
 import type {Succession} from './succession.js';
+import {TenureLease} from './tenure-lease.js';
 import type {TenureMessage} from './tenure-message.js';
+import {zoneNeighboursOf} from './zone-neighbours-of.js';
 
 /** The owner calls `tick` this often. */
 const tickMilliseconds = 100;
-/** News are told at once; this only repairs a lost message. */
-const announceMilliseconds = 5000;
-/** How often peers of other zones are asked for a sign of life when none of the own zone gives one. */
-const witnessMilliseconds = 400;
-/** A holder grants for so long after the sending of a ping, or an announcement, that some peer answered. */
-const leaseMilliseconds = 1600;
 /** A holder that was paused for so long finds out on its first tick, and gives the office up. */
 const pauseLimitMilliseconds = 1000;
-/** A holder that nobody heard for so long has certainly stopped granting, whatever it still believes. */
-const holderSilenceMilliseconds = 2500;
-/** A witness that heard of the holder more recently than this contradicts its silence. */
-const witnessedSilenceMilliseconds = 1500;
-/** How long witnesses have for their answers. */
-const witnessWaitMilliseconds = 500;
-/** How often an entry that knows of no holder asks for one. */
-const askMilliseconds = 200;
-/** How long an entry that knows of no holder asks before it may take the office. */
-const askingMilliseconds = 300;
-
-type Send = (to: Member, message: TenureMessage) => void;
-type Inquiry = {readonly about: MemberId; readonly startedAt: number; denials: number; confirmations: number};
 
 /**
  * One entry of a zone is its arbiter, for as long as some peer answers it. Another one takes over on
@@ -46,16 +30,12 @@
 export class Tenure implements Disposable {
 	static readonly tickMilliseconds = tickMilliseconds;
 
+	readonly #lease: TenureLease;
+	readonly #inquiry: SilenceInquiry;
+	readonly #candidacy: Candidacy;
 	#holder: Holder | undefined;
-	#heardAt: number;
-	#acknowledgedAt = Number.NEGATIVE_INFINITY;
-	#announcedAt = Number.NEGATIVE_INFINITY;
-	#askedWitnessesAt = Number.NEGATIVE_INFINITY;
-	#askedAt = Number.NEGATIVE_INFINITY;
 	#tickedAt: number;
-	#askingSince: number;
 	#highestEpoch = 0;
-	#inquiry: Inquiry | undefined;
 	#hasResigned = false;
 	readonly #gain = new Emitter<Succession>();
 	readonly #change = new Emitter<Holder | undefined>();
@@ -65,11 +45,14 @@
 		private readonly membership: Membership,
 		private readonly clock: Clock,
 		private readonly journal: Journal,
-		private readonly send: Send,
+		private readonly send: (to: Member, message: TenureMessage) => void,
 	) {
-		this.#heardAt = clock.now();
+		this.#lease = new TenureLease(membership, clock, send);
+		this.#inquiry = new SilenceInquiry(membership, clock, send);
+		this.#candidacy = new Candidacy({
+			membership, clock, journal, send, inquiry: this.#inquiry,
+		});
 		this.#tickedAt = clock.now();
-		this.#askingSince = clock.now();
 	}
 
 	get holder(): Holder | undefined {
@@ -97,12 +80,8 @@
 
 	/** Whether this entry may lend slots right now; asked before each grant, on the monotonic clock. */
 	mayGrant(): boolean {
-		const now = this.clock.now();
-		if (!this.isHolder || this.#hasResigned || now - this.#tickedAt > pauseLimitMilliseconds) {
-			return false;
-		}
-
-		return !this.#hasRivals() || now - this.#reachedAt() < leaseMilliseconds;
+		const isPaused = this.clock.now() - this.#tickedAt > pauseLimitMilliseconds;
+		return this.isHolder && !this.#hasResigned && !isPaused && this.#lease.isValid;
 	}
 
 	tick(): void {
@@ -110,16 +89,18 @@
 		const wasPaused = now - this.#tickedAt > pauseLimitMilliseconds;
 		this.#tickedAt = now;
 		if (this.isHolder) {
-			this.#tickAsHolder(now, wasPaused);
+			this.#tickAsHolder(wasPaused);
 			return;
 		}
 
 		if (this.#hasResigned || wasPaused) {
-			this.#heardAt = now;
+			this.#candidacy.resetSilence();
 			return;
 		}
 
-		this.#seek(now);
+		if (this.#candidacy.seek(this.#holder?.member)) {
+			this.#take({kind: 'takeover'});
+		}
 	}
 
 	receive(from: Member, message: TenureMessage): void {
@@ -128,17 +109,17 @@
 				this.#hearHolder(from, announcement);
 			})
 			.with({kind: 'heard'}, ({stamp}) => {
-				this.#acknowledgedAt = Math.max(this.#acknowledgedAt, stamp);
+				this.#lease.acknowledged(stamp);
 			})
 			.with({kind: 'who'}, ({zone}) => {
 				this.#tellHolder(from, zone);
 			})
 			.with({kind: 'nobody'}, () => undefined)
 			.with({kind: 'alive'}, ({about}) => {
-				this.#testify(from, about);
+				this.#inquiry.testify(from, about);
 			})
 			.with({kind: 'aliveReply'}, reply => {
-				this.#takeWitness(reply);
+				this.#inquiry.takeReply(reply);
 			})
 			.with({kind: 'handover'}, ({epoch, held}) => {
 				this.#highestEpoch = Math.max(this.#highestEpoch, epoch);
@@ -153,13 +134,14 @@
 		}
 
 		this.#setHolder(undefined);
-		this.#askingSince = Number.NEGATIVE_INFINITY;
+		this.#candidacy.holderLost();
 	}
 
 	/** Gives the office up for good, to the successor that's returned; none where the entry isn't the holder. */
 	resign(held: Extract<TenureMessage, {kind: 'handover'}>['held']): Member | undefined {
 		this.#hasResigned = true;
-		const [successor] = rankByKey(this.membership.self.zone, this.#others().filter(member => !this.membership.isSilent(member.id)), member => member.instance);
+		const awake = zoneNeighboursOf(this.membership).filter(member => !this.membership.isSilent(member.id));
+		const [successor] = rankByKey(this.membership.self.zone, awake, member => member.instance);
 		if (!this.isHolder || successor === undefined) {
 			return undefined;
 		}
@@ -174,58 +156,16 @@
 		this.#change.dispose();
 	}
 
-	#others(): readonly Member[] {
-		const {self} = this.membership;
-		return this.membership.inZone(self.zone).filter(member => member.id !== self.id);
-	}
-
-	/** Whether the zone has, or may have, another entry that could take the office. */
-	#hasRivals(): boolean {
-		return this.#others().length > 0 || this.membership.isUnresolved(this.membership.self.zone);
-	}
-
-	#tickAsHolder(now: number, wasPaused: boolean): void {
+	#tickAsHolder(wasPaused: boolean): void {
 		// A paused holder may have been replaced: it knows nothing of the slots that were lent meanwhile.
 		if (wasPaused) {
 			this.journal.record('tenurePaused', {epoch: this.#holder!.epoch});
 			this.#stepDown();
-			this.#heardAt = now;
-			this.#askingSince = now;
+			this.#candidacy.startAgain();
 			return;
 		}
 
-		if (now - this.#announcedAt >= announceMilliseconds) {
-			this.#announcedAt = now;
-			this.#announce(now, this.#others());
-		}
-
-		if (this.#hasRivals() && now - this.#reachedAt() > leaseMilliseconds / 2 && now - this.#askedWitnessesAt >= witnessMilliseconds) {
-			this.#askedWitnessesAt = now;
-			this.#announce(now, this.#witnesses());
-		}
-	}
-
-	/** When the holder last sent something that a peer answered. */
-	#reachedAt(): number {
-		const inZone = this.#others().map(member => this.membership.reachedAt(member.id) ?? Number.NEGATIVE_INFINITY);
-		return Math.max(this.#acknowledgedAt, ...inZone);
-	}
-
-	#announce(now: number, to: readonly Member[]): void {
-		const announcement: TenureMessage = {
-			kind: 'holds', zone: this.membership.self.zone, holder: this.membership.self.id, epoch: this.#holder!.epoch, stamp: now,
-		};
-		for (const member of to) {
-			this.send(member, announcement);
-		}
-	}
-
-	/** One entry of each other zone. */
-	#witnesses(): readonly Member[] {
-		const {self} = this.membership;
-		const zones = new Set(this.membership.all.map(member => member.zone));
-		zones.delete(self.zone);
-		return [...zones].flatMap(zone => rankByKey(self.instance, this.membership.inZone(zone), member => member.instance).slice(0, 1));
+		this.#lease.renew(this.#holder!.epoch);
 	}
 
 	#hearHolder(from: Member, announcement: Extract<TenureMessage, {kind: 'holds'}>): void {
@@ -241,8 +181,8 @@
 			return;
 		}
 
-		this.#heardAt = this.clock.now();
-		this.#inquiry = undefined;
+		this.#candidacy.resetSilence();
+		this.#inquiry.close();
 		if (this.#holder?.member === heard.member) {
 			this.#holder = heard;
 			return;
@@ -266,98 +206,13 @@
 		});
 	}
 
-	/** Only an entry that was in touch with a member can tell whether it fell silent. */
-	#testify(to: Member, about: MemberId): void {
-		const heardAgoMilliseconds = about === this.membership.self.id ? 0 : this.membership.heardAgo(about);
-		if (heardAgoMilliseconds !== undefined) {
-			this.send(to, {kind: 'aliveReply', about, heardAgoMilliseconds});
-		}
-	}
-
-	#seek(now: number): void {
-		if (this.#holder === undefined) {
-			this.#seekVacant(now);
-			return;
-		}
-
-		const heardAgo = this.membership.heardAgo(this.#holder.member) ?? Number.POSITIVE_INFINITY;
-		if (Math.min(heardAgo, now - this.#heardAt) > holderSilenceMilliseconds) {
-			this.#inquire(now, this.#holder.member);
-		}
-	}
-
-	/** Whoever knows of no holder asks; only the first in rank may take the office, when nobody told of one. */
-	#seekVacant(now: number): void {
-		if (now - this.#askedAt >= askMilliseconds) {
-			this.#askedAt = now;
-			for (const member of this.#others()) {
-				this.send(member, {kind: 'who', zone: this.membership.self.zone});
-			}
-		}
-
-		if (this.membership.isUnresolved(this.membership.self.zone) || !this.#isFirst()) {
-			this.#askingSince = Number.isFinite(this.#askingSince) ? now : this.#askingSince;
-			return;
-		}
-
-		if (now - this.#askingSince >= askingMilliseconds) {
-			this.#take({kind: 'takeover'});
-		}
-	}
-
-	#isFirst(): boolean {
-		const {self} = this.membership;
-		const awake = this.#others().filter(member => !this.membership.isSilent(member.id));
-		return rankByKey(self.zone, [self, ...awake], member => member.instance)[0]?.id === self.id;
-	}
-
-	/** Asks all others whether they hear of the holder; their silence proves nothing, one answer is needed. */
-	#inquire(now: number, about: MemberId): void {
-		if (this.#inquiry === undefined) {
-			this.#inquiry = {
-				about, startedAt: now, denials: 0, confirmations: 0,
-			};
-			for (const member of this.membership.all) {
-				if (member.id !== about) {
-					this.send(member, {kind: 'alive', about});
-				}
-			}
-
-			return;
-		}
-
-		if (now - this.#inquiry.startedAt < witnessWaitMilliseconds) {
-			return;
-		}
-
-		const {denials, confirmations} = this.#inquiry;
-		this.#inquiry = undefined;
-		if (confirmations === 0 && denials > 0 && this.#isFirst()) {
-			this.journal.record('holderSilent', {holder: about, witnesses: denials});
-			this.#take({kind: 'takeover'});
-		}
-	}
-
-	#takeWitness(reply: Extract<TenureMessage, {kind: 'aliveReply'}>): void {
-		if (this.#inquiry?.about !== reply.about) {
-			return;
-		}
-
-		if (reply.heardAgoMilliseconds < witnessedSilenceMilliseconds) {
-			this.#inquiry.confirmations += 1;
-		} else {
-			this.#inquiry.denials += 1;
-		}
-	}
-
 	#take(succession: Succession): void {
-		const now = this.clock.now();
 		this.#highestEpoch += 1;
-		this.#acknowledgedAt = Number.NEGATIVE_INFINITY;
+		this.#lease.begin();
 		this.#setHolder({member: this.membership.self.id, epoch: this.#highestEpoch});
 		this.journal.record('tenureTaken', {epoch: this.#highestEpoch, zone: this.membership.self.zone, manner: succession.kind});
 		this.#gain.fire(succession);
-		this.#announce(now, this.#others());
+		this.#lease.announce(this.#highestEpoch);
 	}
 
 	#stepDown(): void {
