What an entry has open with a zone's arbiter, and when it tells it so, is a module of its own

Cause: the network slot desk's 323 lines had two reasons to change: what becomes of a wish when a grant, a refusal or nothing comes (desk), and when an arbiter is renewed with, searched for or told of everything (arbiter link, one a zone). The type of a wish and the way to arbiters, which both use, have files of their own; a grant that isn't used is given back in one place in place of two.

Behaviour stays.

--- a/src/features/placement/network-slot-desk.ts
+++ b/src/features/placement/network-slot-desk.ts
@@ -5,10 +5,11 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {TicketId} from '../../base/ticket-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
-import type {Member} from '../../runtime/peers/member.js';
 import type {TargetAddress} from '../../runtime/targets/target-address.js';
 import type {Loss} from '../membership/loss.js';
 import type {Membership} from '../membership/membership.js';
+import {ArbiterLink} from './arbiter-link.js';
+import type {ArbiterPost} from './arbiter-post.js';
 import type {Holder} from './holder.js';
 import type {JobRefusal} from './job-refusal.js';
 import type {PlacementReply} from './placement-reply.js';
@@ -18,10 +19,6 @@
 
 /** The owner calls `tick` this often. */
 const tickMilliseconds = 100;
-/** Every request shows that this entry is awake; without one for so long, a renewal does. */
-const renewMilliseconds = 250;
-/** Counts are compared this often in any case. */
-const compareMilliseconds = 2000;
 /**
  * A grant whose echo of this entry's clock is older than this isn't used: the entry was paused since, or the grant was
  * held up, and the arbiter may have lent the slot to somebody else.
@@ -33,140 +30,90 @@
 const ownSearchMilliseconds = 6000;
 
 type Want = Extract<PlacementRequest, {kind: 'want'}>;
-type Wish = {
-	readonly want: Want;
-	readonly task: Want['tasks'][number];
-	readonly deadlineAt: number;
-	readonly askedAt: number;
-	readonly listener: SlotListener;
-};
-type Held = {readonly target: TargetAddress; readonly profile: Want['profile']; readonly endsAt: number};
-type ZoneState = {
-	readonly zone: AvailabilityZone;
-	arbiter: MemberId | undefined;
-	/** When the arbiter was sent something last, and when a renewal. */
-	askedAt: number;
-	renewedAt: number;
-	readonly wishes: Map<TicketId, Wish>;
-	readonly held: Map<TicketId, Held>;
-};
 
-/** How the desk reaches arbiters; a message to this entry itself is delivered too. */
-type Post = {
-	readonly request: (to: MemberId, request: PlacementRequest) => void;
-	/** Asks an entry of a zone who the arbiter is. */
-	readonly askHolder: (of: Member, zone: AvailabilityZone) => void;
-};
-
-/** Keeps every wish until it's granted, refused or withdrawn, and tells a new arbiter of all that is open. */
+/** Keeps every wish until it's granted, refused or withdrawn. */
 export class NetworkSlotDesk extends SlotDesk {
 	static readonly tickMilliseconds = tickMilliseconds;
 
-	readonly #zones = new Map<AvailabilityZone, ZoneState>();
-	readonly #zoneOf = new Map<TicketId, ZoneState>();
+	readonly #links = new Map<AvailabilityZone, ArbiterLink>();
+	readonly #linkOf = new Map<TicketId, ArbiterLink>();
 
 	constructor(
 		private readonly membership: Membership,
 		private readonly clock: Clock,
 		private readonly journal: Journal,
-		private readonly post: Post,
+		private readonly post: ArbiterPost,
 	) {
 		super();
 	}
 
 	/** Slots that this entry holds now. */
 	get held(): number {
-		return [...this.#zones.values()].reduce((sum, state) => sum + state.held.size, 0);
+		return [...this.#links.values()].reduce((sum, link) => sum + link.held.size, 0);
 	}
 
 	override want(zone: AvailabilityZone, want: Want, deadlineAt: number, listener: SlotListener): void {
-		const state = this.#stateOf(zone);
+		const link = this.#linkTo(zone);
+		const now = this.clock.now();
 		for (const task of want.tasks) {
-			state.wishes.set(task.ticket, {
-				want, task, deadlineAt, askedAt: this.clock.now(), listener,
+			link.wishes.set(task.ticket, {
+				want, task, deadlineAt, askedAt: now, listener,
 			});
-			this.#zoneOf.set(task.ticket, state);
-		}
-
-		if (state.arbiter === undefined) {
-			this.#search(state);
-			return;
+			this.#linkOf.set(task.ticket, link);
 		}
 
-		this.#request(state, state.arbiter, {...want, remainingMilliseconds: deadlineAt - this.clock.now()});
+		link.ask({...want, remainingMilliseconds: deadlineAt - now});
 	}
 
 	override release(ticket: TicketId, outcome: Extract<PlacementRequest, {kind: 'release'}>['outcome'], runMilliseconds: number): void {
-		const state = this.#zoneOf.get(ticket);
-		if (state === undefined) {
+		const link = this.#linkOf.get(ticket);
+		if (link === undefined) {
 			return;
 		}
 
-		state.held.delete(ticket);
-		this.#zoneOf.delete(ticket);
-		this.#tell(state, {
+		link.held.delete(ticket);
+		this.#linkOf.delete(ticket);
+		link.tell({
 			kind: 'release', ticket, outcome, runMilliseconds,
 		});
 	}
 
 	override withdraw(tickets: readonly TicketId[]): void {
-		const byZone = new Map<ZoneState, TicketId[]>();
+		const byLink = new Map<ArbiterLink, TicketId[]>();
 		for (const ticket of tickets) {
-			const state = this.#zoneOf.get(ticket);
-			if (state?.wishes.delete(ticket)) {
-				this.#zoneOf.delete(ticket);
-				byZone.set(state, [...byZone.get(state) ?? [], ticket]);
+			const link = this.#linkOf.get(ticket);
+			if (link?.wishes.delete(ticket)) {
+				this.#linkOf.delete(ticket);
+				byLink.set(link, [...byLink.get(link) ?? [], ticket]);
 			}
 		}
 
-		for (const [state, list] of byZone) {
-			this.#tell(state, {kind: 'withdraw', tickets: list});
+		for (const [link, list] of byLink) {
+			link.tell({kind: 'withdraw', tickets: list});
 		}
 	}
 
 	tick(): void {
-		for (const state of this.#zones.values()) {
-			this.#giveUpLate(state);
-			if (state.wishes.size + state.held.size === 0) {
-				continue;
-			}
-
-			if (state.arbiter === undefined) {
-				this.#search(state);
-			} else {
-				this.#renewIfDue(state, state.arbiter);
-			}
+		for (const link of this.#links.values()) {
+			this.#giveUpLate(link);
+			link.tick();
 		}
 	}
 
 	/** Takes note of a zone's arbiter; a new one is told of all wishes and slots. */
 	setArbiter(zone: AvailabilityZone, holder: Holder | undefined): void {
-		const state = this.#stateOf(zone);
-		if (state.arbiter === holder?.member) {
-			return;
-		}
-
-		state.arbiter = holder?.member;
-		if (state.arbiter !== undefined && state.wishes.size + state.held.size > 0) {
-			this.#renew(state, state.arbiter);
-			this.#sendInventory(state, state.arbiter);
-		}
+		this.#linkTo(zone).setArbiter(holder?.member);
 	}
 
-	/** The arbiter is told anew what is open: requests, or its replies, may have been lost with the connection. */
 	memberReconnected(member: MemberId): void {
-		for (const state of this.#zones.values()) {
-			if (state.arbiter === member && state.wishes.size + state.held.size > 0) {
-				this.#sendInventory(state, member);
-			}
+		for (const link of this.#links.values()) {
+			link.memberReconnected(member);
 		}
 	}
 
 	memberLost({member}: Loss): void {
-		for (const state of this.#zones.values()) {
-			if (state.arbiter === member.id) {
-				state.arbiter = undefined;
-			}
+		for (const link of this.#links.values()) {
+			link.memberLost(member.id);
 		}
 	}
 
@@ -183,57 +130,59 @@
 				}
 			})
 			.with({kind: 'recount'}, ({zone}) => {
-				this.#sendInventory(this.#stateOf(zone), from);
+				this.#linkTo(zone).sendInventory(from);
 			})
 			.with({kind: 'unknown'}, ({tickets}) => {
 				this.#wantAgain(from, tickets);
 			})
 			.with({kind: 'elsewhere'}, ({zone}) => {
-				this.#elsewhere(from, zone);
+				this.#linkTo(zone).resigned(from);
 			})
 			.exhaustive();
 	}
 
 	#granted(from: MemberId, echo: number, ticket: TicketId, target: TargetAddress): void {
-		const state = this.#zoneOf.get(ticket);
-		const wish = state?.wishes.get(ticket);
-		if (state === undefined || wish === undefined) {
-			this.post.request(from, {
-				kind: 'release', ticket, outcome: 'unused', runMilliseconds: 0,
-			});
+		const link = this.#linkOf.get(ticket);
+		const wish = link?.wishes.get(ticket);
+		if (link === undefined || wish === undefined) {
+			this.#giveBack(from, ticket);
 			return;
 		}
 
-		if (this.clock.now() - echo > grantFreshnessMilliseconds || from !== state.arbiter) {
+		if (this.clock.now() - echo > grantFreshnessMilliseconds || from !== link.arbiter) {
 			this.journal.record('staleGrantDropped', {ticket, arbiter: from});
-			this.post.request(from, {
-				kind: 'release', ticket, outcome: 'unused', runMilliseconds: 0,
-			});
+			this.#giveBack(from, ticket);
 			this.#wantAgain(from, [ticket]);
 			return;
 		}
 
-		state.wishes.delete(ticket);
-		state.held.set(ticket, {target, profile: wish.want.profile, endsAt: this.clock.now() + wish.want.limitMilliseconds});
+		link.wishes.delete(ticket);
+		link.held.set(ticket, {target, profile: wish.want.profile, endsAt: this.clock.now() + wish.want.limitMilliseconds});
 		wish.listener.onDidGrant({ticket, target});
 	}
 
+	#giveBack(arbiter: MemberId, ticket: TicketId): void {
+		this.post.request(arbiter, {
+			kind: 'release', ticket, outcome: 'unused', runMilliseconds: 0,
+		});
+	}
+
 	#refused(ticket: TicketId, refusal: JobRefusal): void {
-		const state = this.#zoneOf.get(ticket);
-		const wish = state?.wishes.get(ticket);
-		if (state === undefined || wish === undefined) {
+		const link = this.#linkOf.get(ticket);
+		const wish = link?.wishes.get(ticket);
+		if (link === undefined || wish === undefined) {
 			return;
 		}
 
-		state.wishes.delete(ticket);
-		this.#zoneOf.delete(ticket);
+		link.wishes.delete(ticket);
+		this.#linkOf.delete(ticket);
 		wish.listener.onDidRefuse(ticket, refusal);
 	}
 
 	/** Sends wishes again that the arbiter lacks; they were admitted before, or ask to be. */
 	#wantAgain(arbiter: MemberId, tickets: readonly TicketId[]): void {
 		for (const ticket of tickets) {
-			const wish = this.#zoneOf.get(ticket)?.wishes.get(ticket);
+			const wish = this.#linkOf.get(ticket)?.wishes.get(ticket);
 			if (wish !== undefined) {
 				const remainingMilliseconds = wish.deadlineAt - this.clock.now();
 				this.post.request(arbiter, {
@@ -243,81 +192,32 @@
 		}
 	}
 
-	#elsewhere(from: MemberId, zone: AvailabilityZone): void {
-		const state = this.#stateOf(zone);
-		if (state.arbiter === from) {
-			state.arbiter = undefined;
-			this.#search(state);
-		}
-	}
-
-	#giveUpLate(state: ZoneState): void {
+	#giveUpLate(link: ArbiterLink): void {
 		const now = this.clock.now();
-		const isOwn = state.zone === this.membership.self.zone;
+		const isOwn = link.zone === this.membership.self.zone;
 		const searchLimit = isOwn ? ownSearchMilliseconds : foreignSearchMilliseconds;
-		for (const [ticket, wish] of state.wishes) {
+		for (const [ticket, wish] of link.wishes) {
 			if (now >= wish.deadlineAt) {
-				this.#giveUp(state, ticket, {cause: 'deadlineUnreachable', detail: 'the deadline passed while the task waited for a slot', retryAfterMilliseconds: 1000});
-			} else if (state.arbiter === undefined && now - wish.askedAt > searchLimit) {
-				this.#giveUp(state, ticket, {cause: 'noTarget', detail: `nobody lends the slots of zone ${state.zone}`, retryAfterMilliseconds: 1000});
+				this.#giveUp(link, ticket, {cause: 'deadlineUnreachable', detail: 'the deadline passed while the task waited for a slot', retryAfterMilliseconds: 1000});
+			} else if (link.arbiter === undefined && now - wish.askedAt > searchLimit) {
+				this.#giveUp(link, ticket, {cause: 'noTarget', detail: `nobody lends the slots of zone ${link.zone}`, retryAfterMilliseconds: 1000});
 			}
 		}
 	}
 
-	#giveUp(state: ZoneState, ticket: TicketId, refusal: JobRefusal): void {
-		this.#tell(state, {kind: 'withdraw', tickets: [ticket]});
+	#giveUp(link: ArbiterLink, ticket: TicketId, refusal: JobRefusal): void {
+		link.tell({kind: 'withdraw', tickets: [ticket]});
 		this.#refused(ticket, refusal);
 	}
 
-	#search(state: ZoneState): void {
-		for (const member of this.membership.inZone(state.zone)) {
-			if (member.id !== this.membership.self.id) {
-				this.post.askHolder(member, state.zone);
-			}
-		}
-	}
-
-	#renewIfDue(state: ZoneState, arbiter: MemberId): void {
-		const now = this.clock.now();
-		if (now - state.askedAt >= renewMilliseconds || now - state.renewedAt >= compareMilliseconds) {
-			this.#renew(state, arbiter);
-		}
-	}
-
-	#renew(state: ZoneState, arbiter: MemberId): void {
-		state.renewedAt = this.clock.now();
-		this.#request(state, arbiter, {kind: 'renew', held: state.held.size, waiting: state.wishes.size});
-	}
-
-	#sendInventory(state: ZoneState, arbiter: MemberId): void {
-		const now = this.clock.now();
-		const held = [...state.held].map(([ticket, {target, profile, endsAt}]) => ({
-			ticket, target: target.id, profile, endsInMilliseconds: endsAt - now,
-		}));
-		this.post.request(arbiter, {kind: 'inventory', held, waiting: [...state.wishes.keys()]});
-	}
-
-	#tell(state: ZoneState, request: PlacementRequest): void {
-		if (state.arbiter !== undefined) {
-			this.#request(state, state.arbiter, request);
-		}
-	}
-
-	#request(state: ZoneState, arbiter: MemberId, request: PlacementRequest): void {
-		state.askedAt = this.clock.now();
-		this.post.request(arbiter, request);
-	}
-
-	#stateOf(zone: AvailabilityZone): ZoneState {
-		const known = this.#zones.get(zone);
+	#linkTo(zone: AvailabilityZone): ArbiterLink {
+		const known = this.#links.get(zone);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const state: ZoneState = {
-			zone, arbiter: undefined, askedAt: Number.NEGATIVE_INFINITY, renewedAt: Number.NEGATIVE_INFINITY, wishes: new Map(), held: new Map(),
-		};
-		this.#zones.set(zone, state);
-		return state;
+		const link = new ArbiterLink(zone, this.membership, this.clock, this.post);
+		this.#links.set(zone, link);
+		return link;
 	}
 }
