Comments say why a value or a way is right for the product, not what it was measured with

Cause: nine comments in base, runtime, ownership, placement, intake and submissions told how something was chosen, where a reader of the code needs the reason only.

Comments only.

--- a/src/base/repeat.ts
+++ b/src/base/repeat.ts
@@ -4,7 +4,7 @@
 
 /**
  * Calls back at each multiple of the period on the monotonic clock, so that all timers of one process with the same period
- * share a wake-up: apart from each other, four such timers woke an idle entry 35 times a second for what ten times do.
+ * share a wake-up, and an idle entry isn't woken by each of them apart.
  */
 export function repeat(clock: Clock, periodMilliseconds: number, callback: () => void): Disposable {
 	let timer: Disposable;
--- a/src/features/intake/job-body-schema.ts
+++ b/src/features/intake/job-body-schema.ts
@@ -3,7 +3,7 @@
 import {jsonValueSchema} from '../../base/json-value-schema.js';
 import type {ProfileName} from '../../base/profile-name.js';
 
-/** The brief's limit. */
+/** The largest job that callers may submit. */
 const tasksPerJob = 200;
 const declaredMillisecondsLimit = 3_600_000;
 
--- a/src/features/ownership/group-member.ts
+++ b/src/features/ownership/group-member.ts
@@ -11,8 +11,8 @@
 /** How often the membership is renewed; a fifth of its time to live, so that four renewals may be lost. */
 const renewalMilliseconds = 300;
 /**
- * While the group is being dealt, each partition moves at its holder's next renewal. After all entries lost power at once,
- * targets had no owner for 0.9 s with the usual period; the store counts a renewal as a tenth of a call.
+ * While the group is being dealt, each partition moves at its holder's next renewal, and its targets have no owner until
+ * then: jobs wait for the slowest. A renewal costs the store less than a call.
  */
 const settlingMilliseconds = 60;
 /** So long after a change, or after the start, the group counts as being dealt. */
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -23,7 +23,7 @@
 
 /** So many targets of a zone are asked for a sign before it's covered: one of them may be down by itself. */
 const targetsToTry = 3;
-/** A target that is reached answers within a few milliseconds, at a small entry's busiest moments within this. */
+/** A target that is reached answers within this, also at a small entry's busiest moments. */
 const signLimitMilliseconds = 120;
 /** A target that has had an owner rejects it, which is as good a sign as any answer. */
 const lowestToken = 0 as FencingToken;
--- a/src/features/placement/mean-run-times.ts
+++ b/src/features/placement/mean-run-times.ts
@@ -4,8 +4,8 @@
 import {MeanSample} from './mean-sample.js';
 
 /**
- * For an entry that needs no quantiles: the histograms of `RunTimes` take 4.5 MB of resident memory to load (measured in a
- * trial), which is dear on small machines.
+ * For an entry that needs no quantiles: the histograms of `RunTimes` take memory just by being loaded, which is dear on
+ * small machines.
  */
 export class MeanRunTimes {
 	readonly #samples = new LearnedSamples(() => new MeanSample());
--- a/src/features/submissions/record-store.ts
+++ b/src/features/submissions/record-store.ts
@@ -4,7 +4,7 @@
 import type {Verdict} from '../../base/verdict.js';
 import type {SubmissionRecord} from './submission-record.js';
 
-/** Measured: what a record takes besides its answer. */
+/** What a record takes besides its answer, roughly. */
 const bytesPerRecord = 600;
 /** Two bytes a character, as strings are kept. */
 const bytesPerCharacter = 2;
--- a/src/runtime/metrics/text-metrics.ts
+++ b/src/runtime/metrics/text-metrics.ts
@@ -52,7 +52,7 @@
 		return `${lines.join('\n')}\n`;
 	}
 
-	/** Callers that count often pass the same tags: making the name anew each time took its share of a busy entry's time. */
+	/** Callers that count often pass the same tags: the name isn't made anew for each count. */
 	#keyOf(name: string, tags: Tags): string {
 		const keys = this.#keys.get(tags) ?? new Map<string, string>();
 		this.#keys.set(tags, keys);
--- a/src/runtime/peers/read-frame.ts
+++ b/src/runtime/peers/read-frame.ts
@@ -8,7 +8,7 @@
 /**
  * The frame, or nothing where the bytes aren't one. What strangers may send, the handshake, is checked by schema. Messages and
  * pings count only after the handshake, from programs that know the key: for them the types of the fields are looked at
- * here, since the schema took a tenth of a busy entry's processor time (V8's profile of 12 entries under load).
+ * here, since a schema's check of every message would take much of a busy entry's processor time.
  */
 export function readFrame(bytes: Uint8Array): Frame | undefined {
 	try {
--- a/src/runtime/peers/tcp-peer-network.ts
+++ b/src/runtime/peers/tcp-peer-network.ts
@@ -57,7 +57,7 @@
 	readonly #sought = new Set<string>();
 	#self: Member;
 	readonly #listener: LinkListener;
-	/** One for all links: a timer each would wake an entry of a fleet of 38 some 370 times a second for nothing. */
+	/** One for all links: a timer each would wake an entry of a large fleet all the time for nothing. */
 	readonly #checks: Disposable;
 
 	constructor(private readonly identity: Identity, private readonly clock: Clock, private readonly journal: Journal) {
