--- a/src/entries/command/losses/read-in-order.ts
+++ b/src/entries/command/losses/read-in-order.ts
@@ -10,7 +10,6 @@
 /** Lines are sorted in bulk. */
 const sortedAtOnce = 2000;
 
-/** A log and its name. */
 type Source = {readonly name: string; readonly input: Readable};
 type Cursor = {readonly lines: AsyncIterator<LogLine>; next: LogLine | undefined};
 
--- a/src/features/ownership/group-member.ts
+++ b/src/features/ownership/group-member.ts
@@ -18,7 +18,6 @@
 /** So long after a change, or after the start, the group counts as being dealt. */
 const settlingTimeMilliseconds = 1500;
 
-/** What a member works with. */
 type GroupMemberParts = {
 	readonly group: OwnershipGroupName;
 	readonly member: string;
--- a/src/features/ownership/ownership.ts
+++ b/src/features/ownership/ownership.ts
@@ -28,7 +28,6 @@
 /** A target that has had an owner rejects it, which is as good a sign as any answer. */
 const lowestToken = 0 as FencingToken;
 
-/** What ownership works with. */
 type OwnershipParts = {
 	readonly zone: AvailabilityZone;
 	/** Names this life of the entry in the groups. */
--- a/src/features/placement/arbiter.ts
+++ b/src/features/placement/arbiter.ts
@@ -32,7 +32,6 @@
 /** Sends a reply to a requester, which may be this entry itself. */
 type Outbox = (to: MemberId, reply: PlacementReply) => void;
 
-/** What an arbiter works with. */
 type ArbiterParts = {
 	readonly zone: AvailabilityZone;
 	readonly placement: Placement;
--- a/src/features/placement/candidacy.ts
+++ b/src/features/placement/candidacy.ts
@@ -16,7 +16,6 @@
 /** How long an entry that knows of no holder asks before it may take the office. */
 const askingMilliseconds = 300;
 
-/** What a candidacy works with. */
 type CandidacyParts = {
 	readonly membership: Membership;
 	readonly clock: Clock;
--- a/src/features/placement/fair-queue.ts
+++ b/src/features/placement/fair-queue.ts
@@ -69,7 +69,6 @@
 		return undefined;
 	}
 
-	/** Waiting tasks of a profile. */
 	waitingOf(profile: string): number {
 		let waiting = 0;
 		for (const lane of this.#lanes.values()) {
--- a/src/features/placement/lending.ts
+++ b/src/features/placement/lending.ts
@@ -17,7 +17,6 @@
 /** A slot that was lent this long before has reached its requester, or never will. */
 const arrivalMilliseconds = 1500;
 
-/** What lending works with. */
 type LendingParts = {
 	readonly clock: Clock;
 	readonly journal: Journal;
--- a/src/features/placement/reconciliation.ts
+++ b/src/features/placement/reconciliation.ts
@@ -9,7 +9,6 @@
 import type {SlotLedger} from './slot-ledger.js';
 import type {WaitingTickets} from './waiting-tickets.js';
 
-/** What the reconciliation works with. */
 type ReconciliationParts = {
 	readonly zone: AvailabilityZone;
 	readonly ledger: SlotLedger;
--- a/src/features/placement/target-health.ts
+++ b/src/features/placement/target-health.ts
@@ -109,7 +109,6 @@
 		this.journal.record('targetEjected', {target, outcome: cause, periodMilliseconds: suspensionMilliseconds});
 	}
 
-	/** Takes the end of a task. */
 	report(end: TaskEnd, now: number): void {
 		const {target, profile, outcome, runMilliseconds, expectedMilliseconds, job} = end;
 		const state = this.#stateOf(target);
--- a/src/features/placement/waiting-tickets.ts
+++ b/src/features/placement/waiting-tickets.ts
@@ -14,7 +14,6 @@
 
 type Want = Extract<PlacementRequest, {kind: 'want'}>;
 
-/** What the choice of the next wish works with. */
 type WaitingTicketsParts = {
 	readonly placement: Placement;
 	readonly clock: Clock;
--- a/src/features/placement/zone-placement.ts
+++ b/src/features/placement/zone-placement.ts
@@ -39,7 +39,6 @@
 	z.object({to: z.literal('tenure'), message: tenureMessageSchema}),
 ]);
 
-/** What the placement of an entry works with. */
 type ZonePlacementParts = {
 	readonly placement: Placement;
 	readonly quarantineMilliseconds: number;
--- a/src/features/profiles/log-profile-book.ts
+++ b/src/features/profiles/log-profile-book.ts
@@ -37,7 +37,6 @@
 
 type Message = z.output<typeof configurationMessageSchema>;
 
-/** What the profile book works with. */
 type LogProfileBookParts = {
 	readonly stream: LogStream;
 	readonly network: PeerNetwork;
--- a/src/features/profiles/snapshot-keeper.ts
+++ b/src/features/profiles/snapshot-keeper.ts
@@ -20,7 +20,6 @@
 const recordsForSnapshot = 200;
 const soonMilliseconds = 30_000;
 
-/** What the keeper works with. */
 type SnapshotKeeperParts = {
 	readonly book: ProfileBook;
 	readonly stream: LogStream;
--- a/src/features/submissions/authority-rule.ts
+++ b/src/features/submissions/authority-rule.ts
@@ -10,7 +10,6 @@
 /** A registrar that acts in the place of a silent one must have seen itself on the instance list so recently. */
 const listedMilliseconds = 3000;
 
-/** What the rule works with. */
 type AuthorityRuleParts = {
 	readonly self: Member;
 	readonly clock: Clock;
--- a/src/features/submissions/circle-entry.ts
+++ b/src/features/submissions/circle-entry.ts
@@ -12,7 +12,6 @@
 /** A neighbour that isn't in the circle for so long hasn't entered it: it believes that it has a circle of its own. */
 const strangerMilliseconds = 2000;
 
-/** What the entry into the circle works with. */
 type CircleEntryParts = {
 	readonly self: Member;
 	readonly clock: Clock;
--- a/src/features/submissions/claims.ts
+++ b/src/features/submissions/claims.ts
@@ -18,7 +18,6 @@
 
 type Waiter = {readonly member: MemberId; readonly nonce: string};
 
-/** What decisions on claims work with. */
 type ClaimsParts = {
 	readonly clock: Clock;
 	readonly journal: Journal;
--- a/src/features/submissions/copies.ts
+++ b/src/features/submissions/copies.ts
@@ -13,7 +13,6 @@
 import type {StateTransfer} from './state-transfer.js';
 import type {SubmissionRecord} from './submission-record.js';
 
-/** What the holder of copies works with. */
 type CopiesParts = {
 	readonly clock: Clock;
 	readonly view: CircleView;
--- a/src/features/submissions/copy-restoration.ts
+++ b/src/features/submissions/copy-restoration.ts
@@ -12,7 +12,6 @@
 import type {RegistryMessage} from './registry-message.js';
 import type {Replication} from './replication.js';
 
-/** What the restoration works with. */
 type CopyRestorationParts = {
 	readonly self: Member;
 	readonly clock: Clock;
--- a/src/features/submissions/open-claims.ts
+++ b/src/features/submissions/open-claims.ts
@@ -36,7 +36,6 @@
 	isRedirected: boolean;
 };
 
-/** What open claims work with. */
 type OpenClaimsParts = {
 	readonly self: MemberId;
 	readonly zones: readonly AvailabilityZone[];
--- a/src/features/submissions/registrar.ts
+++ b/src/features/submissions/registrar.ts
@@ -26,7 +26,6 @@
  */
 const pauseLimitMilliseconds = 1500;
 
-/** What a registrar works with. */
 type RegistrarParts = {
 	readonly self: Member;
 	readonly clock: Clock;
--- a/src/features/submissions/registry-submission-desk.ts
+++ b/src/features/submissions/registry-submission-desk.ts
@@ -23,7 +23,6 @@
 
 type Reply = Extract<RegistryMessage, {kind: 'granted' | 'waiting' | 'concluded' | 'redirect' | 'settled' | 'cancelRequested'}>;
 
-/** What the desk works with. */
 type RegistrySubmissionDeskParts = {
 	readonly self: MemberId;
 	readonly zones: readonly AvailabilityZone[];
--- a/src/features/submissions/replication.ts
+++ b/src/features/submissions/replication.ts
@@ -18,7 +18,6 @@
 /** A copy under way, and whom to tell when it has arrived. */
 type Pending = {readonly record: SubmissionRecord; readonly version: number; sentTo: MemberId | undefined; sentAt: number; readonly done: () => void};
 
-/** What the replication works with. */
 type ReplicationParts = {
 	readonly clock: Clock;
 	readonly view: CircleView;
--- a/src/features/submissions/settlements.ts
+++ b/src/features/submissions/settlements.ts
@@ -25,7 +25,6 @@
 	redirect: MemberId | undefined;
 };
 
-/** What settlements work with. */
 type SettlementsParts = {
 	readonly zones: readonly AvailabilityZone[];
 	readonly clock: Clock;
--- a/src/features/submissions/state-transfer.ts
+++ b/src/features/submissions/state-transfer.ts
@@ -12,7 +12,6 @@
 
 const recordsPerBatch = 200;
 
-/** What the transfer works with. */
 type StateTransferParts = {
 	readonly clock: Clock;
 	readonly view: CircleView;
--- a/src/features/submissions/submission-registry.ts
+++ b/src/features/submissions/submission-registry.ts
@@ -25,7 +25,6 @@
 const listPollMilliseconds = 100;
 const handoverPollMilliseconds = 20;
 
-/** What the registry of an entry works with. */
 type SubmissionRegistryParts = {
 	readonly settings: Settings;
 	readonly network: PeerNetwork;
--- a/src/runtime/metrics/metrics.ts
+++ b/src/runtime/metrics/metrics.ts
@@ -6,6 +6,5 @@
 
 	abstract gauge(name: string, value: number): void;
 
-	/** Records a duration in milliseconds. */
 	abstract timing(name: string, milliseconds: number, tags?: Readonly<Record<string, string>>): void;
 }
--- a/src/runtime/peers/accepted-connection.ts
+++ b/src/runtime/peers/accepted-connection.ts
@@ -17,7 +17,6 @@
 
 type Frame = z.output<typeof peerFrameSchema>;
 
-/** What an accepted connection works with. */
 type AcceptedConnectionParts = {
 	readonly socket: Socket;
 	readonly self: Member;
--- a/src/runtime/peers/outgoing-link.ts
+++ b/src/runtime/peers/outgoing-link.ts
@@ -19,7 +19,6 @@
 type Frame = z.output<typeof peerFrameSchema>;
 type QueuedMessage = {readonly to: MemberId; readonly message: PeerMessage};
 
-/** What a link works with. */
 type OutgoingLinkParts = {
 	readonly peerAddress: string;
 	readonly self: Member;
--- a/src/runtime/stream/log-stream.ts
+++ b/src/runtime/stream/log-stream.ts
@@ -7,7 +7,6 @@
 
 /** The adapter to the log service. Both operations end within their own time-out and never reject. */
 export abstract class LogStream {
-	/** Appends one record. */
 	abstract append(body: JsonValue, token: CancellationToken): Promise<AppendOutcome>;
 
 	/** Reads from an offset; waits up to so many milliseconds for a record where there is none yet. */
