Tests in memory with entries that stand still; two faults that they show

Seen by callers: nothing yet; two ways in which a task runs twice at a time were found by drawn schedules on the code as it landed.

A refusal of attempt 1 is told again on a new connection (within 3 s); the job was submitted again meanwhile, and its attempt 1 is at another owner: attempt 2 is sent beside it. No pause is needed. - "a request that waited...": a request and its stop wait in the sender's link for an owner that stands still. Read together 2 s later, they begin the task and stop it, while its next submission runs elsewhere.

--- /dev/null
+++ b/test/support/entry-orders.ts
@@ -0,0 +1,69 @@
+/** One entry's orders to targets in memory. */
+import type {Clock} from '../../src/base/clock.js';
+import type {InstanceId} from '../../src/base/instance-id.js';
+import type {OrderFailure} from '../../src/features/targets/order-failure.js';
+import type {RenewalOrder} from '../../src/features/targets/renewal-order.js';
+import type {RenewalReply} from '../../src/features/targets/renewal-reply.js';
+import type {StartOrder} from '../../src/features/targets/start-order.js';
+import type {StartReply} from '../../src/features/targets/start-reply.js';
+import type {StopOrder} from '../../src/features/targets/stop-order.js';
+import type {StopReply} from '../../src/features/targets/stop-reply.js';
+import {TargetOrders} from '../../src/features/targets/target-orders.js';
+import type {TargetRecord} from '../../src/features/targets/target-record.js';
+import type {EntryClock} from './entry-clock.js';
+import type {ModelTargets} from './model-targets.js';
+
+/** What was ordered is carried out while the entry stands still; the answers wait in its sockets, and its time limits may pass. */
+export class EntryOrders extends TargetOrders {
+	/** Targets that answer no start, and carry it out so much later. */
+	readonly lateness = new Map<InstanceId, number>();
+
+	constructor(private readonly targets: ModelTargets, private readonly clock: EntryClock, private readonly world: Clock) {
+		super();
+	}
+
+	override async start(target: TargetRecord, order: StartOrder): Promise<StartReply> {
+		const late = this.lateness.get(target.id);
+		if (late === undefined) {
+			return this.#await(target.id, this.targets.start(target, order), order.limitMilliseconds);
+		}
+
+		this.world.schedule(late, () => {
+			this.targets.startNow(target.id, order);
+		});
+		return this.#await(target.id, never(), order.limitMilliseconds);
+	}
+
+	override async stop(target: TargetRecord, order: StopOrder): Promise<StopReply> {
+		return this.#await(target.id, this.targets.stop(target, order), order.limitMilliseconds);
+	}
+
+	override async renew(target: TargetRecord, order: RenewalOrder): Promise<RenewalReply> {
+		return this.#await(target.id, this.targets.renew(target, order), order.waitMilliseconds + order.limitMilliseconds);
+	}
+
+	override forget(): void {
+		// There are no connections.
+	}
+
+	async #await<Reply>(target: InstanceId, reply: Promise<Reply>, limitMilliseconds: number): Promise<Reply | OrderFailure> {
+		return new Promise(resolve => {
+			const limit = this.clock.schedule(limitMilliseconds, () => {
+				resolve({kind: 'unanswered', detail: 'no answer'});
+			});
+			void (async () => {
+				const read = await reply;
+				this.clock.receive(target, () => {
+					limit.dispose();
+					resolve(read);
+				});
+			})();
+		});
+	}
+}
+
+async function never(): Promise<never> {
+	return new Promise(() => {
+		// The answer is lost.
+	});
+}
--- a/test/support/model-network.ts
+++ b/test/support/model-network.ts
@@ -19,6 +19,10 @@
 	readonly delays = new Map<string, number>();
 	/** `from>to`: messages that way are lost. */
 	readonly cuts = new Set<string>();
+	/** How a member reads what comes on one of its sockets, where it doesn't do so at once. */
+	readonly readers = new Map<MemberId, (socket: string, read: () => void) => void>();
+	/** `from>to`: what waits for a connection that is broken. */
+	readonly #broken = new Map<string, Array<() => void>>();
 	/** By peer address, those that were killed as well. */
 	readonly #ends = new Map<string, NetworkEnd>();
 	/** `from>to`, both ways, of members that have met. */
@@ -82,7 +86,30 @@
 
 	/** A member finds its connection to another one made anew. */
 	reconnect(name: string, other: string): void {
-		this.ends.get(`${name}#1` as MemberId)!.reconnecting.fire(this.ends.get(`${other}#1` as MemberId)!.self);
+		const [end, far] = [name, other].map(member => this.ends.get(`${member}#1` as MemberId)) as [NetworkEnd, NetworkEnd];
+		this.#read(end.self.id, `to ${far.self.id}`, () => {
+			end.reconnecting.fire(far.self);
+		});
+	}
+
+	/** The connection that one member sends on to another is broken: messages wait for the next one. */
+	break(name: string, other: string): void {
+		const way = `${name}#1>${other}#1`;
+		this.#broken.set(way, this.#broken.get(way) ?? []);
+	}
+
+	/** A broken connection is made anew, and what waits for it goes out. */
+	restore(name: string, other: string): void {
+		const way = `${name}#1>${other}#1`;
+		const waiting = this.#broken.get(way) ?? [];
+		if (!this.#broken.delete(way) || !this.ends.has(`${name}#1` as MemberId)) {
+			return;
+		}
+
+		this.reconnect(name, other);
+		for (const send of waiting) {
+			send();
+		}
 	}
 
 	/** A member's process has ended: its port refuses connections. */
@@ -90,18 +117,40 @@
 		const id = `${name}#1` as MemberId;
 		this.ends.delete(id);
 		for (const end of this.ends.values()) {
-			end.proof.fire(id);
+			this.#read(end.self.id, `to ${id}`, () => {
+				end.proof.fire(id);
+			});
 		}
 	}
 
 	carry(from: Member, to: MemberId, message: PeerMessage): void {
+		const way = `${from.id}>${to}`;
+		const waiting = this.#broken.get(way);
+		if (waiting !== undefined) {
+			waiting.push(() => {
+				this.carry(from, to, message);
+			});
+			return;
+		}
+
 		this.framesSent += 1;
-		this.clock.schedule(this.delays.get(`${from.id}>${to}`) ?? delayMilliseconds, () => {
-			if (!this.cuts.has(`${from.id}>${to}`) && this.ends.has(from.id)) {
-				this.ends.get(to)?.receiving.fire({from, message: structuredClone(message)});
+		this.clock.schedule(this.delays.get(way) ?? delayMilliseconds, () => {
+			if (!this.cuts.has(way) && this.ends.has(from.id)) {
+				this.#read(to, `from ${from.id}`, () => {
+					this.ends.get(to)?.receiving.fire({from, message: structuredClone(message)});
+				});
 			}
 		});
 	}
+
+	#read(member: MemberId, socket: string, read: () => void): void {
+		const reader = this.readers.get(member);
+		if (reader === undefined) {
+			read();
+		} else {
+			reader(socket, read);
+		}
+	}
 }
 
 class NetworkEnd extends PeerNetwork {
--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -55,6 +55,9 @@
 	readonly place?: Partial<TaskPlace>;
 };
 
+/** What an entry here is built from. */
+type EntryParts = ConstructorParameters<typeof PooledEntry>[0];
+
 /** A job under way in a test. */
 type Submitted = {verdict: Verdict<JobOutcome> | undefined; readonly cancel: () => void};
 
@@ -70,7 +73,8 @@
 	readonly evacuations = new ZoneEvacuations(this.journal);
 	readonly #catalogue = new ModelCatalogue();
 
-	constructor(entryNames: readonly string[], targetsInZone: number) {
+	/** `surround` may put an entry into other surroundings than the world's own. */
+	constructor(entryNames: readonly string[], targetsInZone: number, private readonly surround: (name: string, parts: EntryParts, world: PooledWorld) => EntryParts = (_, parts) => parts) {
 		for (const name of entryNames) {
 			this.#addEntry(name);
 		}
@@ -154,7 +158,7 @@
 	}
 
 	#addEntry(name: string): void {
-		this.entries.set(name, new PooledEntry({
+		this.entries.set(name, new PooledEntry(this.surround(name, {
 			zone: zoneOf(name) as AvailabilityZone,
 			member: name,
 			leaseMilliseconds: 1000,
@@ -166,7 +170,7 @@
 			routing: new RoutingTable(1500, this.clock, this.journal),
 			clock: this.clock,
 			journal: this.journal,
-		}));
+		}, this)));
 	}
 }
 
--- /dev/null
+++ b/test/support/waking.ts
@@ -0,0 +1,7 @@
+/** How an entry that stood still goes on. */
+
+/**
+ * `first` is what its event loop comes to first. A pause that isn't counted is that of a suspended machine, whose steady clock
+ * stood still as well. `socketOrder` picks the order in which sockets are read.
+ */
+export type Waking = {readonly first: 'network' | 'timers'; readonly isCounted: boolean; readonly socketOrder: number};
