--- a/test/support/pooled-world.ts
+++ b/test/support/pooled-world.ts
@@ -56,6 +56,9 @@
 	readonly place?: Partial<TaskPlace>;
 };
 
+/** What an entry here is built from. */
+type EntryParts = ConstructorParameters<typeof PooledEntry>[0];
+
 /** A job under way in a test. */
 type Submitted = {verdict: Verdict<JobOutcome> | undefined; readonly cancel: () => void};
 
@@ -72,7 +75,8 @@
 	readonly #catalogue = new ModelCatalogue();
 	readonly #surroundings = new Map<string, PausableSurroundings>();
 
-	constructor(entryNames: readonly string[], targetsInZone: number) {
+	/** `surround` may put an entry into other surroundings than the world's own. */
+	constructor(entryNames: readonly string[], targetsInZone: number, private readonly surround: (name: string, parts: EntryParts, world: PooledWorld) => EntryParts = (_, parts) => parts) {
 		for (const name of entryNames) {
 			this.#addEntry(name);
 		}
@@ -180,7 +184,7 @@
 		const surroundings = new PausableSurroundings({...this.#shared, network: this.network.join(name, zoneOf(name))});
 		const {clock, network, group, orders} = surroundings;
 		this.#surroundings.set(name, surroundings);
-		this.entries.set(name, new PooledEntry({
+		this.entries.set(name, new PooledEntry(this.surround(name, {
 			zone: zoneOf(name) as AvailabilityZone,
 			member: name,
 			leaseMilliseconds: 1000,
@@ -192,7 +196,7 @@
 			routing: new RoutingTable(1500, clock, this.journal),
 			clock,
 			journal: this.journal,
-		}));
+		}, this)));
 	}
 }
 
