A few entries of a zone read the list of targets, and the others have it from them

Cause: every entry read every target's heartbeats, 136 MB a second where the store gives 80; all reads waited behind them. Change: in a large fleet three entries of a zone read (rendezvous hashing over the entries that are heard), and the others ask one of them, again after each answer. Nothing is agreed on: who is asked reads, who isn't answered within 0.35 of the drain time by its own clock reads. A question is answered only by a read that began after it came, so that a reader that stood still, also one whose steady clock did, can't pass old news on as new: the bound is one of order. Records carry their offsets in the store's log and are taken once, in order; what comes late is before that and has no effect. Passed on is what changes anything but a number that's counted up, also that an entry was spoilt, went or came back; an entry without a list gets the whole one, deflated. After two reads that fail a reader is asked again first: after an outage the store isn't asked by all at once for what they missed. An entry in a fleet of no more than smallFleet others reads by itself as before; when it starts it waits for the directory of entries first, 0.3 s at most. A read that the store had to cut short (1 MB) is followed by the next one at once; before, it waited out the pause.

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -12,6 +12,7 @@
 import type {Clock} from '../../base/clock.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {wait} from '../../base/wait.js';
+import {PoolCircle} from '../../features/listing/pool-circle.js';
 import {RoutingTable} from '../../features/routing/routing-table.js';
 import {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
@@ -60,6 +61,7 @@
 	readonly #routing: RoutingTable;
 	readonly #catalogue: StoreCatalogue;
 	readonly #entry: PooledEntry;
+	readonly #circle: PoolCircle;
 	readonly #front: JobFront;
 	readonly #directory: EntryDirectory;
 	readonly #storeRouting: StoreRouting;
@@ -99,6 +101,8 @@
 			clock,
 			journal,
 		}));
+		const self = {address: advertisedPeers, zone: settings.zone};
+		this.#circle = own.add(new PoolCircle({pool: this.#entry.pool, self, clock}));
 		this.#storePatience = own.add(new StorePatience(store, this.#entry.patience, clock));
 		const pauses = own.add(new PauseWatch(clock));
 		this.#front = own.add(new JobFront({
@@ -106,10 +110,11 @@
 		}));
 		this.#directory = own.add(new EntryDirectory({
 			store,
-			self: {address: advertisedPeers, zone: settings.zone},
+			self,
 			clock,
 			journal,
 			onEntries: entries => {
+				this.#circle.meet(entries);
 				this.#entry.pool.meet(entries);
 			},
 		}));
@@ -137,7 +142,7 @@
 		this.#directory.start();
 		this.#storeRouting.start();
 		this.#storePatience.start();
-		this.#catalogue.start();
+		this.#catalogue.start(this.#circle);
 		journal.record('edgeStarted', {
 			instance: settings.instance, zone: settings.zone, intake: settings.intake, peers: settings.peers, version,
 		});
--- /dev/null
+++ b/src/features/listing/list-question.ts
@@ -0,0 +1,8 @@
+/** What an entry asks the one that reads the list of targets for it. */
+
+export type ListQuestion = {
+	/** Numbered by the asker. */
+	readonly question: number;
+	/** Up to where it knows the list; nothing where it doesn't. */
+	readonly from: number | undefined;
+};
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -105,6 +105,18 @@
 			return {kind: 'adopted', task: values.text<TaskId>(), attempt: values.number()};
 		}
 
+		case messageCode.askList: {
+			return {kind: 'askList', question: {question: values.number(), from: statedOf(values.number())}};
+		}
+
+		case messageCode.list: {
+			return {
+				kind: 'list', passage: {
+					question: values.number(), from: statedOf(values.number()), next: values.number(), records: values.bytes(),
+				},
+			};
+		}
+
 		case messageCode.wantRouting: {
 			return {kind: 'wantRouting'};
 		}
@@ -119,6 +131,10 @@
 	}
 }
 
+function statedOf(value: number): number | undefined {
+	return value === unstated ? undefined : value;
+}
+
 function decodeState(values: EncodedValues): EntryState {
 	return {
 		isLeaving: values.flag(),
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -41,6 +41,8 @@
 		]), requesters.map(({id, instance, zone, peerAddress}) => [id, instance, zone, peerAddress])])
 		.with({kind: 'adopted'}, ({task, attempt}) => [messageCode.adopted, task, attempt])
 		.with({kind: 'loss'}, ({loss: {target, incarnation, news, tasks}}) => [messageCode.loss, target, incarnation ?? unstated, news, ...tasks])
+		.with({kind: 'askList'}, ({question: {question, from}}) => [messageCode.askList, question, from ?? unstated])
+		.with({kind: 'list'}, ({passage: {question, from, next, records}}) => [messageCode.list, question, from ?? unstated, next, records])
 		.with({kind: 'wantRouting'}, () => [messageCode.wantRouting])
 		.with({kind: 'routing'}, ({configuration}) => [messageCode.routing, configuration])
 		.exhaustive();
--- a/src/features/pool/encoded-values.ts
+++ b/src/features/pool/encoded-values.ts
@@ -29,6 +29,11 @@
 		return typeof value === 'boolean' ? value : this.#fail('true or false', value);
 	}
 
+	bytes(): Uint8Array {
+		const value = this.#take();
+		return value instanceof Uint8Array ? value : this.#fail('bytes', value);
+	}
+
 	list(): readonly unknown[] {
 		const value = this.#take();
 		return Array.isArray(value) ? value : this.#fail('a list', value);
--- a/src/features/pool/message-code.ts
+++ b/src/features/pool/message-code.ts
@@ -15,4 +15,6 @@
 	entries: 10,
 	lost: 11,
 	loss: 12,
+	askList: 13,
+	list: 14,
 } as const;
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -6,6 +6,8 @@
 import type {TargetLoss} from '../execution/target-loss.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
+import type {ListPassage} from '../listing/list-passage.js';
+import type {ListQuestion} from '../listing/list-question.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {EntryState} from './entry-state.js';
 import type {KnownEntry} from './known-entry.js';
@@ -25,5 +27,7 @@
 	| {readonly kind: 'adopted'; readonly task: TaskId; readonly attempt: number}
 	/** What became of a target and the tasks that were lost with it; it goes to all. */
 	| {readonly kind: 'loss'; readonly loss: TargetLoss}
+	| {readonly kind: 'askList'; readonly question: ListQuestion}
+	| {readonly kind: 'list'; readonly passage: ListPassage}
 	| {readonly kind: 'wantRouting'}
 	| {readonly kind: 'routing'; readonly configuration: RoutingConfiguration};
--- a/src/runtime/journal/event-catalogue.ts
+++ b/src/runtime/journal/event-catalogue.ts
@@ -195,6 +195,9 @@
 	zoneEvacuated: {
 		number: 322, level: 'notice', meaning: 'Operators want a zone emptied, or take it back', fields: ['zone', 'isEvacuated'],
 	},
+	listOriginChanged: {
+		number: 323, level: 'notice', meaning: 'The list of targets comes from another entry from now on, or is read from the store here', fields: ['origin', 'cause'],
+	},
 	poolMemberMet: {
 		number: 330, level: 'notice', meaning: 'Another entry shares its room from now on', fields: ['member', 'zone'],
 	},
--- a/test/platform/catalogue-load.test.ts
+++ b/test/platform/catalogue-load.test.ts
@@ -2,13 +2,12 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
-import {StoreCatalogue} from '../../platform/store-catalogue.js';
 import type {StoreClient} from '../../platform/store-client.js';
-import {FakeClock} from '../support/fake-clock.js';
-import {passTime} from '../support/pass-time.js';
-import {RecordingJournal} from '../support/recording-journal.js';
+import {ListWorld} from '../support/list-world.js';
+import type {StoppableClock} from '../support/stoppable-clock.js';
 
 const entries = 300;
+const zones = 3;
 const targets = 3000;
 /** Each target writes so often. */
 const heartbeatMilliseconds = 1500;
@@ -23,7 +22,7 @@
 	bytes = 0;
 	readonly #startedAt: number;
 
-	constructor(private readonly clock: FakeClock) {
+	constructor(private readonly clock: StoppableClock) {
 		this.#startedAt = clock.now();
 	}
 
@@ -55,14 +54,17 @@
 // A fleet of 300 entries and 3000 targets: every entry reads every target's heartbeats, twice what the store can give. All
 // reads wait, that of the configuration as well, which is in force after ten seconds and more.
 test('the entries of a fleet of 300 read no more of the list of targets than the store can give', async () => {
-	const clock = new FakeClock();
-	const store = new CountingStore(clock);
-	const catalogue = new StoreCatalogue({
-		store: store as unknown as StoreClient, zones: undefined, services: () => undefined, drainMilliseconds: 2000, clock, journal: new RecordingJournal(),
+	const stores: CountingStore[] = [];
+	const world = new ListWorld(Array.from({length: entries}, (_, index) => `z${index % zones}-${index}`), (_name, clock) => {
+		const store = new CountingStore(clock);
+		stores.push(store);
+		return store as unknown as StoreClient;
 	});
-	catalogue.start();
-	await passTime(clock, seconds * 1000);
-	catalogue.dispose();
-	const bytesPerSecond = store.bytes / seconds * entries;
+	await world.start();
+	await world.pass((seconds * 1000) - 1000);
+	const known = [...world.entries.values()].map(({catalogue}) => catalogue.targets.size);
+	world.dispose();
+	const bytesPerSecond = stores.map(store => store.bytes).reduce((sum, bytes) => sum + bytes, 0) / seconds;
 	assert.equal(bytesPerSecond <= egressBytesPerSecond, true, `${Math.round(bytesPerSecond / 1_000_000)} MB a second`);
+	assert.deepEqual(known.filter(count => count !== targets), [], 'all know all targets');
 });
--- /dev/null
+++ b/test/support/list-world.ts
@@ -0,0 +1,132 @@
+/** Entries that share the reading of the list of targets, in memory. */
+import type {AvailabilityZone} from '../../src/base/availability-zone.js';
+import type {InstanceId} from '../../src/base/instance-id.js';
+import type {MemberId} from '../../src/base/member-id.js';
+import {PoolCircle} from '../../src/features/listing/pool-circle.js';
+import {Pool} from '../../src/features/pool/pool.js';
+import {StoreCatalogue} from '../../platform/store-catalogue.js';
+import type {StoreClient} from '../../platform/store-client.js';
+import {FakeClock} from './fake-clock.js';
+import {ModelListStore} from './model-list-store.js';
+import {ModelNetwork} from './model-network.js';
+import {passTime} from './pass-time.js';
+import {RecordingJournal} from './recording-journal.js';
+import {StoppableClock} from './stoppable-clock.js';
+
+const drainMilliseconds = 2000;
+
+type Entry = {
+	readonly clock: StoppableClock;
+	readonly pool: Pool;
+	readonly circle: PoolCircle;
+	readonly catalogue: StoreCatalogue;
+	readonly address: string;
+	isLeaving: boolean;
+};
+
+/** Entries are named `ZONE-NUMBER`. */
+export class ListWorld {
+	readonly clock = new FakeClock();
+	readonly journal = new RecordingJournal();
+	readonly network = new ModelNetwork(this.clock);
+	readonly store = new ModelListStore();
+	readonly entries = new Map<string, Entry>();
+
+	constructor(names: readonly string[], private readonly clientOf?: (name: string, clock: StoppableClock) => StoreClient) {
+		for (const name of names) {
+			this.#add(name);
+		}
+	}
+
+	/** All start at once, and the directory names all. */
+	async start(): Promise<void> {
+		this.#introduce([...this.entries.values()]);
+		await passTime(this.clock, 1000);
+	}
+
+	async join(name: string): Promise<void> {
+		this.#add(name);
+		this.#introduce([this.entries.get(name)!]);
+		await passTime(this.clock, 1000);
+	}
+
+	async pass(milliseconds: number): Promise<void> {
+		await passTime(this.clock, milliseconds);
+	}
+
+	/** Ends a process without a word. */
+	kill(name: string): void {
+		const {catalogue, circle, pool} = this.entries.get(name)!;
+		this.entries.delete(name);
+		catalogue.dispose();
+		circle.dispose();
+		pool.dispose();
+		this.network.kill(name);
+	}
+
+	dispose(): void {
+		for (const name of this.entries.keys()) {
+			this.kill(name);
+		}
+	}
+
+	/** The entries that have read the store since that was asked last. */
+	takeReaders(): readonly string[] {
+		const names = new Set([...this.store.reads.keys(), ...this.store.wholeReads.keys()]);
+		this.store.reads.clear();
+		this.store.wholeReads.clear();
+		return [...names].sort();
+	}
+
+	/** Entries to which a target isn't as given: `ready`, `draining` or `gone`. */
+	otherwise(target: string, state: string): readonly string[] {
+		return [...this.entries].filter(([, entry]) => stateIn(entry, target) !== state).map(([name]) => name);
+	}
+
+	#introduce(entries: readonly Entry[]): void {
+		const known = [...this.network.ends.values()].map(({self}) => ({address: self.peerAddress, zone: self.zone}));
+		for (const {pool, circle, catalogue} of entries) {
+			pool.start();
+			circle.meet(known);
+			pool.meet(known);
+			catalogue.start(circle);
+		}
+	}
+
+	#add(name: string): void {
+		const zone = name.split('-')[0]! as AvailabilityZone;
+		const clock = new StoppableClock(this.clock);
+		const network = this.network.join(name, zone);
+		this.network.receivers.set(network.self.id, take => {
+			clock.run(take);
+		});
+		const {journal} = this;
+		const pool = new Pool({
+			network,
+			ownState: () => ({
+				isLeaving: this.entries.get(name)?.isLeaving ?? false, routingVersion: 0, wanted: [], room: [],
+			}),
+			peersInUse: () => new Set<MemberId>(),
+			clock,
+			journal,
+		});
+		const address = network.self.peerAddress;
+		const circle = new PoolCircle({pool, self: {address, zone}, clock});
+		const catalogue = new StoreCatalogue({
+			store: (this.clientOf ?? ((of: string, at: StoppableClock) => this.store.clientOf(of, at)))(name, clock),
+			zones: undefined,
+			services: () => undefined,
+			drainMilliseconds,
+			clock,
+			journal,
+		});
+		this.entries.set(name, {
+			clock, pool, circle, catalogue, address, isLeaving: false,
+		});
+	}
+}
+
+function stateIn({catalogue}: Entry, target: string): string {
+	const record = catalogue.targets.get(target as InstanceId);
+	return record === undefined ? 'gone' : (record.isDraining ? 'draining' : 'ready');
+}
--- a/test/support/model-network.ts
+++ b/test/support/model-network.ts
@@ -19,6 +19,8 @@
 	readonly delays = new Map<string, number>();
 	/** `from>to`: messages that way are lost. */
 	readonly cuts = new Set<string>();
+	/** How a member that may stand still takes what reaches it. */
+	readonly receivers = new Map<MemberId, (take: () => void) => void>();
 	/** By peer address, those that were killed as well. */
 	readonly #ends = new Map<string, NetworkEnd>();
 	/** `from>to`, both ways, of members that have met. */
@@ -98,7 +100,12 @@
 		this.framesSent += 1;
 		this.clock.schedule(this.delays.get(`${from.id}>${to}`) ?? delayMilliseconds, () => {
 			if (!this.cuts.has(`${from.id}>${to}`) && this.ends.has(from.id)) {
-				this.ends.get(to)?.receiving.fire({from, message: structuredClone(message)});
+				const receive = this.receivers.get(to) ?? ((take: () => void) => {
+					take();
+				});
+				receive(() => {
+					this.ends.get(to)?.receiving.fire({from, message: structuredClone(message)});
+				});
 			}
 		});
 	}
