--- a/src/features/pool/message-code.ts
+++ b/src/features/pool/message-code.ts
@@ -15,5 +15,7 @@
 	entries: 10,
 	lost: 11,
 	loss: 12,
+	askList: 13,
+	list: 14,
 	adoptionHeard: 15,
 } as const;
