An entry gives up its jobs only on evidence of its own standstill

Nothing is placed now for 60 ms after what may have been a pause, by either clock or by another entry's word of a loss; the targets are asked at once, and their clocks say whether it was one, over their four latest answers, since one that had waited shows a part only. Without targets the time of day decides. A request refused as outdated is asked again in the present epoch; the same entry's request for a run that is known here is answered by its end. Members that were heard just before a pause have to be heard again within a heartbeat. A handed-over run's adoption isn't told again, a stop ends no run of another requester, requests that wait go with their sender.

Tests of entries, pool, listing and pauses pass.

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -117,7 +117,7 @@
 				this.#entry.pool.meet(entries);
 			},
 		}));
-		own.add(pauses.onDidPause(milliseconds => {
+		own.add(pauses.onDidPause(({milliseconds}) => {
 			// A route may have been added meanwhile: without a new answer by the store its absence can't be told.
 			this.#routing.distrust();
 			journal.record('processPaused', {milliseconds: Math.round(milliseconds)});
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -65,10 +65,6 @@
 		const own = this.#store;
 		this.#losses = new LossBook(clock, journal);
 		this.pauses = own.add(new PauseWatch(clock));
-		// Ahead of the pool's own listener: what is read after a pause must find it noticed.
-		own.add(network.onDidReceive(() => {
-			this.pauses.look();
-		}));
 		this.executor = own.add(new Executor({
 			leaseMilliseconds, orders, health: new TargetHealth(journal), losses: this.#losses, clock, journal,
 		}));
@@ -76,6 +72,7 @@
 			network,
 			ownState: () => this.#state(),
 			peersInUse: () => new Set([...this.executor.requesters(), ...this.dispatcher.jobs.owners()]),
+			pauses: this.pauses,
 			clock,
 			journal,
 		}));
@@ -129,12 +126,12 @@
 		own.add(this.executor.onDidCompareClocks(uncounted => {
 			this.pauses.noteUncounted(uncounted);
 		}));
-		own.add(this.pauses.onDidPause(milliseconds => {
-			this.pool.noteUncounted(milliseconds);
-			this.executor.look();
+		own.add(this.pauses.onDidPause(pause => {
+			this.#verify(pause.milliseconds);
 		}));
-		own.add(this.pauses.onDidStandStill(milliseconds => {
-			this.pool.notePause(milliseconds);
+		own.add(this.pool.onDidHearOfLoss(() => {
+			this.pauses.doubt();
+			this.executor.look();
 		}));
 		own.add(this.executor.onDidChangeRoom(() => {
 			this.pool.tellRoom();
@@ -165,6 +162,14 @@
 		}));
 	}
 
+	/** The targets' clocks tell a suspension from a time of day that was set; without targets it's taken for one. */
+	#verify(milliseconds: number): void {
+		this.executor.look();
+		if (this.executor.ownedTargets === 0) {
+			this.pauses.noteUncounted({milliseconds, since: this.parts.clock.now()});
+		}
+	}
+
 	#state(): EntryState {
 		return {
 			isLeaving: this.#isLeaving, routingVersion: this.parts.routing.version, wanted: this.dispatcher.jobs.wanted, room: this.executor.room,
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -78,9 +78,6 @@
 				onDidSettle: (job, answer) => {
 					this.#end(job, {kind: 'answered', answer});
 				},
-				onDidOutdate: job => {
-					this.#end(job, doubt('executorLost', 'an owner has lost this entry'));
-				},
 				onDidFree: () => {
 					this.#pumpSoon();
 				},
@@ -188,7 +185,13 @@
 
 	/** Places what can be placed now, in order. */
 	#pump(): void {
-		this.parts.pauses.look();
+		const {pauses} = this.parts;
+		pauses.look();
+		if (pauses.isWaking) {
+			void this.#pumpWhenAwake();
+			return;
+		}
+
 		const isWaiting = !this.#placer.placeAll(this.#jobs);
 		if (isWaiting && !this.#isWaiting) {
 			// The others tell of their room at once while they know that somebody waits.
@@ -198,6 +201,12 @@
 		this.#isWaiting = isWaiting;
 	}
 
+	/** After a pause the tasks of these jobs may have been begun elsewhere: whether there was one shows in a moment. */
+	async #pumpWhenAwake(): Promise<void> {
+		await this.parts.pauses.whenAwake();
+		this.#pumpSoon();
+	}
+
 	/** One report of a target or one batch of messages changes room several times: the queue is gone through once for all. */
 	#pumpSoon(): void {
 		if (this.#isPumpDue || this.#jobs.size === 0) {
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -31,8 +31,6 @@
 		readonly onDidSettle: (job: RunningJob, answer: 'complete' | 'failed') => void;
 		/** A task's run is gone, perhaps with its target. */
 		readonly onDidLose: (job: RunningJob, slot: TaskSlot) => void;
-		/** A task's owner has lost this entry since it was asked. */
-		readonly onDidOutdate: (job: RunningJob) => void;
 		/** A task waits again. */
 		readonly onDidFree: () => void;
 		/** A run goes on that nobody here waits for. */
@@ -154,11 +152,6 @@
 	}
 
 	#takeRefusal(job: RunningJob, slot: TaskSlot, cause: Extract<RunOutcome, {kind: 'refused'}>['cause']): void {
-		if (cause === 'outdated') {
-			this.parts.listener.onDidOutdate(job);
-			return;
-		}
-
 		if (cause === 'superseded') {
 			// An earlier submission of the job ran there: this one can't be told as not run.
 			slot.attempt += attemptStep;
@@ -166,7 +159,8 @@
 		}
 
 		slot.attempt += 1;
-		job.orderedStarts -= 1;
+		// What an owner calls outdated may have run there in a former epoch.
+		job.orderedStarts -= cause === 'outdated' ? 0 : 1;
 	}
 
 	#takeFailure(job: RunningJob, slot: TaskSlot, outcome: Extract<RunOutcome, {kind: 'failed'}>): void {
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -6,6 +6,8 @@
 const clockDrift = 0.02;
 /** For the time that an order travels and is handled. */
 const travelMilliseconds = 60;
+/** Of a pause the renewal under way and a look may each show a part. */
+const comparedReadings = 4;
 
 /**
  * Converts between the target's clock and ours. The target's time is taken from its latest answer, so that the estimate is
@@ -15,28 +17,33 @@
 export class LeaseSchedule {
 	#clock: TargetTime | undefined;
 	#clockReadAt = 0;
+	/** By how much the target's clock was ahead of ours at its latest answers. */
+	#readings: ReadonlyArray<{readonly ahead: number; readonly at: number}> = [];
 	#certainEnd = 0;
 
 	constructor(private readonly leaseMilliseconds: number) {}
 
-	/** By how much the target's clock has gone on more than ours since it was read last; it shows a suspension that ours doesn't count. */
+	/**
+	 * By how much the target's clock has gone on more than ours since one of its latest answers; it shows a suspension that ours
+	 * doesn't count. An answer that had waited meanwhile shows a part of it only.
+	 */
 	uncounted(clock: TargetTime, receivedAt: number): UncountedTime | undefined {
-		if (this.#clock === undefined) {
-			return undefined;
-		}
-
-		return {milliseconds: clock - this.#clock - (receivedAt - this.#clockReadAt), since: this.#clockReadAt};
+		const ahead = clock - receivedAt;
+		const [earliest] = this.#readings.toSorted((left, right) => left.ahead - right.ahead);
+		return earliest === undefined ? undefined : {milliseconds: ahead - earliest.ahead, since: earliest.at};
 	}
 
 	/** The target started again, with another clock. */
 	restart(): void {
 		this.#clock = undefined;
+		this.#readings = [];
 	}
 
 	/** Takes the clock of an answer that was received at a monotonic time. */
 	read(clock: TargetTime, receivedAt: number): void {
 		this.#clock = clock;
 		this.#clockReadAt = receivedAt;
+		this.#readings = [...this.#readings.slice(1 - comparedReadings), {ahead: clock - receivedAt, at: receivedAt}];
 	}
 
 	/** The time until which an order that is sent now renews the lease; nothing before the first answer. */
--- a/src/features/pool/pool-parts.ts
+++ b/src/features/pool/pool-parts.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../base/clock.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import type {PauseWatch} from '../../runtime/pause-watch.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 import type {EntryState} from './entry-state.js';
 
@@ -10,6 +11,7 @@
 	readonly ownState: () => EntryState;
 	/** Entries that run something for this one, or that this one runs something for. */
 	readonly peersInUse: () => ReadonlySet<MemberId>;
+	readonly pauses: PauseWatch;
 	readonly clock: Clock;
 	readonly journal: Journal;
 };
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -4,6 +4,7 @@
 import {Emitter} from '../../base/emitter.js';
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
+import type {Pause} from '../../runtime/pause.js';
 import type {Member} from '../../runtime/peers/member.js';
 import {decodeFrame} from './decode-frame.js';
 import type {EntryState} from './entry-state.js';
@@ -38,6 +39,7 @@
 	readonly #message = new Emitter<ReceivedPoolMessage>();
 	readonly #lose = new Emitter<MemberId>();
 	readonly #loseTouch = new Emitter<string>();
+	readonly #hearOfLoss = new Emitter<void>();
 	readonly #reconnect = new Emitter<MemberId>();
 	readonly #room = new Emitter<void>();
 	readonly #outbox: Outbox;
@@ -62,6 +64,12 @@
 			},
 			clock,
 		});
+		this.#store.add(parts.pauses.onDidPause(pause => {
+			this.#notePause(pause);
+		}));
+		this.#store.add(parts.pauses.onDidStandStill(milliseconds => {
+			this.#noteStandstill(milliseconds);
+		}));
 		this.#store.add(network.onDidReceive(({from, message}) => {
 			if (message.channel === channel) {
 				this.#receive(from, message.body);
@@ -88,11 +96,16 @@
 		return this.#lose.event;
 	}
 
-	/** Fires with the cause when the others have taken this entry as lost, or should have: what it held may go on elsewhere. */
+	/** Fires with the cause when this entry stood still for so long that what it held may go on elsewhere. */
 	get onDidLoseTouch() {
 		return this.#loseTouch.event;
 	}
 
+	/** Fires when another entry has taken this one as lost, and this one hasn't noticed. */
+	get onDidHearOfLoss() {
+		return this.#hearOfLoss.event;
+	}
+
 	/** Fires when a connection was made anew: messages on the former one may be lost. */
 	get onDidReconnect() {
 		return this.#reconnect.event;
@@ -125,6 +138,7 @@
 
 	start(): void {
 		this.#store.add(repeat(this.parts.clock, lookMilliseconds, () => {
+			this.parts.pauses.look();
 			this.#links.update();
 			this.#dropSilent();
 			this.#teller.beat(lookMilliseconds / 2);
@@ -183,32 +197,6 @@
 		}
 	}
 
-	/**
-	 * This entry stood still. What others had asked it for before has to be asked for again: they have begun it elsewhere, or may
-	 * have been lost meanwhile.
-	 */
-	notePause(milliseconds: number): void {
-		this.#epochs.notePause();
-		for (const id of this.#members.keys()) {
-			this.#lose.fire(id);
-		}
-
-		this.#loseTouch.fire(`stood still for ${Math.round(milliseconds)} ms`);
-	}
-
-	/**
-	 * This entry may have been suspended, and its clock with it: the others were silent for that much longer. Each has to be
-	 * heard within its next heartbeat, since the time of day may just have been set.
-	 */
-	noteUncounted(milliseconds: number): void {
-		const now = this.parts.clock.now();
-		for (const known of this.#members.values()) {
-			const {silenceMilliseconds, periodMilliseconds} = known.rhythm;
-			const nextDueBy = now - silenceMilliseconds + periodMilliseconds + lookMilliseconds;
-			known.heardAt = Math.min(known.heardAt, Math.max(known.heardAt - milliseconds, nextDueBy));
-		}
-	}
-
 	/** Tells all entries of a change, soon. */
 	tellChange(): void {
 		this.#teller.tellAll();
@@ -251,6 +239,7 @@
 	}
 
 	#receive(from: Member, body: unknown): void {
+		this.parts.pauses.look();
 		const frame = this.#read(from, body);
 		if (frame === undefined) {
 			return;
@@ -263,8 +252,7 @@
 		this.#members.get(from.id)!.heardAt = this.parts.clock.now();
 		// Before the messages: one of them may tell of runs that were stopped with the loss, which this entry would begin again.
 		if (this.#epochs.hear(from.id, frame)) {
-			this.#epochs.notePause();
-			this.#loseTouch.fire(`taken as lost by ${from.id}`);
+			this.#hearOfLoss.fire();
 		}
 
 		const isCurrent = this.#epochs.isCurrent(from.id, frame);
@@ -332,6 +320,36 @@
 		}
 	}
 
+	/**
+	 * Time that this entry's clock didn't count is part of the others' silence. After a pause each of them has to be heard within
+	 * its next heartbeat: its last ones may still be unread, and the time of day may just have been set.
+	 */
+	#notePause({milliseconds, counted}: Pause): void {
+		const now = this.parts.clock.now();
+		for (const known of this.#members.values()) {
+			const {silenceMilliseconds, periodMilliseconds} = known.rhythm;
+			const heartbeat = periodMilliseconds + lookMilliseconds;
+			const silentBefore = now - known.heardAt - counted;
+			if (silentBefore <= heartbeat) {
+				known.heardAt = Math.min(now, Math.max(now - milliseconds - silentBefore, now - silenceMilliseconds + heartbeat));
+			} else {
+				known.heardAt -= milliseconds - counted;
+			}
+		}
+	}
+
+	/**
+	 * What others had asked for before has to be asked for again: they have begun it elsewhere, or were lost without being
+	 * missed here.
+	 */
+	#noteStandstill(milliseconds: number): void {
+		this.#epochs.notePause();
+		this.#loseTouch.fire(`stood still for ${Math.round(milliseconds)} ms`);
+		for (const id of this.#members.keys()) {
+			this.#lose.fire(id);
+		}
+	}
+
 	#tellLoss(lost: MemberId): void {
 		const {zone} = this.parts.network.self;
 		for (const {member} of this.#members.values()) {
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -26,10 +26,10 @@
 	readonly requester: MemberId;
 	readonly requestedAt: number;
 	/** What its requester has to know: that it was adopted, then how it ended. */
-	report: PoolMessage | undefined;
+	lastWord: PoolMessage | undefined;
 	endedAt: number | undefined;
 	/** Whether its requester is known to know that it runs here. */
-	isHeard: boolean;
+	isAdoptionHeard: boolean;
 };
 
 /** A request for a task that still runs here for somebody else: its caller has submitted again. */
@@ -46,7 +46,7 @@
 
 	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock, private readonly journal: Journal) {
 		this.#store.add(pool.onDidReceive(({from, message, isCurrent}) => {
-			if (message.kind === 'run' && !isCurrent) {
+			if (message.kind === 'run' && !isCurrent && !this.#isKnown(from.id, message.request)) {
 				this.#refuseOutdated(from.id, message.request);
 			} else {
 				this.#receive(from.id, message);
@@ -61,6 +61,7 @@
 			}
 		}));
 		this.#store.add(executor.onWillRelease(({requester, request}) => {
+			this.#forgetAdoption(request);
 			// Its entry may be gone. Without an owner the run would go on for the rest of its lease, beside the caller's next submission.
 			if (requester !== pool.self && !pool.hears(requester)) {
 				executor.stop(request.task, request.attempt, 'its entry was not heard when the target changed hands');
@@ -69,6 +70,9 @@
 		this.#store.add(pool.onDidLose(member => {
 			// The entry's job may be submitted again elsewhere: nothing of it may run beside that.
 			executor.stopRunsOf(member, 'its entry is lost');
+			for (const task of this.#waiting.keys()) {
+				this.#stopWaiting(member, task);
+			}
 		}));
 		this.#store.add(pool.onDidReconnect(member => {
 			this.#repeatReports(member);
@@ -111,14 +115,14 @@
 		const now = this.clock.now();
 		const adopted: PoolMessage = {kind: 'adopted', task, attempt};
 		const run: Remembered = {
-			requester, requestedAt: now, report: adopted, endedAt: undefined, isHeard: false,
+			requester, requestedAt: now, lastWord: adopted, endedAt: undefined, isAdoptionHeard: false,
 		};
 		this.#remembered.set(runKeyOf(request), run);
 		this.pool.send(requester, adopted);
 		// The silence before the handover counts: the entry would have been lost so long after it by the former owner.
 		const silenceLeft = heartbeats.close.silenceMilliseconds - this.pool.silenceBeforeIntroduction(requester);
 		this.clock.schedule(Math.max(0, handedOverAt + silenceLeft - now), () => {
-			if (!run.isHeard && run.endedAt === undefined) {
+			if (!run.isAdoptionHeard && run.endedAt === undefined) {
 				this.executor.stop(task, attempt, 'its entry has not heard of its next owner');
 			}
 		});
@@ -144,7 +148,7 @@
 
 		this.#forgetOld();
 		this.#remembered.set(key, {
-			requester: from, requestedAt: this.clock.now(), report: undefined, endedAt: undefined, isHeard: true,
+			requester: from, requestedAt: this.clock.now(), lastWord: undefined, endedAt: undefined, isAdoptionHeard: true,
 		});
 		if (this.executor.start(request, from) === undefined) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
@@ -157,7 +161,12 @@
 		}
 	}
 
-	/** Its job was stopped here when the epoch changed; its callers may have submitted elsewhere since. */
+	/** Whether the same entry has asked for a run before, whose end it's told. */
+	#isKnown(from: MemberId, request: RunRequest): boolean {
+		return this.#remembered.get(runKeyOf(request))?.requester === from;
+	}
+
+	/** What its sender had asked for was stopped when the epoch changed; its callers may have submitted elsewhere since. */
 	#refuseOutdated(from: MemberId, {task, attempt}: RunRequest): void {
 		this.journal.record('requestOutdated', {task, attempt, requester: from});
 		this.pool.send(from, {
@@ -167,16 +176,24 @@
 
 	/** A request that was sent again after a lost connection; who repeats it here knows of an adoption. */
 	#repeat(known: Remembered): void {
-		known.isHeard = true;
-		if (known.report !== undefined) {
-			this.pool.send(known.requester, known.report);
+		known.isAdoptionHeard = true;
+		if (known.lastWord !== undefined) {
+			this.pool.send(known.requester, known.lastWord);
+		}
+	}
+
+	/** The next owner tells of it: told again from here, it would have the requester order the wrong one. */
+	#forgetAdoption(request: RunRequest): void {
+		const known = this.#remembered.get(runKeyOf(request));
+		if (known?.lastWord?.kind === 'adopted') {
+			known.lastWord = undefined;
 		}
 	}
 
 	#noteHeard(from: MemberId, run: {readonly task: TaskId; readonly attempt: number}): void {
 		const known = this.#remembered.get(runKeyOf(run));
 		if (known?.requester === from) {
-			known.isHeard = true;
+			known.isAdoptionHeard = true;
 		}
 	}
 
@@ -192,7 +209,7 @@
 		});
 	}
 
-	#tellWaiting(task: TaskId): void {
+	#answerWaiting(task: TaskId): void {
 		if (this.executor.isRunning(task)) {
 			return;
 		}
@@ -211,14 +228,20 @@
 			return;
 		}
 
-		this.executor.stop(task, attempt, cause);
 		if (known === undefined) {
 			this.#rememberStopped(from, {task, attempt});
+		} else {
+			this.executor.stop(task, attempt, cause);
 		}
 	}
 
 	#stopWaiting(from: MemberId, task: TaskId): void {
-		this.#waiting.set(task, (this.#waiting.get(task) ?? []).filter(waiting => waiting.from !== from));
+		const others = (this.#waiting.get(task) ?? []).filter(waiting => waiting.from !== from);
+		if (others.length === 0) {
+			this.#waiting.delete(task);
+		} else {
+			this.#waiting.set(task, others);
+		}
 	}
 
 	/** The request may come after its stop, on another connection: it's remembered as ended. */
@@ -228,13 +251,13 @@
 		};
 		const now = this.clock.now();
 		this.#remembered.set(runKeyOf({task, attempt}), {
-			requester: from, requestedAt: now, report, endedAt: now, isHeard: true,
+			requester: from, requestedAt: now, lastWord: report, endedAt: now, isAdoptionHeard: true,
 		});
 		this.pool.send(from, report);
 	}
 
 	#report({requester, task, attempt, outcome}: ExecutionReport): void {
-		this.#tellWaiting(task);
+		this.#answerWaiting(task);
 		if (requester === this.pool.self) {
 			return;
 		}
@@ -244,7 +267,7 @@
 		};
 		const known = this.#remembered.get(runKeyOf({task, attempt}));
 		if (known !== undefined) {
-			known.report = report;
+			known.lastWord = report;
 			known.endedAt ??= this.clock.now();
 		}
 
@@ -254,10 +277,10 @@
 	#repeatReports(member: MemberId): void {
 		this.#forgetOld();
 		const now = this.clock.now();
-		for (const {requester, report, endedAt} of this.#remembered.values()) {
+		for (const {requester, lastWord, endedAt} of this.#remembered.values()) {
 			const mayBeMissed = endedAt === undefined || now - endedAt < repeatedMilliseconds;
-			if (requester === member && report !== undefined && mayBeMissed) {
-				this.pool.send(member, report);
+			if (requester === member && lastWord !== undefined && mayBeMissed) {
+				this.pool.send(member, lastWord);
 			}
 		}
 	}
--- a/src/runtime/pause-watch.ts
+++ b/src/runtime/pause-watch.ts
@@ -4,11 +4,12 @@
 import {Emitter} from '../base/emitter.js';
 import {repeat} from '../base/repeat.js';
 import {wait} from '../base/wait.js';
+import type {Pause} from './pause.js';
 import type {UncountedTime} from './uncounted-time.js';
 
 const checkMilliseconds = 100;
 /** Callers submit elsewhere no sooner after a loss. */
-const lossMilliseconds = 1200;
+const resubmissionMilliseconds = 1200;
 /** Above what a busy event loop or a slow machine delays a timer by, below the time after which others take an entry as lost. */
 const pauseMilliseconds = 500;
 
@@ -21,7 +22,7 @@
  * listeners have to take that well: the event says that something may have been missed, not that it was.
  */
 export class PauseWatch implements Disposable {
-	readonly #pause = new Emitter<number>();
+	readonly #pause = new Emitter<Pause>();
 	readonly #standstill = new Emitter<number>();
 	readonly #timer: Disposable;
 	#steady: number;
@@ -37,7 +38,12 @@
 		});
 	}
 
-	/** Fires with the length in milliseconds, after the pause. */
+	/** Whether the process may just have stood still: what it believes isn't to be acted on. */
+	get isWaking(): boolean {
+		return this.clock.now() < this.#wokeAt + wakingMilliseconds;
+	}
+
+	/** Fires after what may have been a pause. */
 	get onDidPause() {
 		return this.#pause.event;
 	}
@@ -57,17 +63,22 @@
 		this.#wall = wall;
 		if (elapsed > pauseMilliseconds) {
 			this.#wokeAt = now;
-			this.#pause.fire(elapsed);
+			this.#pause.fire({milliseconds: elapsed, counted});
 		}
 
-		if (counted > lossMilliseconds) {
+		if (counted > resubmissionMilliseconds) {
 			this.#standStill(counted);
 		}
 	}
 
+	/** Others say that this process was gone: until it's known better it may have stood still. */
+	doubt(): void {
+		this.#wokeAt = this.clock.now();
+	}
+
 	/** Takes how another machine's steady clock compares; several of them show the same pause. */
 	noteUncounted({milliseconds, since}: UncountedTime): void {
-		if (milliseconds > lossMilliseconds && since > this.#stoodStillAt) {
+		if (milliseconds > resubmissionMilliseconds && since > this.#stoodStillAt) {
 			this.#standStill(milliseconds);
 		}
 	}
--- a/test/features/pool/pool.test.ts
+++ b/test/features/pool/pool.test.ts
@@ -6,6 +6,7 @@
 import type {ServiceName} from '../../../src/base/service-name.js';
 import {decodeFrame} from '../../../src/features/pool/decode-frame.js';
 import {Pool} from '../../../src/features/pool/pool.js';
+import {PauseWatch} from '../../../src/runtime/pause-watch.js';
 import type {PeerMessage} from '../../../src/runtime/peers/peer-message.js';
 import {FakeClock} from '../../support/fake-clock.js';
 import {ModelNetwork} from '../../support/model-network.js';
@@ -48,6 +49,7 @@
 			room: Array.from({length: places}, () => ({service, labels: [], room: need})),
 		}),
 		peersInUse: () => isUser(index) ? inUse : new Set(),
+		pauses: new PauseWatch(clock),
 		clock,
 		journal: new RecordingJournal(),
 	}));
--- a/test/runtime/pause-watch.test.ts
+++ b/test/runtime/pause-watch.test.ts
@@ -8,7 +8,7 @@
 	const clock = new FakeClock();
 	const watch = new PauseWatch(clock);
 	const pauses: number[] = [];
-	watch.onDidPause(milliseconds => {
+	watch.onDidPause(({milliseconds}) => {
 		pauses.push(milliseconds);
 	});
 	clock.advance(5000);
@@ -25,7 +25,7 @@
 	const clock = new FakeClock();
 	const watch = new PauseWatch(clock);
 	const pauses: number[] = [];
-	watch.onDidPause(milliseconds => {
+	watch.onDidPause(({milliseconds}) => {
 		pauses.push(milliseconds);
 	});
 	clock.advance(1000);
--- a/test/support/list-world.ts
+++ b/test/support/list-world.ts
@@ -4,6 +4,7 @@
 import type {MemberId} from '../../src/base/member-id.js';
 import {PoolCircle} from '../../src/features/listing/pool-circle.js';
 import {Pool} from '../../src/features/pool/pool.js';
+import {PauseWatch} from '../../src/runtime/pause-watch.js';
 import {StoreCatalogue} from '../../platform/store-catalogue.js';
 import type {StoreClient} from '../../platform/store-client.js';
 import {EntryClock} from './entry-clock.js';
@@ -107,6 +108,7 @@
 				isLeaving: this.entries.get(name)?.isLeaving ?? false, routingVersion: 0, wanted: [], room: [],
 			}),
 			peersInUse: () => new Set<MemberId>(),
+			pauses: new PauseWatch(clock),
 			clock,
 			journal,
 		});
