A target's session in modules: runs, reports, renewals and outcomes apart

Seen by callers: nothing; behaviour and order of events stay, and so do the tests.

All parts see the session's end by one cancellation token. The one difference: a retry's timer that is due when a session ends isn't disposed of; the loop wakes once more within 100 ms, sees the end and is over. Before, only the timer that was set last was disposed of, and its loop never ended.

--- /dev/null
+++ b/src/features/execution/renewals.ts
@@ -0,0 +1,75 @@
+/** The renewals of one target's lease. */
+import type {CancellationToken} from '../../base/cancellation-token.js';
+import type {Clock} from '../../base/clock.js';
+import {wait} from '../../base/wait.js';
+import type {Journal} from '../../runtime/journal/journal.js';
+import type {OrderFailure} from '../targets/order-failure.js';
+import type {LeaseSchedule} from './lease-schedule.js';
+import type {RenewalPlan} from './renewal-plan.js';
+import type {RunSettlement} from './run-settlement.js';
+import type {RunTable} from './run-table.js';
+import type {SessionListener} from './session-listener.js';
+import type {SessionOrders} from './session-orders.js';
+import type {StepCount} from './step-count.js';
+import type {TargetReports} from './target-reports.js';
+
+/** Between renewals of a target that doesn't answer. */
+const retryMilliseconds = 100;
+
+/** What the renewals work with. */
+type RenewalsParts = {
+	readonly runs: RunTable;
+	readonly orders: SessionOrders;
+	readonly lease: LeaseSchedule;
+	readonly plan: RenewalPlan;
+	readonly reports: TargetReports;
+	readonly settlement: RunSettlement;
+	readonly steps: StepCount;
+	readonly clock: Clock;
+	readonly journal: Journal;
+	readonly listener: SessionListener;
+	/** The target doesn't take orders with this token or at this address any more. */
+	readonly onDidFail: (failure: OrderFailure) => void;
+};
+
+/** Renews one after the other, hands on what the target reports, and gives its runs up once it has been silent for longer than their lease. */
+export class Renewals {
+	constructor(private readonly parts: RenewalsParts, private readonly token: CancellationToken) {}
+
+	/** Renews until the token is cancelled. */
+	async run(): Promise<void> {
+		const {orders, plan, reports, steps, clock, onDidFail} = this.parts;
+		while (!this.token.isCancellationRequested) {
+			const sentAtStep = steps.next();
+			const reply = await orders.renew(plan.next(clock.now()));
+			if (this.token.isCancellationRequested) {
+				return;
+			}
+
+			if (reply.kind === 'report') {
+				reports.take(reply, sentAtStep);
+			} else if (reply.kind === 'fenced' || reply.kind === 'replaced') {
+				onDidFail(reply);
+			} else {
+				this.#missRenewal(reply);
+				await wait(clock, retryMilliseconds);
+			}
+		}
+	}
+
+	#missRenewal(failure: OrderFailure): void {
+		const {orders, plan, runs, lease, reports, settlement, clock, journal, listener} = this.parts;
+		if (plan.miss()) {
+			journal.record('targetSilent', {
+				target: orders.target.id, kind: failure.kind, detail: failure.detail, runs: runs.size,
+			});
+		}
+
+		if (clock.now() > lease.certainEnd) {
+			settlement.lose('silent', reports.incarnation, [...runs]);
+			settlement.endAll('lease passed on a target that does not answer');
+		}
+
+		listener.onDidChange();
+	}
+}
--- /dev/null
+++ b/src/features/execution/run-settlement.ts
@@ -0,0 +1,53 @@
+/** The outcomes of the runs on one target. */
+import type {Clock} from '../../base/clock.js';
+import type {Incarnation} from '../../base/incarnation.js';
+import type {TargetRecord} from '../targets/target-record.js';
+import type {LeaseSchedule} from './lease-schedule.js';
+import type {RunOutcome} from './run-outcome.js';
+import type {RunTable} from './run-table.js';
+import type {Run} from './run.js';
+import type {SessionListener} from './session-listener.js';
+
+/** What the settlement works with. */
+type RunSettlementParts = {
+	readonly target: TargetRecord;
+	readonly runs: RunTable;
+	readonly lease: LeaseSchedule;
+	readonly clock: Clock;
+	readonly listener: SessionListener;
+};
+
+/** Takes runs off their target's table and tells their outcomes, and which tasks were lost with the target. */
+export class RunSettlement {
+	constructor(private readonly parts: RunSettlementParts) {}
+
+	/** A run has ended, and holds no room any more. */
+	end(run: Run, outcome: RunOutcome): void {
+		this.parts.runs.remove(run);
+		this.parts.listener.onDidEndRun(run, outcome);
+	}
+
+	/** All runs have provably ended. */
+	endAll(cause: string): void {
+		for (const run of this.parts.runs) {
+			this.end(run, {kind: 'gone', target: this.parts.target.id, cause});
+		}
+	}
+
+	/** All runs end with their lease: another owner may have let the runs go on for the rest of their lease; it renews none that it doesn't know. */
+	endAllWithLease(cause: string): void {
+		const {clock} = this.parts;
+		clock.schedule(Math.max(0, this.parts.lease.certainEnd - clock.now()), () => {
+			this.endAll(cause);
+		});
+	}
+
+	/** Runs are lost with their target; whether it had said that it started them tells what that says of their tasks. */
+	lose(news: 'silent' | 'down', incarnation: Incarnation | undefined, runs: readonly Run[]): void {
+		const {onDidLose} = this.parts.listener;
+		const begun = runs.filter(run => run.confirmedAtStep !== undefined);
+		const unsure = runs.filter(run => run.confirmedAtStep === undefined);
+		onDidLose(news, incarnation, begun.map(({request}) => request.task));
+		onDidLose('unsure', incarnation, unsure.map(({request}) => request.task));
+	}
+}
--- a/src/features/execution/run-table.ts
+++ b/src/features/execution/run-table.ts
@@ -10,6 +10,8 @@
 
 /** All runs that hold room on the target, found by name and by task; what they leave is worked out once for each change. */
 export class RunTable implements Iterable<Run> {
+	/** The target has rejected a start for want of room, and has told nothing new since. */
+	isFull = false;
 	readonly #runs = new Map<string, Run>();
 	/** How many attempts of each task are among the runs. */
 	readonly #attempts = new Map<TaskId, number>();
@@ -31,7 +33,9 @@
 		return this.#runs.values();
 	}
 
+	/** Takes another capacity; what the target said of the former one doesn't hold for it. */
 	resize(capacity: Resources): void {
+		this.isFull &&= capacity.equals(this.capacity);
 		this.capacity = capacity;
 		this.#room = undefined;
 	}
--- /dev/null
+++ b/src/features/execution/step-count.ts
@@ -0,0 +1,11 @@
+/** The order of what one session sends and hears. */
+
+/** Counts what is sent and what is confirmed: times can't tell before from after within one millisecond. */
+export class StepCount {
+	#latest = 0;
+
+	next(): number {
+		this.#latest += 1;
+		return this.#latest;
+	}
+}
