The dispatcher in modules: admission, conclusion and orders to owners apart

Seen by callers: nothing; behaviour and order of events stay, and so do the tests.

Now: - job-admission.ts: a submission becomes a job, or joins the one that runs - job-conclusion.ts: a job's one answer, and who is given up when - owner-orders.ts: stops, and what is repeated on a new connection - doubt.ts: the verdict on what may have run - dispatcher.ts: what it hears, and the passes over what waits; pauses are looked for before anything is placed, as before The long constructor is three methods; the subscriptions keep their order.

--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -4,11 +4,9 @@
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
-import type {DoubtCause} from '../../base/doubt-cause.js';
 import type {JobId} from '../../base/job-id.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {Random} from '../../base/random.js';
-import type {TaskId} from '../../base/task-id.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {PauseWatch} from '../../runtime/pause-watch.js';
@@ -19,18 +17,17 @@
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
 import type {BestEffortJob} from './best-effort-job.js';
+import {doubt} from './doubt.js';
+import {JobAdmission} from './job-admission.js';
 import {JobChecks} from './job-checks.js';
+import {JobConclusion} from './job-conclusion.js';
 import type {JobOutcome} from './job-outcome.js';
 import {JobTable} from './job-table.js';
+import {OwnerOrders} from './owner-orders.js';
 import type {PatienceBook} from './patience-book.js';
 import type {QueueOrder} from './queue-order.js';
-import {requestOf} from './request-of.js';
 import {RunResults} from './run-results.js';
-import {RunningJob} from './running-job.js';
 import {TaskPlacer} from './task-placer.js';
-import type {TaskSlot} from './task-slot.js';
-
-type OwnedRun = {readonly task: TaskId; readonly attempt: number; readonly owner: MemberId};
 
 /** What the dispatcher works with. */
 type DispatcherParts = {
@@ -58,75 +55,32 @@
 	readonly #jobs = new JobTable();
 	readonly #results: RunResults;
 	readonly #placer: TaskPlacer;
+	readonly #checks: JobChecks;
+	readonly #owners: OwnerOrders;
+	readonly #conclusion: JobConclusion;
+	readonly #admission: JobAdmission;
 	readonly #store = new DisposableStore();
 	#isWaiting = false;
-	/** Whether any target with room was known since the start. */
-	#hasSeenRoom = false;
 	#isPumpDue = false;
-	readonly #checks: JobChecks;
 
 	constructor(private readonly parts: DispatcherParts) {
-		const {executor, pool} = parts;
 		this.#placer = new TaskPlacer(parts);
 		this.#checks = this.#store.add(new JobChecks(this.#jobs, parts.clock, () => {
 			this.#check();
 		}));
-		this.#results = new RunResults({
-			...parts,
-			jobs: this.#jobs,
-			listener: {
-				onDidSettle: (job, answer) => {
-					this.#end(job, {kind: 'answered', answer});
-				},
-				onDidOutdate: job => {
-					this.#end(job, doubt('executorLost', 'an owner has lost this entry'));
-				},
-				onDidFree: () => {
-					this.#pumpSoon();
-				},
-				onDidLose: (job, slot) => {
-					this.#endIfBarred(job, slot);
-				},
-				onDidFindUnwanted: (task, attempt, owner) => {
-					this.#stopRun({task, attempt, owner}, 'nobody waits for it');
-				},
-			},
-		});
-		this.#store.add(executor.onDidReport(({requester, task, attempt, outcome}) => {
-			if (requester === pool.self) {
-				this.#results.take(task, attempt, outcome);
-			}
-		}));
-		this.#store.add(pool.onDidReceive(({from, message}) => {
-			this.#receive(from.id, message);
-		}));
-		this.#store.add(executor.onDidAdopt(({requester, request}) => {
-			if (requester === pool.self) {
-				this.#results.adopt(request.task, request.attempt, pool.self);
-			}
-		}));
-		this.#store.add(pool.onDidLose(member => {
-			this.#loseOwner(member);
-		}));
-		this.#store.add(pool.onDidLoseTouch(cause => {
-			parts.journal.record('touchLost', {cause, jobs: this.#jobs.size});
-			this.#giveUpAll('notReady', `the entry was out of touch: ${cause}`);
-		}));
-		this.#store.add(parts.losses.onDidBar(task => {
-			const found = this.#jobs.named(task);
-			if (found !== undefined) {
-				this.#endIfBarred(found.job, found.slot);
-			}
-		}));
-		this.#store.add(pool.onDidReconnect(member => {
-			this.#repeatOrders(member);
-		}));
-		this.#store.add(pool.onDidChangeRoom(() => {
-			this.#pumpSoon();
-		}));
-		this.#store.add(executor.onDidChangeRoom(() => {
+		this.#owners = new OwnerOrders({...parts, jobs: this.#jobs});
+		const placeSoon = () => {
 			this.#pumpSoon();
-		}));
+		};
+
+		this.#conclusion = new JobConclusion({
+			...parts, jobs: this.#jobs, owners: this.#owners, placeSoon,
+		});
+		this.#admission = new JobAdmission({
+			...parts, jobs: this.#jobs, conclusion: this.#conclusion, placeSoon,
+		});
+		this.#results = this.#resultsOf(parts);
+		this.#connect();
 	}
 
 	/** What waits for room, for the entries that have it; and who runs something for this one. */
@@ -148,12 +102,7 @@
 			const now = this.parts.clock.now();
 			const ageMilliseconds = this.parts.patience.ageOf(job.route.queue, job.patienceMilliseconds, now);
 			const submission = {receivedAt: now, ageMilliseconds, settle: resolve};
-			const running = this.#jobs.get(job.id);
-			if (running === undefined) {
-				this.#accept(job, submission, token);
-			} else {
-				this.#rejoin(running, submission, token);
-			}
+			this.#admission.admit(job, submission, token);
 		});
 	}
 
@@ -164,7 +113,7 @@
 			return false;
 		}
 
-		this.#end(running, doubt('stopped', 'cancelled by its submitter'));
+		this.#conclusion.end(running, doubt('stopped', 'cancelled by its submitter'));
 		return true;
 	}
 
@@ -179,13 +128,76 @@
 
 	/** Answers every job as it stands; the process is about to end. */
 	giveUp(): void {
-		this.#giveUpAll('draining', 'the entry ends');
+		this.#conclusion.endAll('draining', 'the entry ends');
 	}
 
 	dispose(): void {
 		this.#store.dispose();
 	}
 
+	#resultsOf(parts: DispatcherParts): RunResults {
+		return new RunResults({
+			...parts,
+			jobs: this.#jobs,
+			listener: {
+				onDidSettle: (job, answer) => {
+					this.#conclusion.end(job, {kind: 'answered', answer});
+				},
+				onDidOutdate: job => {
+					this.#conclusion.end(job, doubt('executorLost', 'an owner has lost this entry'));
+				},
+				onDidFree: () => {
+					this.#pumpSoon();
+				},
+				onDidLose: (job, slot) => {
+					this.#conclusion.endIfBarred(job, slot);
+				},
+				onDidFindUnwanted: (task, attempt, owner) => {
+					this.#owners.stop({task, attempt, owner}, 'nobody waits for it');
+				},
+			},
+		});
+	}
+
+	#connect(): void {
+		const {executor, pool, losses, journal} = this.parts;
+		this.#store.add(executor.onDidReport(({requester, task, attempt, outcome}) => {
+			if (requester === pool.self) {
+				this.#results.take(task, attempt, outcome);
+			}
+		}));
+		this.#store.add(pool.onDidReceive(({from, message}) => {
+			this.#receive(from.id, message);
+		}));
+		this.#store.add(executor.onDidAdopt(({requester, request}) => {
+			if (requester === pool.self) {
+				this.#results.adopt(request.task, request.attempt, pool.self);
+			}
+		}));
+		this.#store.add(pool.onDidLose(member => {
+			this.#conclusion.endAllOn(member);
+		}));
+		this.#store.add(pool.onDidLoseTouch(cause => {
+			journal.record('touchLost', {cause, jobs: this.#jobs.size});
+			this.#conclusion.endAll('notReady', `the entry was out of touch: ${cause}`);
+		}));
+		this.#store.add(losses.onDidBar(task => {
+			const found = this.#jobs.named(task);
+			if (found !== undefined) {
+				this.#conclusion.endIfBarred(found.job, found.slot);
+			}
+		}));
+		this.#store.add(pool.onDidReconnect(member => {
+			this.#owners.repeat(member);
+		}));
+		this.#store.add(pool.onDidChangeRoom(() => {
+			this.#pumpSoon();
+		}));
+		this.#store.add(executor.onDidChangeRoom(() => {
+			this.#pumpSoon();
+		}));
+	}
+
 	/** Places what can be placed now, in order. */
 	#pump(): void {
 		this.parts.pauses.look();
@@ -212,12 +224,6 @@
 		});
 	}
 
-	#giveUpAll(cause: 'draining' | 'notReady', detail: string): void {
-		for (const job of this.#jobs) {
-			this.#end(job, job.mayHaveRun ? doubt('stopped', detail) : {kind: 'notRun', cause, detail});
-		}
-	}
-
 	#receive(from: MemberId, message: PoolMessage): void {
 		if (message.kind === 'report') {
 			this.#results.takeReport(from, message);
@@ -232,183 +238,11 @@
 		}
 	}
 
-	#accept(job: BestEffortJob, submission: RunningJob['submission'], token: CancellationToken): void {
-		const {runTimes, journal} = this.parts;
-		const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
-		const former = this.#jobs.takeFormer(job.id);
-		const running = new RunningJob(job, submission, Math.max(expected, job.shape.declaredMilliseconds), former);
-		running.isBeforeRoom = !this.#seesRoom();
-		this.#jobs.add(running);
-		journal.record('jobAccepted', {
-			job: job.id,
-			queue: job.route.queue,
-			tasks: job.shape.count,
-			expectedMilliseconds: Math.round(running.expectedMilliseconds),
-			objectiveMilliseconds: Math.round(running.objectiveMilliseconds),
-			patienceMilliseconds: job.patienceMilliseconds,
-			ageMilliseconds: Math.round(submission.ageMilliseconds ?? 0),
-			isResubmitted: former !== undefined,
-			isBeforeRoom: running.isBeforeRoom,
-		});
-		this.#watchSubmitter(running, token);
-		if (running.isComplete) {
-			this.#end(running, {kind: 'answered', answer: 'complete'});
-			return;
-		}
-
-		this.#takeLosses(running);
-		if (running.isOver) {
-			return;
-		}
-
-		// What can be of no use any more is told so at once, and takes no room from those that can.
-		this.#endIfPast(running, submission.receivedAt);
-		this.#pumpSoon();
-	}
-
-	/**
-	 * For a moment after its start an entry knows of no target: it owns none yet, and the others haven't told of theirs. That
-	 * isn't overload. Refused by the rule for that, all that comes in this time would be lost, while most of it could still
-	 * be answered, if late, and the targets stand free.
-	 */
-	#seesRoom(): boolean {
-		const {executor, pool} = this.parts;
-		this.#hasSeenRoom ||= executor.room.length > 0 || [...pool.members].some(({room}) => room.length > 0);
-		return this.#hasSeenRoom;
-	}
-
-	/** What other entries have told of the job's tasks: an earlier submission of it has run there. */
-	#takeLosses(job: RunningJob): void {
-		const {losses} = this.parts;
-		if (losses.isEmpty) {
-			return;
-		}
-
-		for (const slot of job.slots) {
-			if (losses.conditionOf(slot.id) !== 'sound') {
-				job.orderedStarts = Math.max(1, job.orderedStarts);
-				this.#endIfBarred(job, slot);
-			}
-		}
-	}
-
-	/**
-	 * A task that has crashed its targets can't be done, and neither can its job. One that was lost as often with targets of
-	 * which nothing is known yet isn't started again, and its caller hears so at once.
-	 */
-	#endIfBarred(job: RunningJob, slot: TaskSlot): void {
-		const condition = this.parts.losses.conditionOf(slot.id);
-		if (condition === 'hopeless') {
-			this.#end(job, {kind: 'answered', answer: 'failed'});
-		} else if (condition === 'suspended' && slot.owner === undefined && !slot.isDone) {
-			this.#end(job, doubt('executorLost', 'its targets are lost'));
-		}
-	}
-
-	/** The runs go on: stopping and beginning them again would run each task twice at a time. */
-	#rejoin(running: RunningJob, submission: RunningJob['submission'], token: CancellationToken): void {
-		running.submission.settle(doubt('stopped', 'submitted again'));
-		running.resubmit(submission);
-		this.parts.journal.record('jobRejoined', {job: running.job.id, startedTasks: running.orderedStarts});
-		this.#watchSubmitter(running, token);
-	}
-
-	/** A submitter who is gone ends the job, unless it was submitted again since. */
-	#watchSubmitter(running: RunningJob, token: CancellationToken): void {
-		const {submission} = running;
-		token.onDidRequestCancellation(() => {
-			if (running.submission === submission) {
-				this.#end(running, doubt('stopped', 'the submitter is gone'));
-			}
-		});
-	}
-
-	/** Its targets' runs end only when their leases do; until then nothing may start them again, so the job is given up. */
-	#loseOwner(member: MemberId): void {
-		for (const job of this.#jobs) {
-			if (job.slots.some(slot => slot.owner === member)) {
-				this.#end(job, doubt('executorLost', `${member} is lost`));
-			}
-		}
-	}
-
-	/** What was sent on the former connection may be lost: requests, and stops of jobs that are over. */
-	#repeatOrders(member: MemberId): void {
-		for (const {id, attempt} of this.#jobs.formerRunsOn(member)) {
-			this.#stopRun({task: id, attempt, owner: member}, 'its job is over');
-		}
-
-		for (const job of this.#jobs) {
-			for (const slot of job.slots) {
-				if (slot.owner === member) {
-					this.parts.pool.send(member, {kind: 'run', request: requestOf(job, slot)});
-				}
-			}
-		}
-	}
-
 	#check(): void {
 		const now = this.parts.clock.now();
 		for (const job of this.#jobs) {
 			this.#results.endUnadopted(job, now);
-			this.#endIfPast(job, now);
+			this.#conclusion.endIfPast(job, now);
 		}
 	}
-
-	#endIfPast(job: RunningJob, now: number): void {
-		if (now <= job.giveUpAt) {
-			return;
-		}
-
-		if (!job.takesFar && job.hasWaiting) {
-			job.takeFar();
-			this.#pumpSoon();
-			return;
-		}
-
-		this.#end(job, job.mayHaveRun
-			? doubt('waitExpired', 'not ended in time')
-			: {
-				kind: 'notRun', cause: 'deadlineUnreachable', detail: 'no room in time', retryAfterMilliseconds: Math.ceil(job.expectedMilliseconds),
-			});
-	}
-
-	#end(job: RunningJob, verdict: Verdict<JobOutcome>): void {
-		if (job.isOver) {
-			return;
-		}
-
-		job.isOver = true;
-		this.#jobs.remove(job, this.parts.clock.now());
-		for (const slot of job.slots) {
-			if (slot.owner !== undefined) {
-				this.#stopRun({task: slot.id, attempt: slot.attempt, owner: slot.owner}, 'its job is over');
-			}
-		}
-
-		this.parts.journal.record('jobEnded', {
-			job: job.job.id,
-			queue: job.job.route.queue,
-			verdict: verdict.kind,
-			detail: verdict.kind === 'answered' ? verdict.answer : `${verdict.cause}: ${verdict.detail}`,
-			tookMilliseconds: Math.round(this.parts.clock.now() - job.receivedAt),
-			expectedMilliseconds: Math.round(job.expectedMilliseconds),
-		});
-		job.submission.settle(verdict);
-	}
-
-	#stopRun({task, attempt, owner}: OwnedRun, cause: string): void {
-		const {executor, pool} = this.parts;
-		if (owner === pool.self) {
-			executor.stop(task, attempt, cause);
-		} else {
-			pool.send(owner, {
-				kind: 'stop', task, attempt, cause,
-			});
-		}
-	}
-}
-
-function doubt(cause: DoubtCause, detail: string): Verdict<JobOutcome> {
-	return {kind: 'mayHaveRun', cause, detail};
 }
