The executor in modules: the sessions of owned targets apart

Seen by callers: nothing; behaviour and order of events stay, and so do the tests.

Now: - target-sessions.ts: opens sessions, takes former owners' words, gives targets up, and knows which tokens were rejected - executor.ts: chooses targets for runs, judges ends, stops what is overdue - owned-target.ts: a target with the token for it A release is asked of the sessions in two steps (prepare, then each), and the wait for pending starts stays in the executor: one more async function around it would let other work run between a release and its word.

--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -1,41 +1,32 @@
-/** All targets that this entry owns. */
+/** The runs on all targets that this entry owns. */
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
-import type {FencingToken} from '../../base/fencing-token.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
+import {wait} from '../../base/wait.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {UncountedTime} from '../../runtime/uncounted-time.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
-import type {TargetRecord} from '../targets/target-record.js';
-import type {Adoption} from './adoption.js';
-import {AnswerTimes} from './answer-times.js';
 import {chooseTarget} from './choose-target.js';
 import type {ExecutionReport} from './execution-report.js';
 import type {Handover} from './handover.js';
 import type {LossBook} from './loss-book.js';
+import type {OwnedTarget} from './owned-target.js';
 import type {RoomShare} from './room-share.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
 import {slowdownOf} from './slowdown-of.js';
-import {TargetSession} from './target-session.js';
+import type {TargetSession} from './target-session.js';
+import {TargetSessions} from './target-sessions.js';
 
-/** A handover that nobody took is forgotten when all that it names has ended with its lease. */
-const handoverMilliseconds = 1500;
 /** How long a release waits for starts that are under way. */
 const pendingStartMilliseconds = 60;
 
-/** A target that this entry owns, with the token for it. */
-type OwnedTarget = {readonly target: TargetRecord; readonly fence: FencingToken};
-
-/** A former owner's word, with the time at which it came. */
-type ReceivedHandover = {readonly handover: Handover; readonly at: number};
-
 /** What the executor works with. */
 type ExecutorParts = {
 	readonly leaseMilliseconds: number;
@@ -46,21 +37,32 @@
 	readonly journal: Journal;
 };
 
-/** Owns a session for each owned target, chooses the target for a run, and reports each run's outcome. */
+/** Chooses the target for a run, and reports each run's outcome. */
 export class Executor implements Disposable {
-	readonly #sessions = new Map<InstanceId, TargetSession>();
-	/** The highest token that a target rejected: it isn't ordered again with that one or a lower one. */
-	readonly #fenced = new Map<InstanceId, FencingToken>();
-	readonly #handovers = new Map<InstanceId, ReceivedHandover>();
+	readonly #sessions: TargetSessions;
 	readonly #report = new Emitter<ExecutionReport>();
-	readonly #adopt = new Emitter<Adoption>();
-	readonly #willRelease = new Emitter<Run>();
 	readonly #change = new Emitter<void>();
 	readonly #compareClocks = new Emitter<UncountedTime>();
 
-	readonly #answerTimes = new AnswerTimes();
-
-	constructor(private readonly parts: ExecutorParts) {}
+	constructor(private readonly parts: ExecutorParts) {
+		this.#sessions = new TargetSessions({
+			...parts,
+			listener: {
+				onDidEndRun: (session, run, outcome) => {
+					this.#ended(session, run, outcome);
+				},
+				onDidReport: session => {
+					this.#stopOverdue(session);
+				},
+				onDidCompareClocks: uncounted => {
+					this.#compareClocks.fire(uncounted);
+				},
+				onDidChange: () => {
+					this.#change.fire();
+				},
+			},
+		});
+	}
 
 	/** Fires with each outcome, once a run. */
 	get onDidReport() {
@@ -69,12 +71,12 @@
 
 	/** Fires when a former owner's run goes on under this entry. */
 	get onDidAdopt() {
-		return this.#adopt.event;
+		return this.#sessions.onDidAdopt;
 	}
 
 	/** Fires for each run before its target is given up; one that is stopped then isn't handed over. */
 	get onWillRelease() {
-		return this.#willRelease.event;
+		return this.#sessions.onWillRelease;
 	}
 
 	/** Fires when there may be more room than before. */
@@ -94,14 +96,14 @@
 	/** The room of each target that takes any task now; one that is to be probed is left to this entry's own jobs. */
 	get room(): readonly RoomShare[] {
 		const now = this.parts.clock.now();
-		return [...this.#sessions.values()]
+		return [...this.#sessions]
 			.filter(session => session.isOpen && ['fit', 'slow'].includes(this.parts.health.condition(session.target.id, now)))
 			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.room}));
 	}
 
 	/** The entries whose tasks run here. */
 	* requesters(): Iterable<MemberId> {
-		for (const session of this.#sessions.values()) {
+		for (const session of this.#sessions) {
 			for (const {requester} of session.runs) {
 				yield requester;
 			}
@@ -110,60 +112,29 @@
 
 	/** Opens sessions for targets that came, and updates the others; those that went are dropped with their runs' lease. */
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
-		for (const [id, session] of this.#sessions) {
-			if (!owned.has(id)) {
-				this.#drop(id, session);
-			}
-		}
-
-		for (const [id, {target, fence}] of owned) {
-			this.#ensure(id, target, fence);
-		}
-
+		this.#sessions.assign(owned);
 		this.parts.health.retain(new Set(owned.keys()));
 		this.#change.fire();
 	}
 
 	/** Gives up targets so that the next owner can go on with what runs there; returns what it has to know. */
 	async release(ids: ReadonlySet<InstanceId>): Promise<readonly Handover[]> {
-		const leaving = [...this.#sessions.values()].filter(session => ids.has(session.target.id));
-		for (const session of leaving) {
-			session.pause();
-			for (const run of session.runs) {
-				this.#willRelease.fire(run);
-			}
-		}
-
+		const leaving = this.#sessions.prepareRelease(ids);
 		if (leaving.some(session => session.hasPendingStarts)) {
-			await new Promise<void>(resolve => {
-				this.parts.clock.schedule(pendingStartMilliseconds, resolve);
-			});
+			await wait(this.parts.clock, pendingStartMilliseconds);
 		}
 
-		return leaving.map(session => this.#release(session));
+		return leaving.map(session => this.#sessions.release(session));
 	}
 
 	/** Keeps a former owner's word until the target is this entry's. */
 	expect(handover: Handover): void {
-		const {clock} = this.parts;
-		const received = {handover, at: clock.now()};
-		const session = this.#sessions.get(handover.target);
-		if (session !== undefined) {
-			this.#adoptInto(session, received);
-			return;
-		}
-
-		this.#handovers.set(handover.target, received);
-		clock.schedule(handoverMilliseconds, () => {
-			if (this.#handovers.get(handover.target) === received) {
-				this.#handovers.delete(handover.target);
-			}
-		});
+		this.#sessions.expect(handover);
 	}
 
 	/** Whether any attempt of a task runs here, or may run. */
 	isRunning(task: TaskId): boolean {
-		for (const session of this.#sessions.values()) {
+		for (const session of this.#sessions) {
 			if (session.hasRunOf(task)) {
 				return true;
 			}
@@ -174,7 +145,7 @@
 
 	/** Starts a run on the fullest target that has room for it; returns the target, or nothing where none has room. */
 	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
-		const session = chooseTarget(this.#sessions.values(), request, {...this.parts, now: this.parts.clock.now()});
+		const session = chooseTarget(this.#sessions, request, {...this.parts, now: this.parts.clock.now()});
 		if (session === undefined) {
 			return undefined;
 		}
@@ -196,20 +167,20 @@
 
 	/** Asks all targets what runs there, and what time it is by their clocks. */
 	look(): void {
-		for (const session of this.#sessions.values()) {
+		for (const session of this.#sessions) {
 			session.look();
 		}
 	}
 
 	stop(task: string, attempt: number, cause: string): void {
-		for (const session of this.#sessions.values()) {
+		for (const session of this.#sessions) {
 			session.stop(task, attempt, cause);
 		}
 	}
 
 	/** Stops all runs that an entry asked for: nobody else may start them while they go on. */
 	stopRunsOf(requester: MemberId, cause: string): void {
-		for (const session of this.#sessions.values()) {
+		for (const session of this.#sessions) {
 			for (const run of session.runs) {
 				if (run.requester === requester) {
 					session.stop(run.request.task, run.request.attempt, cause);
@@ -219,11 +190,7 @@
 	}
 
 	dispose(): void {
-		for (const session of this.#sessions.values()) {
-			session.dispose();
-		}
-
-		this.#sessions.clear();
+		this.#sessions.dispose();
 	}
 
 	/** A target that works slowly or not at all would hold its tasks to their jobs' end: they're better begun elsewhere. */
@@ -244,97 +211,6 @@
 		}
 	}
 
-	#ensure(id: InstanceId, target: TargetRecord, fence: FencingToken): void {
-		const known = this.#sessions.get(id);
-		if (known !== undefined) {
-			known.update(target, fence);
-			return;
-		}
-
-		if ((this.#fenced.get(id) ?? -1) >= fence) {
-			return;
-		}
-
-		this.#open(id, target, fence);
-	}
-
-	#open(id: InstanceId, target: TargetRecord, fence: FencingToken): void {
-		const {leaseMilliseconds, orders, clock, journal} = this.parts;
-		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, orders, answerTimes: this.#answerTimes, clock, journal, listener: {
-				onDidEndRun: (run, outcome) => {
-					this.#ended(session, run, outcome);
-				},
-				onDidReport: () => {
-					this.#stopOverdue(session);
-				},
-				onDidLose: (news, incarnation, tasks) => {
-					this.parts.losses.note({
-						target: id, incarnation, news, tasks,
-					});
-				},
-				onDidAnswer: incarnation => {
-					this.parts.losses.noteAnswer(id, incarnation);
-				},
-				onDidRestart: () => {
-					this.parts.health.forget(id);
-				},
-				onDidCompareClocks: uncounted => {
-					this.#compareClocks.fire(uncounted);
-				},
-				onDidChange: () => {
-					this.#change.fire();
-				},
-				onDidEnd: cause => {
-					this.#sessionEnded(session, cause);
-				},
-			},
-		});
-		this.#sessions.set(id, session);
-		const received = this.#handovers.get(id);
-		this.#handovers.delete(id);
-		if (received !== undefined) {
-			this.#adoptInto(session, received);
-		}
-
-		journal.record('targetOwned', {target: id, fence, adopted: received?.handover.runs.length ?? 0});
-		session.open();
-	}
-
-	#adoptInto(session: TargetSession, {handover, at}: ReceivedHandover): void {
-		session.adopt(handover);
-		for (const {request, requester} of handover.runs) {
-			this.#adopt.fire({requester, request, handedOverAt: at});
-		}
-	}
-
-	#release(session: TargetSession): Handover {
-		const {id} = session.target;
-		this.#sessions.delete(id);
-		const handover = session.release();
-		this.parts.orders.forget(session.target);
-		this.parts.journal.record('targetReleased', {target: id, fence: session.fence, handedOver: handover.runs.length});
-		return handover;
-	}
-
-	#drop(id: InstanceId, session: TargetSession): void {
-		this.#sessions.delete(id);
-		session.abandon();
-		this.parts.orders.forget(session.target);
-		this.parts.journal.record('targetDropped', {target: id});
-	}
-
-	#sessionEnded(session: TargetSession, cause: 'fenced' | 'replaced'): void {
-		const {id} = session.target;
-		this.#sessions.delete(id);
-		this.parts.orders.forget(session.target);
-		if (cause === 'fenced') {
-			this.#fenced.set(id, session.fence);
-		}
-
-		this.#change.fire();
-	}
-
 	#ended(session: TargetSession, run: Run, outcome: RunOutcome): void {
 		const {request, requester} = run;
 		const judged = this.#judge(session, run, outcome);
