--- a/src/features/dispatch/reachable-objective.ts
+++ b/src/features/dispatch/reachable-objective.ts
@@ -3,15 +3,15 @@
 import type {RunningJob} from './running-job.js';
 
 /**
- * What a step of priority weighs against the time that a job has left. About the room in time of the users' short jobs, so
- * that a more urgent queue goes first among jobs of the same age, and a less urgent one isn't starved.
+ * What a step of priority weighs against the time that a job has left: a more urgent queue goes first among jobs of about the
+ * same age, and a less urgent one isn't starved.
  */
 const priorityMilliseconds = 150;
 /** Above any objective, so that the two kinds never mix. */
 const aheadMilliseconds = 1_000_000;
 /**
- * A late answer is worth a fifth of one in time. With a quarter of its tasks left, a job that is late yields 0.8 of what a
- * fresh one yields for the same work; with more left, less.
+ * A late answer is worth less than one in time: only a job that needs little more yields about what a fresh one does for the
+ * same work.
  */
 const nearlyDoneShare = 0.25;
 
--- a/src/features/execution/answer-times.ts
+++ b/src/features/execution/answer-times.ts
@@ -4,16 +4,16 @@
 const meanWeight = 1 / 8;
 const deviationWeight = 1 / 4;
 const deviationFactor = 4;
-/** Ten times the way across zones and back: below, a target that is merely busy for a moment would be taken for one that lost the order. */
+/** Below this a target that is merely busy for a moment would be taken for one that lost the order. */
 const shortestLimitMilliseconds = 40;
-/** Until there are samples, and at most. A tenth of the longest lease and half as much again. */
+/** Until there are samples, and at most: the task of a lost order waits as long. */
 const longestLimitMilliseconds = 150;
 const trustedSamples = 20;
 
 /**
- * Learns from answers how long it's worth to wait for one. An order that a target has lost holds its task until the limit:
- * with a fixed 150 ms a short task that met one was late for certain, with the learned limit it's begun elsewhere after
- * about 50 ms. An entry that is slow itself, or far from its targets, measures longer times and waits longer.
+ * Learns from answers how long it's worth to wait for one. An order that a target has lost holds its task until the limit,
+ * and a short task that waits too long for it misses its objective. An entry that is slow itself, or far from its targets,
+ * measures longer times and waits longer.
  */
 export class AnswerTimes {
 	#samples = 0;
--- a/src/features/execution/overdue-of.ts
+++ b/src/features/execution/overdue-of.ts
@@ -1,14 +1,11 @@
 /** Which runs take much longer than they should. */
 import type {Run} from './run.js';
 
-/**
- * A run over so many times what it's expected to take makes its target suspect. Of runs on sound targets 0.6% take more
- * than 2.2 times as long (measured over 20,000 runs of the users' three kinds of task, with times learned by kind).
- */
+/** A run over so many times what it's expected to take makes its target suspect: few on sound targets take as long. */
 const suspectFactor = 2.2;
-/** A single run that is over by so much is put down to its target: on sound ones less than one in 500. */
+/** A single run that is over by so much is put down to its target: hardly any on a sound one takes as long. */
 const overdueFactor = 3;
-/** So many suspect runs at a time on one target are no chance. */
+/** So many suspect runs at a time are put down to their target: it's unlikely that all of them are just long. */
 const overdueToBlame = 2;
 /** Added to the expected time, so that the way to the target and back isn't taken for slowness of very short tasks. */
 const overdueSlackMilliseconds = 20;
--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -5,9 +5,8 @@
 import type {StrangerRuns} from './stranger-runs.js';
 
 /**
- * How long a target waits for an end before it answers a renewal: a quarter of the lease. A lost renewal hides the target's
- * ends for this and the time limit, and a run that is overdue is known to be so no later than this. With 100 ms two renewals in
- * five ended without telling anything on a target with nine ends a second.
+ * How long a target waits for an end before it answers a renewal. A lost renewal hides the target's ends for this and the
+ * time limit, and a run that is overdue is known to be so no later than this; a shorter wait sends renewals that tell nothing.
  */
 const busyWaitMilliseconds = 250;
 /** Without runs there's no lease to renew; the wait stays under the lease of a start that comes meanwhile. */
--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -15,7 +15,7 @@
 import type {StepCount} from './step-count.js';
 import type {TargetReports} from './target-reports.js';
 
-/** Between two tries to stop a run; beside the time limit of the first it's the shorter part. */
+/** Between two tries to stop a run, whose task can't be begun elsewhere before one of them is accepted. */
 const stopRetryMilliseconds = 40;
 
 /** What the control works with. */
--- a/src/features/execution/run-settlement.ts
+++ b/src/features/execution/run-settlement.ts
@@ -27,14 +27,14 @@
 		this.parts.listener.onDidEndRun(run, outcome);
 	}
 
-	/** All runs have provably ended. */
+	/** Nothing runs there any more. */
 	endAll(cause: string): void {
 		for (const run of this.parts.runs) {
 			this.end(run, {kind: 'gone', target: this.parts.target.id, cause});
 		}
 	}
 
-	/** All runs end with their lease: another owner may have let the runs go on for the rest of their lease; it renews none that it doesn't know. */
+	/** Ends all runs once their lease has: another owner may let them go on for its rest, and renews none that it doesn't know. */
 	endAllWithLease(cause: string): void {
 		const {clock} = this.parts;
 		clock.schedule(Math.max(0, this.parts.lease.certainEnd - clock.now()), () => {
@@ -42,7 +42,7 @@
 		});
 	}
 
-	/** Runs are lost with their target; whether it had said that it started them tells what that says of their tasks. */
+	/** Tells which tasks are lost with the target; one that it has never said to have started may not be to blame for its end. */
 	lose(news: 'silent' | 'down', incarnation: Incarnation | undefined, runs: readonly Run[]): void {
 		const {onDidLose} = this.parts.listener;
 		const begun = runs.filter(run => run.confirmedAtStep !== undefined);
