Fault soak: entries that pause for long, alone and together, beside other faults

`--pauses S` draws, beside a seed's other faults and from a random stream of its own, pauses of 3 s to S s of one entry or of a third of them, and during each or just after it up to three of: all connections between entries reset; one entry's reset, silenced or cut; a worker late or silent; an entry killed and started again.

--- a/soak/attempt.ts
+++ b/soak/attempt.ts
@@ -9,8 +9,9 @@
 	outcome: AttemptOutcome | undefined;
 };
 
-/** `broken`: the connection ended without a whole answer; `expired`: the caller stopped waiting. */
+/** `broken`: the connection ended without a whole answer; `expired`: the caller stopped waiting; `left`: it hung up before. */
 type AttemptOutcome =
 	| {readonly kind: 'answer'; readonly status: number; readonly state: string | undefined}
 	| {readonly kind: 'broken'; readonly detail: string}
-	| {readonly kind: 'expired'};
+	| {readonly kind: 'expired'}
+	| {readonly kind: 'left'};
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -7,6 +7,7 @@
 import type {Attempt} from './attempt.js';
 import type {EdgeProcess} from './edge-process.js';
 import {soakBounds} from './soak-bounds.js';
+import type {SoakPlan} from './soak-plan.js';
 import type {SoakRecord} from './soak-record.js';
 import {soakHost} from './soak-host.js';
 
@@ -16,6 +17,11 @@
 const longestMilliseconds = 250;
 /** One job in so many can never be done. */
 const hopelessOneIn = 40;
+/** Where entries pause, so many jobs run for up to so long; half of their callers hang up at a time of their own. */
+const longOneIn = 12;
+const longJobMilliseconds = 3000;
+const longPatienceMilliseconds = 20_000;
+const longHangUpMilliseconds = 3000;
 const readinessMilliseconds = 250;
 const probeMilliseconds = 150;
 /** Callers wait a little longer than they say, for the way back. */
@@ -26,7 +32,7 @@
 const statusLost: ReadonlySet<number> = new Set([502, 504]);
 
 /** Without an agent, on a connection of its own. */
-type Call = {readonly agent?: Agent; readonly address: string; readonly method: 'GET' | 'POST'; readonly path: string; readonly body?: string};
+type Call = {readonly agent?: Agent; readonly address: string; readonly method: 'GET' | 'POST'; readonly path: string; readonly body?: string; readonly patience?: number; readonly hangsUpAfter?: number | undefined};
 type Answer = {readonly status: number; readonly body: string} | {readonly failure: string};
 
 /**
@@ -40,12 +46,11 @@
 	#isOver = false;
 	#jobs = 0;
 
-	/** With a job in so many that crashes every worker that starts one of its tasks, or none. */
 	constructor(
 		private readonly entries: readonly EdgeProcess[],
 		private readonly random: Random,
 		private readonly record: SoakRecord,
-		private readonly crashingOneIn: number,
+		private readonly plan: Pick<SoakPlan, 'crashingOneIn' | 'longestPause'>,
 	) {}
 
 	/** Sends jobs at a mean rate for so long, then waits for the last answers. */
@@ -86,9 +91,11 @@
 	async #submit(): Promise<void> {
 		this.#jobs += 1;
 		const group = this.#agents[this.random.below(connectionGroups)]!;
-		const milliseconds = shortestMilliseconds + this.random.below(longestMilliseconds - shortestMilliseconds);
+		const isLong = this.plan.longestPause > 0 && this.random.below(longOneIn) === 0;
+		const milliseconds = (isLong ? longestMilliseconds : shortestMilliseconds) + this.random.below(isLong ? longJobMilliseconds : longestMilliseconds - shortestMilliseconds);
+		const patience = isLong ? longPatienceMilliseconds : soakBounds.patience;
 		const isHopeless = this.random.below(hopelessOneIn) === 0;
-		const isCrashing = this.crashingOneIn > 0 && this.#jobs % this.crashingOneIn === 0;
+		const isCrashing = this.plan.crashingOneIn > 0 && this.#jobs % this.plan.crashingOneIn === 0;
 		const job = {
 			id: this.#jobs.toString(16).padStart(16, '0'), tasks: 1 + this.random.below(mostTasks), payload: isCrashing ? crashingPayload : (isHopeless ? 'hopeless' : String(milliseconds)), attempts: [] as Attempt[],
 		};
@@ -101,7 +108,7 @@
 			};
 			job.attempts.push(attempt);
 			const answer = await call({
-				agent: group, address: entry.front, method: 'POST', path: `/base/${job.id}`, body,
+				agent: group, address: entry.front, method: 'POST', path: `/base/${job.id}`, body, patience, hangsUpAfter: isLong && this.random.below(2) === 0 ? shortestMilliseconds + this.random.below(longHangUpMilliseconds) : undefined,
 			});
 			attempt.endedAt = Date.now();
 			attempt.outcome = outcomeOf(answer);
@@ -154,7 +161,7 @@
 
 function outcomeOf(answer: Answer): Attempt['outcome'] {
 	if ('failure' in answer) {
-		return answer.failure === 'expired' ? {kind: 'expired'} : {kind: 'broken', detail: answer.failure};
+		return answer.failure === 'expired' || answer.failure === 'left' ? {kind: answer.failure} : {kind: 'broken', detail: answer.failure};
 	}
 
 	return {kind: 'answer', status: answer.status, state: stateOf(answer.body)};
@@ -169,7 +176,7 @@
 	}
 }
 
-async function call({agent, address, method, path, body = ''}: Call): Promise<Answer> {
+async function call({agent, address, method, path, body = '', patience = soakBounds.patience, hangsUpAfter}: Call): Promise<Answer> {
 	return new Promise(resolve => {
 		const [host, port] = address.split(':');
 		const outgoing = request({
@@ -179,13 +186,13 @@
 			method,
 			path,
 			headers: {
-				host: soakHost, 'content-type': 'application/json', 'content-length': body.length, 'deadline-ms': soakBounds.patience,
+				host: soakHost, 'content-type': 'application/json', 'content-length': body.length, 'deadline-ms': patience,
 			},
 		});
 		const timer = setTimeout(() => {
-			resolve({failure: 'expired'});
+			resolve({failure: hangsUpAfter === undefined ? 'expired' : 'left'});
 			outgoing.destroy();
-		}, soakBounds.patience + graceMilliseconds);
+		}, hangsUpAfter ?? patience + graceMilliseconds);
 		const fail = (error: Error) => {
 			clearTimeout(timer);
 			resolve({failure: error.message});
--- a/soak/fault-strike.ts
+++ b/soak/fault-strike.ts
@@ -11,6 +11,8 @@
 const lateMilliseconds = 3000;
 const slowness = 5;
 const restartMilliseconds = 250;
+/** Of the entries that pause at once. */
+const pausedShare = 0.35;
 
 /** What a fault leaves to be undone. */
 type Healing = () => Promise<void> | void;
@@ -39,12 +41,7 @@
 		return match(kind)
 			.with('entry-kill', async () => this.#kill([entry]))
 			.with('entry-stop', async () => this.#stop(entry))
-			.with('entry-pause', () => {
-				entry.signal('SIGSTOP');
-				return () => {
-					entry.signal('SIGCONT');
-				};
-			})
+			.with('entry-pause', () => pause([entry]))
 			.with('entry-hup', () => {
 				entry.signal('SIGHUP');
 				return noHealing;
@@ -79,10 +76,18 @@
 			.otherwise(() => noHealing);
 	}
 
-	async #strikeAll({kind}: PlannedFault): Promise<Healing> {
+	async #strikeAll({kind, index}: PlannedFault): Promise<Healing> {
 		const {world} = this;
 		return match(kind)
 			.with('all-kill', async () => this.#kill(world.entries))
+			.with('entries-pause', () => pause(this.#thirdFrom(index)))
+			.with('all-reset', () => {
+				for (const {peers} of world.entries) {
+					peers.resetOpen();
+				}
+
+				return noHealing;
+			})
 			.with('store-down', async () => this.#failStore({status: 503}, {status: 0}))
 			.with('store-slow', async () => this.#failStore({delayMilliseconds: slowStoreMilliseconds}, {delayMilliseconds: 0}))
 			.with('store-lost', async () => this.#failStore({lostReplies}, {lostReplies: 0}))
@@ -119,6 +124,12 @@
 			.otherwise(() => noHealing);
 	}
 
+	/** From an entry on, going round. */
+	#thirdFrom(index: number): readonly EdgeProcess[] {
+		const {entries} = this.world;
+		return Array.from({length: Math.max(1, Math.round(entries.length * pausedShare))}, (_, step) => entries[(index + step) % entries.length]!);
+	}
+
 	async #failStore(fault: Readonly<Record<string, unknown>>, healed: Readonly<Record<string, unknown>>): Promise<Healing> {
 		await this.world.failStore(fault);
 		return async () => this.world.failStore(healed);
@@ -151,6 +162,18 @@
 	// It was over at once.
 }
 
+function pause(entries: readonly EdgeProcess[]): Healing {
+	for (const entry of entries) {
+		entry.signal('SIGSTOP');
+	}
+
+	return () => {
+		for (const entry of entries) {
+			entry.signal('SIGCONT');
+		}
+	};
+}
+
 function cut(relay: EdgeProcess['peers'], isFrom: boolean, isTowards: boolean): Healing {
 	relay.cut(() => isFrom, () => isTowards);
 	return () => {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -27,6 +27,7 @@
 	.option('rate', {type: 'number', default: 25, describe: 'jobs a second'})
 	.option('faults', {type: 'boolean', default: true, describe: 'without them it is a load test'})
 	.option('crashing', {type: 'number', default: 0, describe: 'one job in so many crashes each worker that starts its tasks; 0 for none'})
+	.option('pauses', {type: 'number', default: 0, describe: 'entries also pause for 3 s to so many seconds, alone and together, and callers hang up and go elsewhere; 0 for none'})
 	.option('timed', {type: 'boolean', default: true, describe: 'checks the promises that name a time, which a busy machine can break'})
 	.option('profile', {type: 'string', describe: 'a folder for V8 processor profiles of the entries, which are then ended gracefully'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'for the entries\' logs'})
@@ -48,7 +49,7 @@
 	const milliseconds = options.seconds * 1000;
 	const {zones, entries: entriesPerZone, workers: workersPerZone, rate: jobsPerSecond, faults: hasFaults, crashing: crashingOneIn} = options;
 	const record = await runSoak({
-		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults, crashingOneIn, profileFolder: options.profile,
+		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults, crashingOneIn, longestPause: options.pauses * 1000, profileFolder: options.profile,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -2,6 +2,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {Random} from '../src/base/random.js';
 import {Callers} from './callers.js';
+import {drawPauses} from './draw-pauses.js';
 import {drawPlan} from './draw-plan.js';
 import {FaultInjector} from './fault-injector.js';
 import {FaultStrike} from './fault-strike.js';
@@ -19,7 +20,7 @@
 		jobs: [], runs: [], probes: [], publications: [], disturbances: [], drains: [], exits: [], defects: [], leftovers: [], healedAt: 0,
 	};
 	const world = await SoakWorld.start(plan, folder, record);
-	const callers = new Callers(world.entries, new Random(plan.seed + 1), record, plan.crashingOneIn);
+	const callers = new Callers(world.entries, new Random(plan.seed + 1), record, plan);
 	try {
 		const injector = new FaultInjector(world, new FaultStrike(world), record);
 		await injector.publish();
@@ -28,7 +29,7 @@
 		}
 
 		const playing = callers.play(plan.milliseconds, plan.jobsPerSecond);
-		await injector.play(plan.hasFaults ? drawPlan(plan.seed, plan.milliseconds) : [], Date.now());
+		await injector.play(faultsOf(plan), Date.now());
 		await playing;
 		await wait(settleMilliseconds);
 		record.leftovers = await world.running();
@@ -40,3 +41,8 @@
 
 	return record;
 }
+
+function faultsOf({seed, milliseconds, longestPause, hasFaults}: SoakPlan): ReturnType<typeof drawPlan> {
+	const pauses = longestPause > 0 ? drawPauses(seed, milliseconds, longestPause) : [];
+	return [...(hasFaults ? drawPlan(seed, milliseconds) : []), ...pauses];
+}
