A connection whose handshake isn't answered is made anew

Cause: an outgoing link has a time limit for its connection, and pings once it knows its peer. Where it may matter elsewhere: a peer that stands still accepts connections too, and open channels may go silent for good.

The new test doesn't end on the code before, and passes.

--- a/src/runtime/peers/outgoing-link.ts
+++ b/src/runtime/peers/outgoing-link.ts
@@ -41,6 +41,7 @@
 	#pingedAt = 0;
 	#usedAt: number;
 	#isDisposed = false;
+	#isConnected = false;
 	#hasMet = false;
 	#redial: Disposable | undefined;
 
@@ -81,6 +82,12 @@
 			return;
 		}
 
+		if (this.#peer === undefined && this.#isConnected && this.parts.clock.now() - this.#heardAt > this.parts.timing.silence) {
+			// The connection has gone silent before its handshake was answered: nothing is pinged on it that could show so.
+			this.#socket.dispose();
+			return;
+		}
+
 		const aliveAt = this.#peer === undefined ? this.#heardAt : Math.max(this.#heardAt, this.parts.listener.reachedAt(this.#peer));
 		if (this.parts.clock.now() - aliveAt > this.parts.timing.silence && this.#pingedAt > aliveAt) {
 			this.#socket.dispose();
@@ -119,11 +126,13 @@
 		const [host = '', port = ''] = this.parts.peerAddress.split(':');
 		const socket = this.parts.transport.dial(host, Number(port), () => {
 			socket.setTimeout(0);
+			this.#isConnected = true;
 			frames.send({
 				kind: 'hello', version: 1, nonce: this.#nonce, member: this.parts.self,
 			});
 		});
 		socket.setTimeout(this.parts.timing.connect);
+		this.#isConnected = false;
 		this.#heardAt = this.parts.clock.now();
 		this.#nonce = handshake.nonce();
 		const frames = new FrameSocket(socket, this.parts.counter, frame => {
--- a/test/runtime/peers/tcp-peer-network.test.ts
+++ b/test/runtime/peers/tcp-peer-network.test.ts
@@ -13,6 +13,7 @@
 import {TcpPeerNetwork} from '../../../src/runtime/peers/tcp-peer-network.js';
 import {TcpTransport} from '../../../src/runtime/peers/tcp-transport.js';
 import {TlsTransport} from '../../../src/runtime/peers/tls-transport.js';
+import {Relay} from '../../../standins/relay.js';
 import {RecordingJournal} from '../../support/recording-journal.js';
 
 async function networkOf(instance: string, key = 'a shared key for tests', transport: PeerTransport = new TcpTransport()) {
@@ -165,3 +166,26 @@
 	assert.equal(frames.length, 2);
 	assert.equal(new FrameReader(3).push(encodeFrame('too long')), undefined);
 });
+
+// Guards against a connection that goes silent before its handshake is answered and keeps two entries apart for good.
+test('a connection whose handshake is not answered is made anew', {timeout: 20_000}, async () => {
+	const left = await networkOf('entry-1');
+	const right = await networkOf('entry-2');
+	const relay = new Relay(false, false);
+	after(() => {
+		relay.close();
+	});
+	relay.leadTo(right.network.self.peerAddress);
+	const address = await relay.listen();
+	relay.cut(() => true);
+	left.network.watch(new Set([address]));
+	await wait(300);
+	relay.loseOpen();
+	relay.cut(() => false);
+	let met = 0;
+	left.network.onDidMeet(() => {
+		met += 1;
+	});
+	await until(() => met > 0);
+	assert.equal(met, 1);
+});
