--- a/test/platform/catalogue-load.test.ts
+++ b/test/platform/catalogue-load.test.ts
@@ -16,6 +16,8 @@
 /** A record's length, and that of its key. */
 const headBytes = 5;
 const seconds = 3;
+/** What a daemon may spend on control. */
+const controlBytesPerSecond = 3000;
 
 /** Gives what the targets have written since an offset, and counts it. */
 class CountingStore {
@@ -61,10 +63,14 @@
 		return store as unknown as StoreClient;
 	});
 	await world.start();
-	await world.pass((seconds * 1000) - 1000);
+	await world.pass((seconds * 1000) - 2000);
+	const passedBefore = world.passedBytes;
+	await world.pass(1000);
+	const passedBytesPerSecond = (world.passedBytes - passedBefore) / entries;
 	const known = [...world.entries.values()].map(({catalogue}) => catalogue.targets.size);
 	world.dispose();
 	const bytesPerSecond = stores.map(store => store.bytes).reduce((sum, bytes) => sum + bytes, 0) / seconds;
 	assert.equal(bytesPerSecond <= egressBytesPerSecond, true, `${Math.round(bytesPerSecond / 1_000_000)} MB a second`);
+	assert.equal(passedBytesPerSecond <= controlBytesPerSecond, true, `${Math.round(passedBytesPerSecond)} bytes a second are passed on to each entry`);
 	assert.deepEqual(known.filter(count => count !== targets), [], 'all know all targets');
 });
--- a/test/support/list-world.ts
+++ b/test/support/list-world.ts
@@ -31,6 +31,8 @@
 	readonly network = new ModelNetwork(this.clock);
 	readonly store = new ModelListStore();
 	readonly entries = new Map<string, Entry>();
+	/** What entries have told each other of the list. */
+	passedBytes = 0;
 
 	constructor(names: readonly string[], private readonly clientOf?: (name: string, clock: StoppableClock) => StoreClient) {
 		for (const name of names) {
@@ -112,6 +114,9 @@
 		});
 		const address = network.self.peerAddress;
 		const circle = new PoolCircle({pool, self: {address, zone}, clock});
+		circle.onDidAnswer(({passage}) => {
+			this.passedBytes += passage.records.length;
+		});
 		const catalogue = new StoreCatalogue({
 			store: (this.clientOf ?? ((of: string, at: StoppableClock) => this.store.clientOf(of, at)))(name, clock),
 			zones: undefined,
