--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -169,9 +169,7 @@
 	/** What its sender had asked for was stopped when the epoch changed; its callers may have submitted elsewhere since. */
 	#refuseOutdated(from: MemberId, {task, attempt}: RunRequest): void {
 		this.journal.record('requestOutdated', {task, attempt, requester: from});
-		this.pool.send(from, {
-			kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'outdated'},
-		});
+		this.#refuseForGood(from, {task, attempt}, 'outdated');
 	}
 
 	/** A request that was sent again after a lost connection; who repeats it here knows of an adoption. */
@@ -229,7 +227,7 @@
 		}
 
 		if (known === undefined) {
-			this.#rememberStopped(from, {task, attempt});
+			this.#refuseForGood(from, {task, attempt}, 'superseded');
 		} else {
 			this.executor.stop(task, attempt, cause);
 		}
@@ -244,15 +242,19 @@
 		}
 	}
 
-	/** The request may come after its stop, on another connection: it's remembered as ended. */
-	#rememberStopped(from: MemberId, {task, attempt}: {readonly task: TaskId; readonly attempt: number}): void {
+	/** Remembered as the attempt's end: the request may come after its stop, or be repeated in the present epoch. */
+	#refuseForGood(from: MemberId, {task, attempt}: {readonly task: TaskId; readonly attempt: number}, cause: 'outdated' | 'superseded'): void {
 		const report: PoolMessage = {
-			kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
+			kind: 'report', task, attempt, outcome: {kind: 'refused', cause},
 		};
+		const key = runKeyOf({task, attempt});
 		const now = this.clock.now();
-		this.#remembered.set(runKeyOf({task, attempt}), {
-			requester: from, requestedAt: now, lastWord: report, endedAt: now, isAdoptionHeard: true,
-		});
+		if (!this.#remembered.has(key)) {
+			this.#remembered.set(key, {
+				requester: from, requestedAt: now, lastWord: report, endedAt: now, isAdoptionHeard: true,
+			});
+		}
+
 		this.pool.send(from, report);
 	}
 
--- a/test/entries/edge/late-messages.test.ts
+++ b/test/entries/edge/late-messages.test.ts
@@ -114,3 +114,21 @@
 	await world.pass(50);
 	assert.equal(world.orders.mostAtOnce, 1);
 });
+
+// Guards against a request that is refused as outdated and then begun by its repetition, beside the next attempt.
+test('a request that was refused as outdated starts nothing when it is repeated', async () => {
+	const world = await worldOfOneOwner();
+	const [requester, owner] = ['a-1', 'b-1'].map(name => world.entries.get(name)!.pool);
+	world.network.delays.set(wayToOwner, 1500);
+	requester!.send(owner!.self, {kind: 'run', request: firstTaskOfJob});
+	await world.pass(5);
+	world.network.delays.delete(wayToOwner);
+	world.network.isolate('a-1', true);
+	await world.pass(1000);
+	world.network.isolate('a-1', false);
+	await world.pass(700);
+	assert.equal(world.journal.named('requestOutdated').length, 1);
+	requester!.send(owner!.self, {kind: 'run', request: firstTaskOfJob});
+	await world.pass(100);
+	assert.deepEqual(world.orders.starts, []);
+});
