--- a/src/features/listing/pool-circle.ts
+++ b/src/features/listing/pool-circle.ts
@@ -11,7 +11,8 @@
 import {smallFleet} from '../pool/small-fleet.js';
 import type {ListPassage} from './list-passage.js';
 import type {ListQuestion} from './list-question.js';
-import {ReadingCircle, type ReadingRole} from './reading-circle.js';
+import {ReadingCircle} from './reading-circle.js';
+import type {ReadingRole} from './reading-role.js';
 
 /** One may be gone, and one may be cut off. */
 const readersOfZone = 3;
--- a/src/features/listing/reading-circle.ts
+++ b/src/features/listing/reading-circle.ts
@@ -3,9 +3,7 @@
 import type {MemberId} from '../../base/member-id.js';
 import type {ListPassage} from './list-passage.js';
 import type {ListQuestion} from './list-question.js';
-
-/** `unsettled`: it isn't known yet how many entries there are. */
-export type ReadingRole = 'alone' | 'reader' | 'follower' | 'unsettled';
+import type {ReadingRole} from './reading-role.js';
 
 /** Who reads for whom, and the way between them. Entries needn't agree on it: one that is asked reads. */
 export abstract class ReadingCircle {
