--- a/src/entries/command/build-timeline.ts
+++ b/src/entries/command/build-timeline.ts
@@ -27,6 +27,7 @@
 	'edgeStopping',
 	'edgeStopped',
 	'processPaused',
+	'eventLoopDelayed',
 	'touchLost',
 	'storeAway',
 	'storeBack',
--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -117,10 +117,13 @@
 				this.#entry.pool.addPeers(entries);
 			},
 		}));
-		disposables.add(pauses.onDidPause(({milliseconds}) => {
+		disposables.add(pauses.onDidPause(({milliseconds, monotonicMilliseconds}) => {
 			// Routes may have been added during the pause: until the store answers again, a missing route is not conclusive.
 			this.#routing.invalidate();
-			journal.record('processPaused', {milliseconds: Math.round(milliseconds)});
+			journal.record('processPaused', {milliseconds: Math.round(milliseconds), monotonicMilliseconds: Math.round(monotonicMilliseconds)});
+		}));
+		disposables.add(pauses.onDidDelay(milliseconds => {
+			journal.record('eventLoopDelayed', {milliseconds: Math.round(milliseconds)});
 		}));
 		this.#metricsServer = disposables.add(new StatusServer(() => {
 			this.#updateGauges();
@@ -174,7 +177,8 @@
 
 	#updateGauges(): void {
 		const {metrics} = this.parts;
-		const {dispatcher, executor} = this.#entry;
+		const {dispatcher, executor, pauses} = this.#entry;
+		metrics.gauge('event_loop_delay_milliseconds', Math.round(pauses.takeLongestDelay()));
 		metrics.gauge('jobs_in_flight', dispatcher.inFlight);
 		metrics.gauge('tasks_waiting', dispatcher.jobs.waitingTasks);
 		metrics.gauge('targets_owned', executor.ownedTargets);
--- a/src/runtime/journal/events/process-events.ts
+++ b/src/runtime/journal/events/process-events.ts
@@ -28,9 +28,12 @@
 		number: 114, level: 'alarm', meaning: 'An unhandled error was caught; the process continues', fields: ['detail'],
 	},
 	processPaused: {
-		number: 115, level: 'warning', meaning: 'The process was paused; its state may be out of date', fields: ['milliseconds'],
+		number: 115, level: 'warning', meaning: 'The process was paused; its state may be out of date', fields: ['milliseconds', 'monotonicMilliseconds'],
 	},
 	linesDropped: {
 		number: 116, level: 'warning', meaning: 'Log lines were dropped because standard output is not read fast enough', fields: ['lines'],
 	},
+	eventLoopDelayed: {
+		number: 117, level: 'notice', meaning: 'The event loop was late; messages, stops and heartbeats waited for it', fields: ['milliseconds'],
+	},
 } as const satisfies Readonly<Record<string, EventDescription>>;
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -13,6 +13,9 @@
 /** Above the timer delays of a busy event loop, below the time after which peers declare an entry lost. */
 const pauseThresholdMilliseconds = 500;
 
+/** A delay of the event loop from which on stops and heartbeats of this entry are noticeably late. */
+const delayThresholdMilliseconds = 200;
+
 /** Time after a pause in which the event loop reads all input that arrived during the pause. */
 const resumeDelayMilliseconds = 60;
 
@@ -24,11 +27,13 @@
 export class PauseDetector implements Disposable {
 	readonly #suspectedPause = new Emitter<Pause>();
 	readonly #confirmedPause = new Emitter<number>();
+	readonly #delay = new Emitter<number>();
 	readonly #timer: Disposable;
 	#lastMonotonicTime: number;
 	#lastWallTime: number;
 	#resumedAt = Number.NEGATIVE_INFINITY;
 	#pauseConfirmedAt = Number.NEGATIVE_INFINITY;
+	#longestDelayMilliseconds = 0;
 
 	constructor(private readonly clock: Clock) {
 		this.#lastMonotonicTime = clock.now();
@@ -53,6 +58,18 @@
 		return this.#confirmedPause.event;
 	}
 
+	/** Fires with the length in milliseconds of a long delay of the event loop that was too short for a pause. */
+	get onDidDelay() {
+		return this.#delay.event;
+	}
+
+	/** Returns the longest delay of the event loop since the previous call, in milliseconds. */
+	takeLongestDelay(): number {
+		const longest = this.#longestDelayMilliseconds;
+		this.#longestDelayMilliseconds = 0;
+		return longest;
+	}
+
 	/** Compares the clocks now, since messages may be read before the timer fires after a pause. */
 	check(): void {
 		const now = this.clock.now();
@@ -61,6 +78,7 @@
 		const elapsed = Math.max(monotonicMilliseconds, wall - this.#lastWallTime);
 		this.#lastMonotonicTime = now;
 		this.#lastWallTime = wall;
+		this.#recordDelay(monotonicMilliseconds - checkIntervalMilliseconds);
 		if (elapsed > pauseThresholdMilliseconds) {
 			this.#resumedAt = now;
 			this.#suspectedPause.fire({milliseconds: elapsed, monotonicMilliseconds});
@@ -99,6 +117,14 @@
 		this.#timer.dispose();
 		this.#suspectedPause.dispose();
 		this.#confirmedPause.dispose();
+		this.#delay.dispose();
+	}
+
+	#recordDelay(milliseconds: number): void {
+		this.#longestDelayMilliseconds = Math.max(this.#longestDelayMilliseconds, milliseconds);
+		if (milliseconds > delayThresholdMilliseconds && milliseconds + checkIntervalMilliseconds <= pauseThresholdMilliseconds) {
+			this.#delay.fire(milliseconds);
+		}
 	}
 
 	#confirmPause(milliseconds: number): void {
--- a/test/runtime/pause-detector.test.ts
+++ b/test/runtime/pause-detector.test.ts
@@ -92,3 +92,19 @@
 	detector.reportClockGap({milliseconds: 2000, since: since + 60});
 	assert.deepEqual(confirmedPauses, [3000, 2000]);
 });
+
+// Guards against losing sight of an entry that is slow without being paused.
+test('the longest delay of the event loop is kept until it is taken, and a long one fires once', () => {
+	const clock = new FakeClock();
+	const detector = new PauseDetector(clock);
+	const delays: number[] = [];
+	detector.onDidDelay(milliseconds => {
+		delays.push(milliseconds);
+	});
+	clock.advance(1000);
+	assert.deepEqual([detector.takeLongestDelay(), delays], [0, []]);
+	clock.sleep(350);
+	clock.advance(200);
+	assert.deepEqual([detector.takeLongestDelay() >= 250, delays.length], [true, 1]);
+	assert.equal(detector.takeLongestDelay(), 0);
+});
