A run's lease ends with what is known of its requester

What callers saw: two runs of one task at a time, the former submission's beside the next one's, 1.3 s after a loss or a 504.

Cause: the end of a run that nobody waits for was bound by its owner's timers alone: 0.8 s of silence as the owner reads it, a check, a stop and its repeats. An owner that is slow, without having stood still, reads old heartbeats of a dead requester, or a stop, up to as late as it is slow, and renews the lease in the meantime; so does one whose stops get no answer while its renewals do. A lease that is renewed regardless of who wants it bounds nothing.

Now the target itself enforces the bound: a lease is never renewed beyond 1.1 s after the last proof that each requester of the target's runs was alive, and beyond 1.1 s after a run was given up (the sending time of its stop). Frames state when they were sent; the difference of the clocks is taken from the frame that was read soonest, so that a message that waited counts from when it was sent. An owner that knows of a pause of its own counts it as silence. A target whose lease is limited to less than 0.3 s gets no new tasks, nor does an entry that was silent for 0.8 s. New and old entries understand each other: the time stands at the end of a frame.

Weighed and dropped: withholding renewals while a stop is unconfirmed costs the target's other runs for one lost answer; telling all entries of each job that was given up costs a message an entry, and an owner that is slow reads it late as well; shorter timeouts lose healthy entries that are slow.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -66,7 +66,13 @@
 		this.#lossHistory = new LossHistory(clock, journal);
 		this.pauses = disposables.add(new PauseDetector(clock));
 		this.executor = disposables.add(new Executor({
-			leaseMilliseconds, orders, health: new TargetHealth(journal), losses: this.#lossHistory, clock, journal,
+			leaseMilliseconds,
+			lastContact: requester => this.pool.lastContact(requester),
+			orders,
+			health: new TargetHealth(journal),
+			losses: this.#lossHistory,
+			clock,
+			journal,
 		}));
 		this.pool = disposables.add(new Pool({
 			network,
--- a/src/features/execution/choose-target.ts
+++ b/src/features/execution/choose-target.ts
@@ -1,5 +1,6 @@
 /** Choice among the targets that an entry owns. */
 import {jobOfTask} from '../../base/job-of-task.js';
+import type {MemberId} from '../../base/member-id.js';
 import type {Resources} from '../../base/resources.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {LossHistory} from './loss-history.js';
@@ -11,7 +12,7 @@
 const maxProbeJobTasks = 2;
 
 /** State that the choice depends on; `now` is monotonic. */
-type SelectionContext = {readonly health: TargetHealth; readonly losses: LossHistory; readonly now: number};
+type SelectionContext = {readonly requester: MemberId; readonly health: TargetHealth; readonly losses: LossHistory; readonly now: number};
 
 /**
  * Best fit: chooses the eligible target with the least remaining CPU, which keeps whole targets free for large tasks. Keeps
@@ -35,10 +36,10 @@
 	return best?.session;
 }
 
-function isEligible(session: TargetSession, request: RunRequest, freeCapacity: Resources, {health, now}: SelectionContext): boolean {
+function isEligible(session: TargetSession, request: RunRequest, freeCapacity: Resources, {requester, health, now}: SelectionContext): boolean {
 	const {target} = session;
 	const isMatching = target.service === request.service && satisfiesConstraints(request, target.labels);
-	if (!isMatching || !session.isOpen || !request.need.fitsInto(freeCapacity) || request.excludedTargets.includes(target.id) || session.hasReachedJobLimit(request)) {
+	if (!isMatching || !session.isOpenFor(requester) || !request.need.fitsInto(freeCapacity) || request.excludedTargets.includes(target.id) || session.hasReachedJobLimit(request)) {
 		return false;
 	}
 
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -30,6 +30,8 @@
 /** Dependencies of the executor. */
 type ExecutorParts = {
 	readonly leaseMilliseconds: number;
+	/** Returns the monotonic time at which a requester was last known to be alive. */
+	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
 	readonly losses: LossHistory;
@@ -145,7 +147,7 @@
 
 	/** Starts a run and returns its target; undefined if no target is eligible. */
 	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
-		const session = chooseTarget(this.#sessions, request, {...this.parts, now: this.parts.clock.now()});
+		const session = chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
 		if (session === undefined) {
 			return undefined;
 		}
@@ -168,6 +170,7 @@
 			confirmedAtStep: undefined,
 			stopConfirmedAtStep: undefined,
 			stopCause: undefined,
+			abandonedAt: undefined,
 		});
 		return target.id;
 	}
@@ -179,9 +182,10 @@
 		}
 	}
 
+	/** Stops a run that nobody waits for any more. */
 	stop(task: string, attempt: number, cause: string): void {
 		for (const session of this.#sessions) {
-			session.stop(task, attempt, cause);
+			session.abandonRun(task, attempt, cause);
 		}
 	}
 
@@ -190,7 +194,7 @@
 		for (const session of this.#sessions) {
 			for (const run of session.runs) {
 				if (run.requester === requester) {
-					session.stop(run.request.task, run.request.attempt, cause);
+					session.abandonRun(run.request.task, run.request.attempt, cause);
 				}
 			}
 		}
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -45,14 +45,17 @@
 		this.#clockOffsets = [...this.#clockOffsets.slice(1 - maxClockOffsets), {offset: clock - receivedAt, at: receivedAt}];
 	}
 
-	/** Records a renewal, and returns the lease's end by the target's clock; undefined before the first answer. */
-	renewUntil(now: number): TargetTime | undefined {
-		if (this.#clock === undefined) {
+	/**
+	 * Records a renewal, and returns the lease's end by the target's clock, at most at the monotonic time `limit`. Undefined before
+	 * the first answer, and after the limit.
+	 */
+	renewUntil(now: number, limit: number): TargetTime | undefined {
+		if (this.#clock === undefined || limit <= now) {
 			return undefined;
 		}
 
 		this.recordRenewal(now);
-		return Math.floor(this.#clock + (now - this.#clockReadAt) + this.leaseMilliseconds) as TargetTime;
+		return Math.floor(this.#clock + (Math.min(now + this.leaseMilliseconds, limit) - this.#clockReadAt)) as TargetTime;
 	}
 
 	/** Records that the lease may have been renewed at a monotonic time, by this owner or by a former one. */
--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -1,5 +1,6 @@
 /** The parameters of the next renewal of a target's lease. */
 import type {RunEnd} from '../targets/run-end.js';
+import type {LeaseLimit} from './lease-limit.js';
 import type {LeaseSchedule} from './lease-schedule.js';
 import type {RunTable} from './run-table.js';
 import type {UnknownRuns} from './unknown-runs.js';
@@ -23,7 +24,12 @@
 	#acknowledged = 0;
 	#unanswered = 0;
 
-	constructor(private readonly lease: LeaseSchedule, private readonly runs: RunTable, private readonly unknownRuns: UnknownRuns) {}
+	constructor(
+		private readonly lease: LeaseSchedule,
+		private readonly limit: LeaseLimit,
+		private readonly runs: RunTable,
+		private readonly unknownRuns: UnknownRuns,
+	) {}
 
 	get isReachable(): boolean {
 		return this.#unanswered < unansweredUntilUnreachable;
@@ -92,6 +98,6 @@
 		}
 
 		const hasOverdueStop = this.#unanswered > 0 && [...this.runs].some(run => run.state === 'stopping' && run.stopConfirmedAtStep === undefined);
-		return hasOverdueStop || this.runs.size === 0 ? undefined : this.lease.renewUntil(now);
+		return hasOverdueStop || this.runs.size === 0 ? undefined : this.lease.renewUntil(now, this.limit.at);
 	}
 }
--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -6,6 +6,7 @@
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {StartReply} from '../targets/start-reply.js';
+import type {LeaseLimit} from './lease-limit.js';
 import type {LeaseSchedule} from './lease-schedule.js';
 import type {Run} from './run.js';
 import {runKeyOf} from './run-key-of.js';
@@ -23,6 +24,7 @@
 	readonly runs: RunTable;
 	readonly orders: SessionOrders;
 	readonly lease: LeaseSchedule;
+	readonly limit: LeaseLimit;
 	readonly reports: TargetReports;
 	readonly settlement: RunSettlement;
 	readonly steps: StepCounter;
@@ -57,7 +59,8 @@
 	}
 
 	async #sendStart(run: Run): Promise<void> {
-		const leaseUntil = this.parts.lease.renewUntil(this.parts.clock.now());
+		const {lease, limit, clock} = this.parts;
+		const leaseUntil = lease.renewUntil(clock.now(), limit.at);
 		if (leaseUntil === undefined) {
 			this.#refuse(run, 'targetRefused');
 			return;
--- a/src/features/execution/run.ts
+++ b/src/features/execution/run.ts
@@ -20,4 +20,6 @@
 	confirmedAtStep: number | undefined;
 	stopConfirmedAtStep: number | undefined;
 	stopCause: string | undefined;
+	/** Since when nobody waits for the run; monotonic. */
+	abandonedAt: number | undefined;
 };
--- a/src/features/execution/session-parts.ts
+++ b/src/features/execution/session-parts.ts
@@ -1,6 +1,7 @@
 /** Dependencies of a target's session. */
 import type {Clock} from '../../base/clock.js';
 import type {FencingToken} from '../../base/fencing-token.js';
+import type {MemberId} from '../../base/member-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
@@ -11,6 +12,8 @@
 	readonly target: TargetRecord;
 	readonly fence: FencingToken;
 	readonly leaseMilliseconds: number;
+	/** Returns the monotonic time at which a requester was last known to be alive. */
+	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly responseTimes: ResponseTimes;
 	readonly clock: Clock;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -3,12 +3,14 @@
 import type {Disposable} from '../../base/disposable.js';
 import type {FencingToken} from '../../base/fencing-token.js';
 import {jobOfTask} from '../../base/job-of-task.js';
+import type {MemberId} from '../../base/member-id.js';
 import type {Resources} from '../../base/resources.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import {findOverdueRuns} from './find-overdue-runs.js';
 import type {Handover} from './handover.js';
+import {LeaseLimit} from './lease-limit.js';
 import {LeaseSchedule} from './lease-schedule.js';
 import {RenewalPlan} from './renewal-plan.js';
 import {Renewals} from './renewals.js';
@@ -32,6 +34,7 @@
 	readonly #runs: RunTable;
 	readonly #orders: SessionOrders;
 	readonly #lease: LeaseSchedule;
+	readonly #limit: LeaseLimit;
 	readonly #unknownRuns: UnknownRuns;
 	readonly #plan: RenewalPlan;
 	readonly #settlement: RunSettlement;
@@ -44,15 +47,16 @@
 	#hasOverdue = false;
 
 	constructor(private readonly parts: SessionParts) {
-		const {target, fence, leaseMilliseconds, clock} = parts;
+		const {target, fence, leaseMilliseconds, lastContact, clock} = parts;
 		const {token} = this.#cancellation;
 		this.#orders = new SessionOrders(parts, target, fence);
 		this.#runs = new RunTable(target.capacity);
 		this.#unknownRuns = new UnknownRuns(clock.now());
 		this.#lease = new LeaseSchedule(leaseMilliseconds);
-		this.#plan = new RenewalPlan(this.#lease, this.#runs, this.#unknownRuns);
+		this.#limit = new LeaseLimit(this.#runs, lastContact);
+		this.#plan = new RenewalPlan(this.#lease, this.#limit, this.#runs, this.#unknownRuns);
 		const sharedParts = {
-			...parts, orders: this.#orders, runs: this.#runs, unknownRuns: this.#unknownRuns, lease: this.#lease, plan: this.#plan, steps: this.#steps,
+			...parts, orders: this.#orders, runs: this.#runs, unknownRuns: this.#unknownRuns, lease: this.#lease, limit: this.#limit, plan: this.#plan, steps: this.#steps,
 		};
 		this.#settlement = new RunSettlement(sharedParts);
 		this.#reports = new TargetReports({...sharedParts, settlement: this.#settlement}, token);
@@ -84,10 +88,19 @@
 		return this.#runs.hasRunOf(task);
 	}
 
-	/** Whether new tasks may be started: the target answers, isn't draining, hasn't reported that it is full, and has no unknown or overdue runs. */
+	/**
+	 * Whether new tasks may be started: the target answers, isn't draining, hasn't reported that it is full, has no unknown or
+	 * overdue runs, and none that limits its lease too much.
+	 */
 	get isOpen(): boolean {
 		const isAvailable = !this.#isClosed && !this.#isPaused && !this.#runs.isFull && this.#plan.hasReport && !this.#unknownRuns.hasAny;
-		return isAvailable && this.isReachable && this.#isRecordCurrent && !this.target.isDraining && !this.#hasOverdue;
+		const isUsable = isAvailable && this.isReachable && this.#isRecordCurrent && !this.target.isDraining && !this.#hasOverdue;
+		return isUsable && this.#limit.allowsStart(this.parts.clock.now());
+	}
+
+	/** Whether a run may be started for a requester; one that was silent for too long may be gone, and its request out of date. */
+	isOpenFor(requester: MemberId): boolean {
+		return this.isOpen && this.#limit.allowsStartFor(requester, this.parts.clock.now());
 	}
 
 	/**
@@ -156,6 +169,7 @@
 				confirmedAtStep: this.#steps.next(),
 				stopConfirmedAtStep: undefined,
 				stopCause: undefined,
+				abandonedAt: undefined,
 			});
 		}
 
@@ -175,6 +189,15 @@
 		}
 	}
 
+	/** Stops a run that nobody waits for any more. Its lease doesn't outlast the requester's last contact by long. */
+	abandonRun(task: string, attempt: number, cause: string): void {
+		const run = this.#runs.get({task, attempt});
+		if (run !== undefined) {
+			run.abandonedAt ??= this.parts.lastContact(run.requester);
+			this.#runControl.stop(run, cause);
+		}
+	}
+
 	/**
 	 * Closes the session and returns the runs for the next owner. Runs that are starting or stopping aren't handed over: they
 	 * end with this owner's lease.
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -4,6 +4,7 @@
 import {Emitter} from '../../base/emitter.js';
 import type {FencingToken} from '../../base/fencing-token.js';
 import type {InstanceId} from '../../base/instance-id.js';
+import type {MemberId} from '../../base/member-id.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetHealth} from '../placement/target-health.js';
@@ -27,6 +28,7 @@
 /** Dependencies of the sessions. */
 type TargetSessionsParts = {
 	readonly leaseMilliseconds: number;
+	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
 	readonly losses: LossHistory;
@@ -163,9 +165,9 @@
 	}
 
 	#createSession(id: InstanceId, target: TargetRecord, fence: FencingToken): TargetSession {
-		const {leaseMilliseconds, orders, clock, journal} = this.parts;
+		const {leaseMilliseconds, lastContact, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, orders, responseTimes: this.#responseTimes, clock, journal, listener: {
+			target, fence, leaseMilliseconds, lastContact, orders, responseTimes: this.#responseTimes, clock, journal, listener: {
 				onDidEndRun: (run, outcome) => {
 					this.parts.listener.onDidEndRun(session, run, outcome);
 				},
--- a/src/features/pool/decode-frame.ts
+++ b/src/features/pool/decode-frame.ts
@@ -7,7 +7,9 @@
 /** Throws a `TypeError` that names the malformed value. */
 export function decodeFrame(body: unknown): PoolFrame {
 	const values = new EncodedValues(Array.isArray(body) ? body : []);
-	return {epoch: decodeEpoch(values), acknowledgedEpoch: decodeEpoch(values), messages: decodeMessages(values.list())};
+	return {
+		epoch: decodeEpoch(values), acknowledgedEpoch: decodeEpoch(values), messages: decodeMessages(values.list()), sentAt: values.optionalNumber(),
+	};
 }
 
 function decodeEpoch(values: EncodedValues): Epoch {
--- a/src/features/pool/encode-frame.ts
+++ b/src/features/pool/encode-frame.ts
@@ -2,7 +2,7 @@
 import {encodeMessages} from './encode-messages.js';
 import type {PoolFrame} from './pool-frame.js';
 
-/** The four numbers of the two epochs, then the messages. */
-export function encodeFrame({epoch, acknowledgedEpoch, messages}: PoolFrame): readonly unknown[] {
-	return [epoch.losses, epoch.pauses, acknowledgedEpoch.losses, acknowledgedEpoch.pauses, encodeMessages(messages)];
+/** The four numbers of the two epochs, the messages, and the time of sending, which entries that don't know it ignore. */
+export function encodeFrame({epoch, acknowledgedEpoch, sentAt, messages}: PoolFrame): readonly unknown[] {
+	return [epoch.losses, epoch.pauses, acknowledgedEpoch.losses, acknowledgedEpoch.pauses, encodeMessages(messages), sentAt];
 }
--- a/src/features/pool/encoded-values.ts
+++ b/src/features/pool/encoded-values.ts
@@ -24,6 +24,11 @@
 		return typeof value === 'number' ? value : this.#fail('a number', value);
 	}
 
+	optionalNumber(): number | undefined {
+		const value = this.#take();
+		return value === undefined || typeof value === 'number' ? value : this.#fail('a number or undefined', value);
+	}
+
 	flag(): boolean {
 		const value = this.#take();
 		return typeof value === 'boolean' ? value : this.#fail('a boolean', value);
--- a/src/features/pool/outbox.ts
+++ b/src/features/pool/outbox.ts
@@ -6,6 +6,7 @@
 import {encodeFrame} from './encode-frame.js';
 import type {Epoch} from './epoch.js';
 import type {Epochs} from './epochs.js';
+import type {PeerContacts} from './peer-contacts.js';
 import type {PoolMessage} from './pool-message.js';
 
 type Batch = {readonly member: Member; readonly acknowledgedEpoch: Epoch; messages: PoolMessage[]};
@@ -15,6 +16,7 @@
 	readonly network: PeerNetwork;
 	readonly channel: string;
 	readonly epochs: Epochs;
+	readonly contacts: PeerContacts;
 	readonly clock: Clock;
 };
 
@@ -69,7 +71,10 @@
 	}
 
 	#send({member, acknowledgedEpoch, messages}: Batch): void {
-		const {network, channel, epochs} = this.parts;
-		network.send(member, {channel, body: encodeFrame({epoch: epochs.local(member.id), acknowledgedEpoch, messages})});
+		const {network, channel, epochs, contacts} = this.parts;
+		const frame = {
+			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: contacts.sendTime, messages,
+		};
+		network.send(member, {channel, body: encodeFrame(frame)});
 	}
 }
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -12,6 +12,7 @@
 import {heartbeats} from './heartbeats.js';
 import type {PeerEndpoint} from './peer-endpoint.js';
 import type {PeerDescriptor} from './peer-descriptor.js';
+import {PeerContacts} from './peer-contacts.js';
 import {PeerDescriptors} from './peer-descriptors.js';
 import {Outbox} from './outbox.js';
 import {PoolConnections} from './pool-connections.js';
@@ -36,6 +37,7 @@
 	readonly #descriptors = new PeerDescriptors();
 	readonly #store = new DisposableStore();
 	readonly #epochs = new Epochs();
+	readonly #contacts: PeerContacts;
 	readonly #message = new Emitter<ReceivedPoolMessage>();
 	readonly #loseMember = new Emitter<MemberId>();
 	readonly #stall = new Emitter<string>();
@@ -49,8 +51,9 @@
 	constructor(private readonly parts: PoolParts) {
 		const {network, ownState, peersInUse, clock} = parts;
 		const members = () => this.#members.values();
+		this.#contacts = new PeerContacts(clock);
 		this.#outbox = new Outbox({
-			network, channel, epochs: this.#epochs, clock,
+			network, channel, epochs: this.#epochs, contacts: this.#contacts, clock,
 		});
 		this.#broadcaster = this.#store.add(new StateBroadcaster({
 			members, ownState, outbox: this.#outbox, clock,
@@ -136,6 +139,18 @@
 		return known !== undefined && this.parts.clock.now() - known.heardAt <= heartbeats.active.staleAfterMilliseconds;
 	}
 
+	/**
+	 * The latest time, by this entry's monotonic clock, at which an entry is known to have been alive: when it sent its latest
+	 * message, or when another entry last heard it.
+	 */
+	lastContact(id: MemberId): number {
+		if (id === this.self) {
+			return this.parts.clock.now();
+		}
+
+		return Math.max(this.#contacts.lastContact(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
+	}
+
 	start(): void {
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
 			this.parts.pauses.check();
@@ -262,7 +277,9 @@
 			this.#addMember(from);
 		}
 
-		this.#members.get(from.id)!.heardAt = this.parts.clock.now();
+		const now = this.parts.clock.now();
+		this.#members.get(from.id)!.heardAt = now;
+		this.#contacts.record(from.id, frame.sentAt ?? now);
 		// Must precede the messages: they may report runs that were stopped because of the loss, which this entry would restart.
 		if (this.#epochs.observe(from.id, frame)) {
 			this.#detectEviction.fire();
@@ -290,7 +307,7 @@
 		}
 
 		for (const requester of message.kind === 'handover' ? message.requesters : []) {
-			this.#descriptors.add(requester);
+			this.#descriptors.add(requester, this.lastContact(from.id));
 		}
 
 		if (message.kind === 'adopted') {
@@ -339,6 +356,7 @@
 	 */
 	#handlePause({milliseconds, monotonicMilliseconds: counted}: Pause): void {
 		const now = this.parts.clock.now();
+		this.#contacts.recordPause(milliseconds - counted);
 		for (const known of this.#members.values()) {
 			const {timeoutMilliseconds, periodMilliseconds} = known.expectedTiming;
 			const heartbeat = periodMilliseconds + checkMilliseconds;
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -96,7 +96,9 @@
 });
 
 test('a frame survives encoding and decoding with its epochs', () => {
-	const frame = {epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, messages};
+	const frame = {
+		epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, sentAt: 4711, messages,
+	};
 	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
 });
 
--- /dev/null
+++ b/test/features/pool/peer-contacts.test.ts
@@ -0,0 +1,65 @@
+/** Tests of when peers are known to have been alive. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {MemberId} from '../../../src/base/member-id.js';
+import {PeerContacts} from '../../../src/features/pool/peer-contacts.js';
+import {FakeClock} from '../../support/fake-clock.js';
+
+const peer = 'peer#1' as MemberId;
+/** The peer's clock minus the entry's. */
+const offset = 50_000;
+
+/** Contacts with a peer whose messages were read at once for a second. */
+function createContacts() {
+	const clock = new FakeClock();
+	const contacts = new PeerContacts(clock);
+	for (let sent = 0; sent < 5; sent += 1) {
+		clock.advance(200);
+		contacts.record(peer, clock.now() + offset - 1);
+	}
+
+	return {clock, contacts};
+}
+
+// Guards against a backlog of old heartbeats that makes a dead peer look alive.
+test('a message that is read late counts from when it was sent', () => {
+	const {clock, contacts} = createContacts();
+	const sentAt = clock.now() + 100;
+	clock.advance(900);
+	contacts.record(peer, sentAt + offset);
+	assert.equal(Math.abs(contacts.lastContact(peer)! - sentAt) <= 2, true);
+});
+
+// Guards against a path that is slow for seconds, whose delay would be taken for a difference of the clocks.
+test('messages that are all read late for ten seconds still count from when they were sent', () => {
+	const {clock, contacts} = createContacts();
+	for (let sent = 0; sent < 50; sent += 1) {
+		clock.advance(200);
+		contacts.record(peer, clock.now() - 600 + offset);
+	}
+
+	assert.equal(Math.abs(contacts.lastContact(peer)! - (clock.now() - 600)) <= 2, true);
+});
+
+// Guards against a peer whose clock lost time and that would count as silent for good.
+test('a lasting change of a peer\'s clock is learned', () => {
+	const {clock, contacts} = createContacts();
+	for (let sent = 0; sent < 160; sent += 1) {
+		clock.advance(200);
+		contacts.record(peer, clock.now() + offset - 900);
+	}
+
+	assert.equal(clock.now() - contacts.lastContact(peer)! <= 2, true);
+});
+
+// Guards against an entry that was suspended and takes its former contacts for recent ones, or states times that jump back.
+test('time that the clock did not count makes contacts older and is added to sent times', () => {
+	const {contacts} = createContacts();
+	const [before, sendTime] = [contacts.lastContact(peer)!, contacts.sendTime];
+	contacts.recordPause(700);
+	assert.deepEqual([contacts.lastContact(peer), contacts.sendTime], [before - 700, sendTime + 700]);
+});
+
+test('a peer without messages has no contact', () => {
+	assert.equal(createContacts().contacts.lastContact('other#1' as MemberId), undefined);
+});
--- a/test/features/pool/state-broadcaster.test.ts
+++ b/test/features/pool/state-broadcaster.test.ts
@@ -9,6 +9,7 @@
 import {heartbeats} from '../../../src/features/pool/heartbeats.js';
 import {Epochs} from '../../../src/features/pool/epochs.js';
 import {Outbox} from '../../../src/features/pool/outbox.js';
+import {PeerContacts} from '../../../src/features/pool/peer-contacts.js';
 import type {PoolMember} from '../../../src/features/pool/pool-member.js';
 import {StateBroadcaster} from '../../../src/features/pool/state-broadcaster.js';
 import type {Member} from '../../../src/runtime/peers/member.js';
@@ -57,7 +58,7 @@
 			isLeaving: false, routingVersion: 0, demand: [], freeCapacity: Array.from({length: world.targets}, () => ({service, labels: [], room: need})),
 		}),
 		outbox: new Outbox({
-			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), clock,
+			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), contacts: new PeerContacts(clock), clock,
 		}),
 		clock,
 	});
--- a/test/support/create-executor-fixture.ts
+++ b/test/support/create-executor-fixture.ts
@@ -1,5 +1,6 @@
 /** Executors with in-memory targets. */
 import type {FencingToken} from '../../src/base/fencing-token.js';
+import type {MemberId} from '../../src/base/member-id.js';
 import {Executor} from '../../src/features/execution/executor.js';
 import type {ExecutionReport} from '../../src/features/execution/execution-report.js';
 import {LossHistory} from '../../src/features/execution/loss-history.js';
@@ -14,9 +15,9 @@
 	const clock = new FakeClock();
 	const orders = new InMemoryTargets(clock);
 	const journal = new RecordingJournal();
-	const createExecutor = () => {
+	const createExecutor = (lastContact: (requester: MemberId) => number = () => clock.now()) => {
 		const executor = new Executor({
-			leaseMilliseconds: 1000, orders, health: new TargetHealth(journal), losses: new LossHistory(clock, journal), clock, journal,
+			leaseMilliseconds: 1000, lastContact, orders, health: new TargetHealth(journal), losses: new LossHistory(clock, journal), clock, journal,
 		});
 		const reports: ExecutionReport[] = [];
 		executor.onDidReport(report => {
--- a/test/support/in-memory-targets.ts
+++ b/test/support/in-memory-targets.ts
@@ -22,8 +22,10 @@
 type OrderKind = 'start' | 'stop' | 'renewal';
 /** The kinds of orders that a target replies to, by its behaviour; none for a behaviour that isn't listed. */
 const answeredOrders: Readonly<Record<string, readonly OrderKind[]>> = {
-	answers: ['start', 'stop', 'renewal'], 'loses reports': ['start', 'stop'], 'loses start answers': ['stop', 'renewal'], 'loses starts': ['stop', 'renewal'],
+	answers: ['start', 'stop', 'renewal'], 'loses reports': ['start', 'stop'], 'loses start answers': ['stop', 'renewal'], 'loses starts': ['stop', 'renewal'], 'loses stops': ['start', 'renewal'],
 };
+/** Behaviours by which orders without an answer aren't executed either. */
+const droppingBehaviours: ReadonlySet<string> = new Set(['silent', 'loses starts', 'loses stops']);
 
 type ActiveRun = {readonly task: TaskId; readonly attempt: number; readonly endTimer: Disposable};
 type TargetState = {
@@ -54,9 +56,9 @@
 export class InMemoryTargets extends TargetOrders {
 	/**
 	 * `silent`: ignores every order. `loses answers`, `loses reports`, `loses start answers`: executes orders, but any reply, the
-	 * replies to renewals or those to starts are lost. `loses starts`: starts never arrive. `refuses`: connections are refused.
+	 * replies to renewals or those to starts are lost. `loses starts`, `loses stops`: these orders never arrive. `refuses`: connections are refused.
 	 */
-	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses start answers' | 'loses starts' | 'refuses'>();
+	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses start answers' | 'loses starts' | 'loses stops' | 'refuses'>();
 	/** Targets that reject a start beyond this processor capacity; other targets accept every start. */
 	readonly enforcedCpuMillis = new Map<InstanceId, number>();
 	/** Factor by which a target's tasks run longer than their payload says. */
@@ -189,7 +191,7 @@
 			return action();
 		}
 
-		if (behaviour !== 'silent' && behaviour !== 'loses starts') {
+		if (!droppingBehaviours.has(behaviour)) {
 			void action();
 		}
 
