After a possible suspension nothing is placed until a target's clock has shown it

What callers saw: a suspended entry that goes on starts a task beside the caller's next submission, several of them in the same millisecond, and stops them a moment later.

Cause: placement was held back for 60 ms, a bound in time, while the targets' clocks were asked. A target closes idle connections after 2 s, so that after a longer suspension the first look at each target fails, and the renewals repeat theirs 100 ms later: for that long an entry that had been suspended acted on what it believed before. Requests were also repeated on new connections without any wait.

Now placement, repeated requests and callers' input wait for a target's answer to a request of after the wake, which shows the suspension or rules it out; if none answers within 1 s, the entry gives up its jobs as one without targets does. A loss that only a peer has noticed waits likewise, and counts as nothing if no target answers. Answers to earlier requests don't count, since they may have waited. A report's clock is recorded once; recorded twice, two late answers displaced all four that a suspension is measured against.

Evidence: unverified-pause.test.ts, three tests; before, the first two failed with two runs at a time and the third with a job that went on.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -24,12 +24,15 @@
 import type {TargetOrders} from '../../features/targets/target-orders.js';
 import type {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
+import type {Pause} from '../../runtime/pause.js';
 import {PauseDetector} from '../../runtime/pause-detector.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 
 /** Delay after the start before zones without entries are covered, so that the pool can form first. */
 const coverDelayMilliseconds = 1500;
 const coverIntervalMilliseconds = 200;
+/** Shorter differences between wall clock and monotonic clock are adjustments of the former, or too short to matter. */
+const leastSuspensionMilliseconds = 200;
 
 /** Dependencies of an entry. */
 type PooledEntryParts = {
@@ -133,11 +136,11 @@
 			this.pauses.reportClockGap(uncounted);
 		}));
 		disposables.add(this.pauses.onDidPause(pause => {
-			this.#verifyPause(pause.milliseconds);
+			this.#verifyPause(pause);
 		}));
 		disposables.add(this.pool.onDidDetectEviction(() => {
 			this.pauses.suspectPause();
-			this.executor.pollTargets();
+			this.#askTargets(0);
 		}));
 		disposables.add(this.executor.onDidChangeFreeCapacity(() => {
 			this.pool.announceCapacity();
@@ -169,10 +172,23 @@
 	}
 
 	/** Compares with the targets' clocks whether the system was suspended or its clock set. Without targets, assumes a suspension. */
-	#verifyPause(milliseconds: number): void {
-		this.executor.pollTargets();
+	#verifyPause({milliseconds, monotonicMilliseconds}: Pause): void {
+		const uncounted = milliseconds - monotonicMilliseconds;
 		if (this.executor.ownedTargets === 0) {
-			this.pauses.reportClockGap({milliseconds, since: this.parts.clock.now()});
+			const now = this.parts.clock.now();
+			this.pauses.reportClockGap({milliseconds, since: now, requestedAt: now});
+		} else if (uncounted < leastSuspensionMilliseconds) {
+			this.executor.pollTargets();
+		} else {
+			this.#askTargets(uncounted);
+		}
+	}
+
+	/** Places nothing until a target has answered. Without an answer, assumes that the clock didn't count the given time. */
+	#askTargets(uncountedMilliseconds: number): void {
+		if (this.executor.ownedTargets > 0) {
+			this.pauses.awaitVerification(uncountedMilliseconds);
+			this.executor.pollTargets();
 		}
 	}
 
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -186,7 +186,7 @@
 			}
 		}));
 		this.#store.add(pool.onDidReconnect(member => {
-			this.#ownerCommands.resend(member);
+			void this.#resendCommands(member);
 		}));
 		this.#store.add(pool.onDidChangeCapacity(() => {
 			this.#schedulePlacement();
@@ -220,6 +220,13 @@
 		this.#schedulePlacement();
 	}
 
+	/** After a pause, requests wait like placements: the tasks may have been started elsewhere. */
+	async #resendCommands(member: MemberId): Promise<void> {
+		this.#ownerCommands.resendStops(member);
+		await this.dependencies.pauses.whenResumed();
+		this.#ownerCommands.resendRequests(member);
+	}
+
 	/** Coalesces the capacity changes of one event-loop turn into a single placement pass. */
 	#schedulePlacement(): void {
 		if (this.#isPlacementScheduled || this.#jobs.size === 0) {
--- a/src/features/dispatch/owner-commands.ts
+++ b/src/features/dispatch/owner-commands.ts
@@ -31,13 +31,16 @@
 		}
 	}
 
-	/** Resends run requests and stops that may have been lost with the previous connection. */
-	resend(member: MemberId): void {
-		const {jobs, pool} = this.dependencies;
-		for (const {id, attempt} of jobs.endedTasksOwnedBy(member)) {
+	/** Resends stops that may have been lost with the previous connection. */
+	resendStops(member: MemberId): void {
+		for (const {id, attempt} of this.dependencies.jobs.endedTasksOwnedBy(member)) {
 			this.stop({task: id, attempt, owner: member}, 'its job is over');
 		}
+	}
 
+	/** Resends run requests that may have been lost with the previous connection. */
+	resendRequests(member: MemberId): void {
+		const {jobs, pool} = this.dependencies;
 		for (const job of jobs) {
 			for (const state of job.tasks) {
 				if (state.owner === member) {
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -24,12 +24,12 @@
 
 	/**
 	 * Returns by how much the target's clock advanced more than ours since one of its latest answers: the length of a suspension
-	 * that our clock doesn't count. Undefined without earlier answers.
+	 * that our clock doesn't count. Undefined without earlier answers. The monotonic times are those of the order and its answer.
 	 */
-	detectSuspension(clock: TargetTime, receivedAt: number): ClockGap | undefined {
+	detectSuspension(clock: TargetTime, requestedAt: number, receivedAt: number): ClockGap | undefined {
 		const offset = clock - receivedAt;
 		const [smallest] = this.#clockOffsets.toSorted((left, right) => left.offset - right.offset);
-		return smallest === undefined ? undefined : {milliseconds: offset - smallest.offset, since: smallest.at};
+		return smallest === undefined ? undefined : {milliseconds: offset - smallest.offset, since: smallest.at, requestedAt};
 	}
 
 	/** Discards the clock of a former incarnation. */
--- a/src/features/execution/renewals.ts
+++ b/src/features/execution/renewals.ts
@@ -41,13 +41,14 @@
 		const {orders, plan, reports, steps, clock, onDidFail} = this.parts;
 		while (!this.token.isCancellationRequested) {
 			const sentAtStep = steps.next();
-			const reply = await orders.renew(plan.next(clock.now()));
+			const requestedAt = clock.now();
+			const reply = await orders.renew(plan.next(requestedAt));
 			if (this.token.isCancellationRequested) {
 				return;
 			}
 
 			if (reply.kind === 'report') {
-				reports.process(reply, sentAtStep);
+				reports.process(reply, {sentAtStep, requestedAt});
 			} else if (reply.kind === 'fenced' || reply.kind === 'replaced') {
 				onDidFail(reply);
 			} else {
--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -60,7 +60,8 @@
 
 	async #sendStart(run: Run): Promise<void> {
 		const {lease, limit, clock} = this.parts;
-		const leaseUntil = lease.renewUntil(clock.now(), limit.at);
+		const requestedAt = clock.now();
+		const leaseUntil = lease.renewUntil(requestedAt, limit.at);
 		if (leaseUntil === undefined) {
 			this.#refuse(run, 'targetRefused');
 			return;
@@ -68,11 +69,11 @@
 
 		const reply = await this.parts.orders.start(run.request, leaseUntil);
 		if (!this.token.isCancellationRequested && this.parts.runs.has(run)) {
-			this.#processStartReply(run, reply);
+			this.#processStartReply(run, reply, requestedAt);
 		}
 	}
 
-	#processStartReply(run: Run, reply: StartReply): void {
+	#processStartReply(run: Run, reply: StartReply, requestedAt: number): void {
 		match(reply)
 			.with({kind: 'started'}, () => {
 				this.#confirm(run);
@@ -87,7 +88,7 @@
 			})
 			.with({kind: 'expired'}, ({clock}) => {
 				if (clock !== undefined) {
-					this.parts.reports.recordClock(clock, this.parts.clock.now());
+					this.parts.reports.recordClock(clock, requestedAt, this.parts.clock.now());
 				}
 
 				this.#refuse(run, 'targetRefused');
--- a/src/features/execution/target-reports.ts
+++ b/src/features/execution/target-reports.ts
@@ -19,6 +19,9 @@
 
 type Report = Extract<RenewalReply, {kind: 'report'}>;
 
+/** When a report was requested: the session's step, and the monotonic time. */
+type ReportRequest = {readonly sentAtStep: number; readonly requestedAt: number};
+
 /** Dependencies of the reports. */
 type TargetReportsParts = {
 	readonly runs: RunTable;
@@ -56,18 +59,18 @@
 	 */
 	async poll(): Promise<Report | undefined> {
 		const sentAtStep = this.parts.steps.next();
+		const requestedAt = this.parts.clock.now();
 		const reply = await this.parts.orders.poll();
 		// Failures are handled by the renewals.
 		if (this.token.isCancellationRequested || reply.kind !== 'report') {
 			return undefined;
 		}
 
-		this.process(reply, sentAtStep);
+		this.process(reply, {sentAtStep, requestedAt});
 		return reply;
 	}
 
-	/** Processes a report that was requested at a step of the session. */
-	process(report: Report, sentAtStep: number): void {
+	process(report: Report, request: ReportRequest): void {
 		const now = this.parts.clock.now();
 		const wasReachable = this.parts.plan.isReachable;
 		const unanswered = this.parts.plan.recordAnswered();
@@ -77,7 +80,7 @@
 		}
 
 		const former = this.#order.incarnation;
-		this.#processRuns(report, sentAtStep, now);
+		this.#processRuns(report, request, now);
 		const {incarnation} = this.#order;
 		if (!wasReachable || !this.parts.plan.hasReport || incarnation !== former) {
 			this.parts.listener.onDidAnswer(incarnation);
@@ -89,15 +92,15 @@
 	}
 
 	/** Records the target's clock. Listeners learn of a suspension of this entry before the rest of the answer is processed. */
-	recordClock(clock: TargetTime, now: number): void {
-		const uncounted = this.parts.lease.detectSuspension(clock, now);
+	recordClock(clock: TargetTime, requestedAt: number, now: number): void {
+		const uncounted = this.parts.lease.detectSuspension(clock, requestedAt, now);
 		this.parts.lease.recordClock(clock, now);
 		if (uncounted !== undefined) {
 			this.parts.listener.onDidCompareClocks(uncounted);
 		}
 	}
 
-	#processRuns(report: Report, sentAtStep: number, now: number): void {
+	#processRuns(report: Report, {sentAtStep, requestedAt}: ReportRequest, now: number): void {
 		const former = this.#order.incarnation;
 		const reportAge = this.#order.classify(report, sentAtStep);
 		if (reportAge === 'restarted') {
@@ -105,7 +108,9 @@
 		}
 
 		if (reportAge === 'newest') {
-			this.recordClock(report.clock, now);
+			this.recordClock(report.clock, requestedAt, now);
+		} else if (reportAge === 'restarted') {
+			this.parts.lease.recordClock(report.clock, now);
 		}
 
 		this.#processEnds(report, now);
@@ -115,7 +120,6 @@
 
 		this.parts.plan.acknowledge(report.ended);
 		if (reportAge !== 'overtaken') {
-			this.parts.lease.recordClock(report.clock, now);
 			this.#latestReportAt = now;
 			this.#endMissingRuns(new Set(report.running.map(run => runKeyOf(run))), sentAtStep);
 			this.#stopUnknownRuns(report, now);
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -18,6 +18,13 @@
 
 /** Time after a pause in which the event loop reads all input that arrived during the pause. */
 const resumeDelayMilliseconds = 60;
+/** How long to wait for another machine's clock; longer than a target that answers needs, also on a new connection. */
+const verificationTimeoutMilliseconds = 1000;
+/** Interval at which waiting input checks for the end of the verification. */
+const verificationPollMilliseconds = 20;
+
+/** A possible suspension that no clock of another machine has shown or ruled out since the monotonic time `since`. */
+type Verification = {readonly since: number; readonly assumedMilliseconds: number; readonly timeout: Disposable};
 
 /**
  * Compares the monotonic clock and the wall clock with the period of a timer. A stopped process shows a gap on both clocks;
@@ -34,6 +41,7 @@
 	#resumedAt = Number.NEGATIVE_INFINITY;
 	#pauseConfirmedAt = Number.NEGATIVE_INFINITY;
 	#longestDelayMilliseconds = 0;
+	#verification: Verification | undefined;
 
 	constructor(private readonly clock: Clock) {
 		this.#lastMonotonicTime = clock.now();
@@ -45,7 +53,7 @@
 
 	/** Whether the process may just have resumed from a pause; its state may be stale. */
 	get isResuming(): boolean {
-		return this.clock.now() < this.#resumedAt + resumeDelayMilliseconds;
+		return this.#verification !== undefined || this.clock.now() < this.#resumedAt + resumeDelayMilliseconds;
 	}
 
 	/** Fires after a possible pause. */
@@ -94,27 +102,47 @@
 		this.#resumedAt = this.clock.now();
 	}
 
+	/**
+	 * Keeps the process resuming until another machine's clock, requested from now on, shows whether it was suspended. If none does in
+	 * time, it is taken to have been suspended for the given time.
+	 */
+	awaitVerification(uncountedMilliseconds: number): void {
+		this.#verification?.timeout.dispose();
+		const since = this.clock.now();
+		const assumedMilliseconds = Math.max(uncountedMilliseconds, this.#verification?.assumedMilliseconds ?? 0);
+		const timeout = this.clock.schedule(verificationTimeoutMilliseconds, () => {
+			this.reportClockGap({milliseconds: assumedMilliseconds, since, requestedAt: since});
+		});
+		this.#verification = {since, assumedMilliseconds, timeout};
+	}
+
 	/** Confirms a pause from a gap to another machine's monotonic clock; reports of the same pause count once. */
-	reportClockGap({milliseconds, since}: ClockGap): void {
+	reportClockGap({milliseconds, since, requestedAt}: ClockGap): void {
+		if (this.#verification !== undefined && requestedAt >= this.#verification.since) {
+			this.#verification.timeout.dispose();
+			this.#verification = undefined;
+		}
+
 		if (milliseconds > confirmedPauseThresholdMilliseconds && since > this.#pauseConfirmedAt) {
 			this.#confirmPause(milliseconds);
 		}
 	}
 
 	/**
-	 * Resolves at once, or shortly after a pause. A request that is read right after a pause may be stale; the delay lets the
-	 * close of its connection be read as well.
+	 * Resolves at once, or after a pause once its length is known. A request that is read right after a pause may be stale; the
+	 * delay lets the close of its connection be read as well.
 	 */
 	async whenResumed(): Promise<void> {
 		this.check();
-		const remaining = this.#resumedAt + resumeDelayMilliseconds - this.clock.now();
-		if (remaining > 0) {
-			await wait(this.clock, remaining);
+		while (this.isResuming) {
+			const remaining = this.#resumedAt + resumeDelayMilliseconds - this.clock.now();
+			await wait(this.clock, remaining > 0 ? remaining : verificationPollMilliseconds);
 		}
 	}
 
 	dispose(): void {
 		this.#timer.dispose();
+		this.#verification?.timeout.dispose();
 		this.#suspectedPause.dispose();
 		this.#confirmedPause.dispose();
 		this.#delay.dispose();
