--- a/test/support/entry-clock.ts
+++ b/test/support/entry-clock.ts
@@ -18,6 +18,10 @@
 	readonly #sockets = new Map<string, Array<() => void>>();
 	/** Callbacks deferred during a resume; they run once all sockets have been read, as in an event loop. */
 	readonly #deferred: Array<() => void> = [];
+	/** When the latest delayed message of each socket is read, by the cluster's clock; later ones aren't read before it. */
+	readonly #readsAt = new Map<string, number>();
+	#delayMilliseconds = 0;
+	#wallOffset = 0;
 	#isResuming = false;
 	#sequence = 0;
 	#suspendedMilliseconds = 0;
@@ -41,7 +45,17 @@
 	}
 
 	override wallTime(): number {
-		return this.clusterClock.wallTime();
+		return this.clusterClock.wallTime() + this.#wallOffset;
+	}
+
+	/** Steps the entry's time of day; its monotonic clock doesn't change. */
+	advanceWallTime(milliseconds: number): void {
+		this.#wallOffset += milliseconds;
+	}
+
+	/** Delays all further timers and messages, as on a machine with too little processor time; 0 restores normal speed. */
+	slowDown(delayMilliseconds: number): void {
+		this.#delayMilliseconds = delayMilliseconds;
 	}
 
 	override defer(callback: () => void): void {
@@ -59,7 +73,7 @@
 		};
 		this.#timers.add(timer);
 		if (!this.isPaused) {
-			this.#arm(timer, delayMilliseconds);
+			this.#arm(timer, delayMilliseconds + this.#delayMilliseconds);
 		}
 
 		return {
@@ -70,16 +84,19 @@
 		};
 	}
 
-	/** Reads a message at once, or queues it while the entry is paused or the socket has unread messages. */
+	/** Reads a message at once, or queues it while the entry is slow or paused, or the socket has unread messages. */
 	receive(socket: string, read: () => void): void {
-		const unread = this.#sockets.get(socket);
-		if (unread !== undefined) {
-			unread.push(read);
-		} else if (this.isPaused) {
-			this.#sockets.set(socket, [read]);
-		} else {
-			read();
+		const now = this.clusterClock.now();
+		const readAt = Math.max(now + this.#delayMilliseconds, this.#readsAt.get(socket) ?? 0);
+		if (readAt <= now) {
+			this.#receiveNow(socket, read);
+			return;
 		}
+
+		this.#readsAt.set(socket, readAt);
+		this.clusterClock.schedule(readAt - now, () => {
+			this.#receiveNow(socket, read);
+		});
 	}
 
 	/** Discards the unread messages of a socket. */
@@ -111,6 +128,17 @@
 		});
 	}
 
+	#receiveNow(socket: string, read: () => void): void {
+		const unread = this.#sockets.get(socket);
+		if (unread !== undefined) {
+			unread.push(read);
+		} else if (this.isPaused) {
+			this.#sockets.set(socket, [read]);
+		} else {
+			read();
+		}
+	}
+
 	#arm(timer: Timer, delayMilliseconds: number): void {
 		timer.handle = this.clusterClock.schedule(delayMilliseconds, () => {
 			this.#timers.delete(timer);
--- a/test/support/pausable-cluster.ts
+++ b/test/support/pausable-cluster.ts
@@ -22,6 +22,7 @@
 	readonly #orders = new Map<string, EntryTargetOrders>();
 	readonly #zones: ReadonlySet<string>;
 	#callerCount = 0;
+	#keepsMemberships = false;
 
 	constructor(readonly names: readonly string[], targetsInZone: number) {
 		this.#zones = new Set(names.map(name => zoneOf(name)));
@@ -50,7 +51,7 @@
 		entry.pause();
 		const pausedAt = clock.now();
 		clock.schedule(membershipTimeoutMilliseconds, () => {
-			for (const zone of entry.pausedAt === pausedAt ? this.#zones : []) {
+			for (const zone of entry.pausedAt === pausedAt && !this.#keepsMemberships ? this.#zones : []) {
 				group.expire(`targets.${zone}` as OwnershipGroupName, `${zoneOf(name)}/${name}`);
 			}
 		});
@@ -82,6 +83,29 @@
 		}
 	}
 
+	/** Keeps the group memberships of paused entries, as a store does that is down meanwhile. */
+	keepMemberships(): void {
+		this.#keepsMemberships = true;
+	}
+
+	/** Makes targets close idle connections, on which an entry's next orders fail. */
+	closeIdleConnections(): void {
+		for (const orders of this.#orders.values()) {
+			orders.closesIdleConnections = true;
+		}
+	}
+
+	/** Loses all stops to a target, whichever entry sends them, while other orders are executed. */
+	loseStops(target: string, areLost: boolean): void {
+		for (const {lostStops} of this.#orders.values()) {
+			if (areLost) {
+				lostStops.add(target as InstanceId);
+			} else {
+				lostStops.delete(target as InstanceId);
+			}
+		}
+	}
+
 	/** Submits a job to an entry, which reads the request once it runs. */
 	submit(entry: string, id: string, options: Parameters<PooledCluster['submit']>[2]): Submission {
 		this.#callerCount += 1;
