Failing test: a suspended entry whose targets changed owner restarts what was stopped

The same cause as of the test before, with a run instead of a waiting task: the owner has lost the entry and stopped its run 0.9 s after the suspension began; the entry goes on, reads that attempt 1 is gone, has no confirmed pause (its targets answer 'fenced', without a clock) and starts attempt 2 after 60 ms, beside the caller's next submission.

standing-still-requester.test.ts has the same story with an entry that owns no targets, which takes any gap of the wall clock for a suspension; that's why it passes.

--- a/test/entries/edge/suspended-requesters.test.ts
+++ b/test/entries/edge/suspended-requesters.test.ts
@@ -61,3 +61,15 @@
 	await started.cluster.advance(1000);
 	assert.equal(started.cluster.orders.peakConcurrentRuns, 1);
 });
+
+// Guards against further attempts by a resumed entry that can't tell its suspension, for runs that were stopped because it was lost.
+test('a resumed entry whose targets changed owner starts no further attempt of a stopped task', async () => {
+	const started = await createWaitingJob(['a-0', 'a-1', 'b-0', 'c-0']);
+	const {world, cluster, requester} = started;
+	await cluster.advance(500);
+	assert.deepEqual(cluster.runningTasks().filter(running => running === task), [task]);
+	await suspend(started, 4400);
+	world.resume(requester, resume);
+	await cluster.advance(1000);
+	assert.equal(cluster.orders.peakConcurrentRuns, 1);
+});
