A suspended entry learns of it although its targets have new owners

What callers saw: two runs of one task that begin in the same millisecond, ordered by two entries, after an entry was suspended for longer than its membership lasts (1.5 s).

Cause (found in memory, suspended-requesters.test.ts, red before): a suspension was shown by the reports of owned targets alone. Peers that had lost the entry told it their new epoch, after which they took its requests again.

Now rejections by the token are compared as well; the readings of a target's clock outlast the session (10 s at most, for the drift of 2%); a comparison rules a suspension out only if it reaches back to before it was suspected; and answers that are read together count as one reading, so that a burst of late ones doesn't displace those from before.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -176,7 +176,9 @@
 		const uncounted = milliseconds - monotonicMilliseconds;
 		if (this.executor.ownedTargets === 0) {
 			const now = this.parts.clock.now();
-			this.pauses.reportClockGap({milliseconds, since: now, requestedAt: now});
+			this.pauses.reportClockGap({
+				milliseconds, since: now, comparedSince: now, requestedAt: now,
+			});
 		} else if (uncounted < leastSuspensionMilliseconds) {
 			this.executor.pollTargets();
 		} else {
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -1,13 +1,12 @@
 /** The lease of the runs on one target. */
 import type {TargetTime} from '../../base/target-time.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
+import type {ClockOffsets} from './clock-offsets.js';
 
 /** Maximum rate by which a target's clock may be slower than ours, as specified by the platform. */
 const clockDrift = 0.02;
 /** Allowance for the delivery and handling of an order. */
 const transitMilliseconds = 60;
-/** Number of answers to compare: answers that were delayed by a pause show only a part of it. */
-const maxClockOffsets = 4;
 
 /**
  * Converts between the target's clock and ours. The estimate of the target's clock lags by the delay of its latest answer, so
@@ -16,33 +15,29 @@
 export class LeaseSchedule {
 	#clock: TargetTime | undefined;
 	#clockReadAt = 0;
-	/** Target clock minus ours at the latest answers, in milliseconds. */
-	#clockOffsets: ReadonlyArray<{readonly offset: number; readonly at: number}> = [];
 	#latestEnd = 0;
 
-	constructor(private readonly leaseMilliseconds: number) {}
+	constructor(private readonly leaseMilliseconds: number, private readonly offsets: ClockOffsets) {}
 
 	/**
-	 * Returns by how much the target's clock advanced more than ours since one of its latest answers: the length of a suspension
-	 * that our clock doesn't count. Undefined without earlier answers. The monotonic times are those of the order and its answer.
+	 * Compares the target's clock with its earlier answers, which shows a suspension of this entry; undefined without any. The
+	 * monotonic times are those of the order and its answer.
 	 */
-	detectSuspension(clock: TargetTime, requestedAt: number, receivedAt: number): ClockGap | undefined {
-		const offset = clock - receivedAt;
-		const [smallest] = this.#clockOffsets.toSorted((left, right) => left.offset - right.offset);
-		return smallest === undefined ? undefined : {milliseconds: offset - smallest.offset, since: smallest.at, requestedAt};
+	compareClocks(clock: TargetTime, requestedAt: number, receivedAt: number): ClockGap | undefined {
+		return this.offsets.compare(clock, requestedAt, receivedAt);
 	}
 
 	/** Discards the clock of a former incarnation. */
 	restart(): void {
 		this.#clock = undefined;
-		this.#clockOffsets = [];
+		this.offsets.clear();
 	}
 
 	/** Records the clock of an answer that was received at a monotonic time. */
 	recordClock(clock: TargetTime, receivedAt: number): void {
 		this.#clock = clock;
 		this.#clockReadAt = receivedAt;
-		this.#clockOffsets = [...this.#clockOffsets.slice(1 - maxClockOffsets), {offset: clock - receivedAt, at: receivedAt}];
+		this.offsets.record(clock, receivedAt);
 	}
 
 	/**
--- a/src/features/execution/renewals.ts
+++ b/src/features/execution/renewals.ts
@@ -43,6 +43,7 @@
 			const sentAtStep = steps.next();
 			const requestedAt = clock.now();
 			const reply = await orders.renew(plan.next(requestedAt));
+			reports.recordClockOf(reply, requestedAt);
 			if (this.token.isCancellationRequested) {
 				return;
 			}
--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -68,6 +68,7 @@
 		}
 
 		const reply = await this.parts.orders.start(run.request, leaseUntil);
+		this.parts.reports.recordClockOf(reply, requestedAt);
 		if (!this.token.isCancellationRequested && this.parts.runs.has(run)) {
 			this.#processStartReply(run, reply, requestedAt);
 		}
--- a/src/features/execution/session-parts.ts
+++ b/src/features/execution/session-parts.ts
@@ -5,6 +5,7 @@
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
+import type {ClockOffsets} from './clock-offsets.js';
 import type {ResponseTimes} from './response-times.js';
 import type {SessionListener} from './session-listener.js';
 
@@ -12,6 +13,7 @@
 	readonly target: TargetRecord;
 	readonly fence: FencingToken;
 	readonly leaseMilliseconds: number;
+	readonly clockOffsets: ClockOffsets;
 	/** Returns the monotonic time at which a requester was last known to be alive. */
 	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
--- a/src/features/execution/target-reports.ts
+++ b/src/features/execution/target-reports.ts
@@ -61,6 +61,7 @@
 		const sentAtStep = this.parts.steps.next();
 		const requestedAt = this.parts.clock.now();
 		const reply = await this.parts.orders.poll();
+		this.recordClockOf(reply, requestedAt);
 		// Failures are handled by the renewals.
 		if (this.token.isCancellationRequested || reply.kind !== 'report') {
 			return undefined;
@@ -91,9 +92,16 @@
 		this.parts.listener.onDidChange();
 	}
 
+	/** Records the clock of a rejection. A suspended entry may get nothing else, because its targets have a new owner. */
+	recordClockOf(reply: {readonly kind: string; readonly clock?: TargetTime | undefined}, requestedAt: number): void {
+		if (reply.kind === 'fenced' && reply.clock !== undefined) {
+			this.recordClock(reply.clock, requestedAt, this.parts.clock.now());
+		}
+	}
+
 	/** Records the target's clock. Listeners learn of a suspension of this entry before the rest of the answer is processed. */
 	recordClock(clock: TargetTime, requestedAt: number, now: number): void {
-		const uncounted = this.parts.lease.detectSuspension(clock, requestedAt, now);
+		const uncounted = this.parts.lease.compareClocks(clock, requestedAt, now);
 		this.parts.lease.recordClock(clock, now);
 		if (uncounted !== undefined) {
 			this.parts.listener.onDidCompareClocks(uncounted);
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -47,12 +47,12 @@
 	#hasOverdue = false;
 
 	constructor(private readonly parts: SessionParts) {
-		const {target, fence, leaseMilliseconds, lastContact, clock} = parts;
+		const {target, fence, leaseMilliseconds, clockOffsets, lastContact, clock} = parts;
 		const {token} = this.#cancellation;
 		this.#orders = new SessionOrders(parts, target, fence);
 		this.#runs = new RunTable(target.capacity);
 		this.#unknownRuns = new UnknownRuns(clock.now());
-		this.#lease = new LeaseSchedule(leaseMilliseconds);
+		this.#lease = new LeaseSchedule(leaseMilliseconds, clockOffsets);
 		this.#limit = new LeaseLimit(this.#runs, lastContact);
 		this.#plan = new RenewalPlan(this.#lease, this.#limit, this.#runs, this.#unknownRuns);
 		const sharedParts = {
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -11,6 +11,7 @@
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import type {Adoption} from './adoption.js';
+import {ClockOffsets} from './clock-offsets.js';
 import type {Handover} from './handover.js';
 import type {LossHistory} from './loss-history.js';
 import type {OwnedTarget} from './owned-target.js';
@@ -54,6 +55,7 @@
 	readonly #adopted = new Emitter<Adoption>();
 	readonly #willRelease = new Emitter<Run>();
 	readonly #responseTimes = new ResponseTimes();
+	readonly #clockOffsets = new Map<InstanceId, ClockOffsets>();
 
 	constructor(private readonly parts: TargetSessionsParts) {}
 
@@ -167,7 +169,7 @@
 	#createSession(id: InstanceId, target: TargetRecord, fence: FencingToken): TargetSession {
 		const {leaseMilliseconds, lastContact, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, lastContact, orders, responseTimes: this.#responseTimes, clock, journal, listener: {
+			target, fence, leaseMilliseconds, clockOffsets: this.#clockOffsetsOf(id), lastContact, orders, responseTimes: this.#responseTimes, clock, journal, listener: {
 				onDidEndRun: (run, outcome) => {
 					this.parts.listener.onDidEndRun(session, run, outcome);
 				},
@@ -199,6 +201,20 @@
 		return session;
 	}
 
+	/** Also removes those of targets that were not owned lately. */
+	#clockOffsetsOf(id: InstanceId): ClockOffsets {
+		const now = this.parts.clock.now();
+		for (const [other, offsets] of this.#clockOffsets) {
+			if (!this.#sessions.has(other) && offsets.isExpired(now)) {
+				this.#clockOffsets.delete(other);
+			}
+		}
+
+		const offsets = this.#clockOffsets.get(id) ?? new ClockOffsets();
+		this.#clockOffsets.set(id, offsets);
+		return offsets;
+	}
+
 	#adoptRuns(session: TargetSession, {handover, at}: ReceivedHandover): void {
 		session.adopt(handover);
 		for (const {request, requester} of handover.runs) {
--- a/src/features/targets/order-failure.ts
+++ b/src/features/targets/order-failure.ts
@@ -1,4 +1,5 @@
 /** Failure of an order to a target. */
+import type {TargetTime} from '../../base/target-time.js';
 
 /**
  * - `fenced`: the target has accepted a higher token; the order wasn't executed.
@@ -8,4 +9,6 @@
  * - `unanswered`: the order may have been executed, or may be executed later.
  * - `rejected`: the target considered the order invalid; it wasn't executed.
  */
-export type OrderFailure = {readonly kind: 'fenced' | 'replaced' | 'unhealthy' | 'unreachable' | 'unanswered' | 'rejected'; readonly detail: string};
+export type OrderFailure =
+	| {readonly kind: 'fenced'; readonly detail: string; readonly clock?: TargetTime | undefined}
+	| {readonly kind: 'replaced' | 'unhealthy' | 'unreachable' | 'unanswered' | 'rejected'; readonly detail: string};
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -111,14 +111,16 @@
 		const since = this.clock.now();
 		const assumedMilliseconds = Math.max(uncountedMilliseconds, this.#verification?.assumedMilliseconds ?? 0);
 		const timeout = this.clock.schedule(verificationTimeoutMilliseconds, () => {
-			this.reportClockGap({milliseconds: assumedMilliseconds, since, requestedAt: since});
+			this.reportClockGap({
+				milliseconds: assumedMilliseconds, since, comparedSince: Number.NEGATIVE_INFINITY, requestedAt: since,
+			});
 		});
 		this.#verification = {since, assumedMilliseconds, timeout};
 	}
 
 	/** Confirms a pause from a gap to another machine's monotonic clock; reports of the same pause count once. */
-	reportClockGap({milliseconds, since, requestedAt}: ClockGap): void {
-		if (this.#verification !== undefined && requestedAt >= this.#verification.since) {
+	reportClockGap({milliseconds, since, comparedSince, requestedAt}: ClockGap): void {
+		if (this.#verification !== undefined && requestedAt >= this.#verification.since && comparedSince < this.#verification.since) {
 			this.#verification.timeout.dispose();
 			this.#verification = undefined;
 		}
--- a/test/runtime/pause-detector.test.ts
+++ b/test/runtime/pause-detector.test.ts
@@ -84,12 +84,20 @@
 	const confirmedPauses = confirmedPausesOf(detector);
 	const since = clock.now();
 	clock.advance(50);
-	detector.reportClockGap({milliseconds: 300, since, requestedAt: clock.now()});
-	detector.reportClockGap({milliseconds: 3000, since, requestedAt: clock.now()});
-	detector.reportClockGap({milliseconds: 3010, since: since + 20, requestedAt: clock.now()});
+	detector.reportClockGap({
+		milliseconds: 300, since, comparedSince: since, requestedAt: clock.now(),
+	});
+	detector.reportClockGap({
+		milliseconds: 3000, since, comparedSince: since, requestedAt: clock.now(),
+	});
+	detector.reportClockGap({
+		milliseconds: 3010, since: since + 20, comparedSince: since, requestedAt: clock.now(),
+	});
 	assert.deepEqual(confirmedPauses, [3000]);
 	clock.advance(50);
-	detector.reportClockGap({milliseconds: 2000, since: since + 60, requestedAt: clock.now()});
+	detector.reportClockGap({
+		milliseconds: 2000, since: since + 60, comparedSince: since, requestedAt: clock.now(),
+	});
 	assert.deepEqual(confirmedPauses, [3000, 2000]);
 });
 
--- a/test/support/in-memory-targets.ts
+++ b/test/support/in-memory-targets.ts
@@ -86,7 +86,7 @@
 		const state = this.#stateOf(id);
 		const clock = this.#timeOf(state);
 		if (order.fence < state.fence) {
-			return {kind: 'fenced', detail: ''};
+			return {kind: 'fenced', detail: '', clock: this.#timeOf(state)};
 		}
 
 		state.fence = order.fence;
@@ -111,7 +111,7 @@
 		return this.#execute(target.id, 'stop', order.limitMilliseconds, () => {
 			const state = this.#stateOf(target.id);
 			if (order.fence < state.fence) {
-				return {kind: 'fenced', detail: ''};
+				return {kind: 'fenced', detail: '', clock: this.#timeOf(state)};
 			}
 
 			state.stopped.set(order.task, Math.max(order.attempt, state.stopped.get(order.task) ?? 0));
@@ -124,7 +124,7 @@
 		return this.#execute(target.id, 'renewal', order.waitMilliseconds + order.limitMilliseconds, async () => {
 			const state = this.#stateOf(target.id);
 			if (order.fence < state.fence) {
-				return {kind: 'fenced', detail: ''};
+				return {kind: 'fenced', detail: '', clock: this.#timeOf(state)};
 			}
 
 			state.fence = order.fence;
