Lines of stopped runs name the requester, and say how long the stop took

What on-call saw: for a run that went on beside its next submission, runStopped didn't say for whom it was stopped, and runEnded didn't say when the stop had been requested; both had to be put together from the lines of several entries.

runStopped has the field requester; runEnded has stopMilliseconds, the time from the request of the stop to the report of the end. It is absent for runs that weren't stopped.

Ruled out: a line of its own for the end of a stop, which would be one more line a run for what the run's own line can carry.

--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -171,6 +171,7 @@
 			stopConfirmedAtStep: undefined,
 			stopCause: undefined,
 			abandonedAt: undefined,
+			stopRequestedAt: undefined,
 		});
 		return target.id;
 	}
@@ -224,6 +225,7 @@
 
 	#handleRunEnd(session: TargetSession, run: Run, outcome: RunOutcome): void {
 		const {request, requester} = run;
+		const now = this.parts.clock.now();
 		const reportedOutcome = this.#reportHealth(session, run, outcome);
 		this.parts.journal.record('runEnded', {
 			task: request.task,
@@ -231,7 +233,8 @@
 			target: session.target.id,
 			outcome: reportedOutcome.kind,
 			cause: 'cause' in reportedOutcome ? reportedOutcome.cause : undefined,
-			ranMilliseconds: Math.round(this.parts.clock.now() - run.startedAt),
+			ranMilliseconds: Math.round(now - run.startedAt),
+			stopMilliseconds: run.stopRequestedAt === undefined ? undefined : Math.round(now - run.stopRequestedAt),
 		});
 		this.#fireReport(requester, request, reportedOutcome);
 		this.#changed.fire();
--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -52,8 +52,9 @@
 
 		run.state = 'stopping';
 		run.stopCause = cause;
+		run.stopRequestedAt = this.parts.clock.now();
 		this.parts.journal.record('runStopped', {
-			target: this.parts.orders.target.id, task: run.request.task, attempt: run.request.attempt, cause,
+			target: this.parts.orders.target.id, task: run.request.task, attempt: run.request.attempt, requester: run.requester, cause,
 		});
 		void this.#sendStop(run);
 	}
--- a/src/features/execution/run.ts
+++ b/src/features/execution/run.ts
@@ -22,4 +22,6 @@
 	stopCause: string | undefined;
 	/** Since when nobody waits for the run; monotonic. */
 	abandonedAt: number | undefined;
+	/** When the stop was requested; monotonic. */
+	stopRequestedAt: number | undefined;
 };
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -170,6 +170,7 @@
 				stopConfirmedAtStep: undefined,
 				stopCause: undefined,
 				abandonedAt: undefined,
+				stopRequestedAt: undefined,
 			});
 		}
 
--- a/src/runtime/journal/counting-journal.ts
+++ b/src/runtime/journal/counting-journal.ts
@@ -4,10 +4,15 @@
 import type {EventName} from './event-name.js';
 import {Journal} from './journal.js';
 
-/** For each timed event, the field with its duration in milliseconds and the field that becomes the metric's tag. */
-const timedEvents: Partial<Record<EventName, {readonly duration: string; readonly tag: string}>> = {
-	jobEnded: {duration: 'tookMilliseconds', tag: 'verdict'},
-	runEnded: {duration: 'ranMilliseconds', tag: 'outcome'},
+/** A histogram's name, the field with the duration in milliseconds, which may be absent, and the field that becomes the tag. */
+type Timing = {readonly name: string; readonly duration: string; readonly tag: string};
+
+const timedEvents: Partial<Record<EventName, readonly Timing[]>> = {
+	jobEnded: [{name: 'jobEnded', duration: 'tookMilliseconds', tag: 'verdict'}],
+	runEnded: [
+		{name: 'runEnded', duration: 'ranMilliseconds', tag: 'outcome'},
+		{name: 'runStopped', duration: 'stopMilliseconds', tag: 'outcome'},
+	],
 };
 
 /** Forwards each event to the inner journal, counts it, and records the duration of timed events. */
@@ -21,9 +26,11 @@
 	override record(event: EventName, fields: EventFields): void {
 		this.inner.record(event, fields);
 		this.metrics.count('events', 1, this.#tagsOf('event', event));
-		const timing = timedEvents[event];
-		if (timing !== undefined) {
-			this.metrics.timing(event, Number(fields[timing.duration]), this.#tagsOf(timing.tag, String(fields[timing.tag])));
+		for (const {name, duration, tag} of timedEvents[event] ?? []) {
+			const milliseconds = fields[duration];
+			if (milliseconds !== undefined) {
+				this.metrics.timing(name, Number(milliseconds), this.#tagsOf(tag, String(fields[tag])));
+			}
 		}
 	}
 
--- a/src/runtime/journal/events/ownership-events.ts
+++ b/src/runtime/journal/events/ownership-events.ts
@@ -55,10 +55,13 @@
 		number: 721, level: 'detail', meaning: 'A target did not accept a start request', fields: ['target', 'task', 'attempt', 'kind', 'detail'],
 	},
 	runStopped: {
-		number: 722, level: 'detail', meaning: 'A stop was requested for a run', fields: ['target', 'task', 'attempt', 'cause'],
+		number: 722, level: 'detail', meaning: 'A stop was requested for a run', fields: ['target', 'task', 'attempt', 'requester', 'cause'],
 	},
 	runEnded: {
-		number: 723, level: 'detail', meaning: 'A run ended, or is known never to have started', fields: ['task', 'attempt', 'target', 'outcome', 'cause', 'ranMilliseconds'],
+		number: 723,
+		level: 'detail',
+		meaning: 'A run ended, or is known never to have started; stopMilliseconds is the time since its stop was requested',
+		fields: ['task', 'attempt', 'target', 'outcome', 'cause', 'ranMilliseconds', 'stopMilliseconds'],
 	},
 	targetOverdue: {
 		number: 724,
