Failing tests: the lease of a run whose stops get lost is renewed without end

What callers saw: a run goes on beside its caller's next submission, for as long as its stops get lost, although its owner has asked for its end.

Cause: RenewalPlan withholds the lease for a stop without an answer only if a renewal has gone unanswered as well. Stops and renewals travel on different connections; where only the stops get lost, or are refused, each renewal gives the run another second. A start on the target does the same, since a lease applies to all of a target's runs, and the target takes starts meanwhile.

--- a/test/support/in-memory-targets.ts
+++ b/test/support/in-memory-targets.ts
@@ -61,6 +61,8 @@
 	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses start answers' | 'loses starts' | 'loses stops' | 'refuses'>();
 	/** Targets that reject a start beyond this processor capacity; other targets accept every start. */
 	readonly enforcedCpuMillis = new Map<InstanceId, number>();
+	/** How many of the next stops to a target get lost on the way; they count down. */
+	readonly lostStops = new Map<InstanceId, number>();
 	/** Factor by which a target's tasks run longer than their payload says. */
 	readonly slowdown = new Map<InstanceId, number>();
 	/** Targets that were crashed by a task, in order. */
@@ -180,6 +182,10 @@
 
 	async #execute<Reply>(id: InstanceId, kind: OrderKind, limitMilliseconds: number, action: () => Reply | Promise<Reply>): Promise<Reply | OrderFailure> {
 		this.orderCount += 1;
+		if (kind === 'stop' && this.#losesStop(id)) {
+			return this.#timeOut(limitMilliseconds);
+		}
+
 		const behaviour = this.behaviour.get(id) ?? 'answers';
 		if (behaviour === 'refuses') {
 			return {kind: 'unreachable', detail: 'refused'};
@@ -195,12 +201,22 @@
 			void action();
 		}
 
+		return this.#timeOut(limitMilliseconds);
+	}
+
+	async #timeOut(limitMilliseconds: number): Promise<OrderFailure> {
 		await new Promise<void>(resolve => {
 			this.clock.schedule(limitMilliseconds, resolve);
 		});
 		return {kind: 'unanswered', detail: 'no answer'};
 	}
 
+	#losesStop(id: InstanceId): boolean {
+		const lost = this.lostStops.get(id) ?? 0;
+		this.lostStops.set(id, Math.max(0, lost - 1));
+		return lost > 0;
+	}
+
 	async #waitForEnd(state: TargetState, {waitMilliseconds, acknowledged}: RenewalOrder): Promise<void> {
 		if (waitMilliseconds === 0 || state.ended.length > 0) {
 			return;
