Failing test: each lost stop delays the next one by the order's whole limit

What callers saw: a task ran on beside its next submission on a target with a lossy path: the next submission comes 1.3 s after a loss, which takes up to 0.9 s to detect, so that a stop has 0.4 to 0.5 s.

Cause: RunControl sends stops one after the other; each waits for the limit of the former (up to 150 ms) and 40 ms more. Three lost stops take 570 ms.

Evidence: stopped-runs.test.ts, 'a run whose first three stops get lost is over in less than 0.5 s' fails with 570 ms.

--- a/test/features/execution/stopped-runs.test.ts
+++ b/test/features/execution/stopped-runs.test.ts
@@ -80,6 +80,15 @@
 	assert.ok(milliseconds <= longestRunAfterLostStops, `${milliseconds} ms`);
 });
 
+// Guards against waiting for the limit of a lost stop before the next one is sent.
+test('a run whose first three stops get lost is over in less than 0.5 s', async () => {
+	const owner = await createOwnerWithRuns();
+	owner.orders.lostStops.set(target.id, 3);
+	owner.executor.stop('a', 1, 'requester lost');
+	const milliseconds = await timeUntilEnd(owner, 'a');
+	assert.ok(milliseconds < 500, `${milliseconds} ms`);
+});
+
 // Guards against cutting the other runs of a target for stops that are lost now and then.
 test('other runs of a target go on while some stops get lost', async () => {
 	const {clock, orders, executor, reports} = await createOwnerWithRuns();
