A stop is repeated after 75 ms without waiting for the former one's limit

Now the next stop goes out 75 ms after one without an answer, beside it on another connection, or 40 ms after one that failed, as before; the first accepted one counts. A repeated stop is the same to a target. At most two stops of a run are pending, since limits are at most 150 ms.

Ruled out: a shorter interval, since it would repeat stops that are merely slow on a busy entry, and take the connections that starts need (5 beside the renewal).

--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -16,8 +16,13 @@
 import type {StepCounter} from './step-counter.js';
 import type {TargetReports} from './target-reports.js';
 
-/** Interval between attempts to stop a run; its task can't start elsewhere before one is accepted. */
+/** Delay after a failed stop before the next one; the task can't start elsewhere before one is accepted. */
 const stopRetryMilliseconds = 40;
+/**
+ * Delay after a stop without an answer before the next one, which is sent beside it on another connection. At most two stops
+ * of a run are pending, since an order's time limit is at most twice as long.
+ */
+const stopRepeatMilliseconds = 75;
 
 /** Dependencies of the run control. */
 type RunControlParts = {
@@ -56,7 +61,7 @@
 		this.parts.journal.record('runStopped', {
 			target: this.parts.orders.target.id, task: run.request.task, attempt: run.request.attempt, requester: run.requester, cause,
 		});
-		void this.#sendStop(run);
+		void this.#sendStops(run);
 	}
 
 	async #sendStart(run: Run): Promise<void> {
@@ -139,21 +144,31 @@
 		this.parts.settlement.end(run, {kind: 'refused', cause});
 	}
 
+	/** Repeats the stop until one is accepted; the target treats repeated stops as one. */
+	async #sendStops(run: Run): Promise<void> {
+		while (this.#isStopPending(run)) {
+			await Promise.race([this.#sendStop(run), wait(this.parts.clock, stopRepeatMilliseconds)]);
+		}
+	}
+
+	/** Sends one stop; returns once it is accepted, or some time after it failed. */
 	async #sendStop(run: Run): Promise<void> {
-		while (!this.token.isCancellationRequested && this.parts.runs.has(run) && run.stopConfirmedAtStep === undefined) {
-			const reply = await this.parts.orders.stop(run.request);
-			if (reply.kind === 'accepted') {
-				run.stopConfirmedAtStep = this.parts.steps.next();
-				void this.parts.reports.poll();
-				return;
-			}
-
-			if (reply.kind === 'fenced' || reply.kind === 'replaced') {
-				this.parts.onDidFail(reply);
-				return;
-			}
+		const reply = await this.parts.orders.stop(run.request);
+		if (!this.#isStopPending(run)) {
+			return;
+		}
 
+		if (reply.kind === 'accepted') {
+			run.stopConfirmedAtStep = this.parts.steps.next();
+			void this.parts.reports.poll();
+		} else if (reply.kind === 'fenced' || reply.kind === 'replaced') {
+			this.parts.onDidFail(reply);
+		} else {
 			await wait(this.parts.clock, stopRetryMilliseconds);
 		}
 	}
+
+	#isStopPending(run: Run): boolean {
+		return !this.token.isCancellationRequested && this.parts.runs.has(run) && run.stopConfirmedAtStep === undefined;
+	}
 }
