Failing tests: runs of a target that is released or dropped are no longer stopped

What callers saw: a run goes on for up to the rest of its lease (1.08 s) beside its next submission, if its target is released, fenced or gone from the catalogue when its requester is lost.

Cause: the session's close ends the repetition of stops, and closes the connections, which cuts the stop that onWillRelease has just caused; the run isn't handed over, so the next owner leaves it for 250 ms after it has opened. A closed session is out of the executor's sight at once, although its runs go on until the lease passes: a stop from the requester, or its loss, changes nothing, and isRunning says no, so that a request of the task's next submission is started beside the run.

--- a/test/features/execution/stopped-runs.test.ts
+++ b/test/features/execution/stopped-runs.test.ts
@@ -106,3 +106,30 @@
 	assert.equal(reports.filter(({outcome}) => outcome.kind === 'gone' && outcome.cause === 'its job is over').length, 6);
 	assert.deepEqual(reports.filter(({task}) => task === 'a').map(({outcome}) => outcome.kind), ['done']);
 });
+
+// Guards against giving up a lost stop at the release of its target: the run isn't handed over, and nobody else stops it soon.
+test('a lost stop is repeated after its target was released', async () => {
+	const owner = await createOwnerWithRuns();
+	owner.orders.lostStops.set(target.id, 1);
+	owner.executor.onWillRelease(({request}) => {
+		owner.executor.stop(request.task, request.attempt, 'requester not responsive');
+	});
+	const handovers = await owner.executor.release(new Set([target.id]));
+	assert.deepEqual(handovers.flatMap(({runs}) => runs), []);
+	const milliseconds = await timeUntilEnd(owner, 'a');
+	assert.ok(milliseconds < 500, `${milliseconds} ms`);
+});
+
+// Guards against a target that leaves the catalogue and runs on: its runs were neither stopped nor considered running.
+test('a run on a target that left the catalogue counts as running until its lease has passed, and is stopped', async () => {
+	const owner = await createOwnerWithRuns();
+	const {executor, reports, clock} = owner;
+	executor.assign(new Map());
+	assert.deepEqual([executor.isRunning('a' as TaskId), [...executor.requesters()]], [true, [requester, requester]]);
+	executor.stopRunsOf(requester, 'requester lost');
+	const milliseconds = await timeUntilEnd(owner, 'a');
+	assert.ok(milliseconds < 500, `${milliseconds} ms`);
+	await advanceClock(clock, 1500);
+	assert.deepEqual(reports.map(({task, outcome}) => [task, outcome.kind]), [['a', 'gone'], ['b', 'gone']]);
+	assert.equal(executor.isRunning('a' as TaskId), false);
+});
