Runs of a closed session are still stopped, and count as running until they end

Now a closed session (released, fenced, out of the catalogue) is kept while it has runs, until their lease has passed. Renewals, starts and reports end with the close as before. An old token does no harm: the target checks it. Connections are closed at the release, which also cuts starts that wait for one, and again after the last run.

Ruled out: handing over runs that are being stopped, which would need a new message and a next owner that is quicker than the lease; waiting for pending stops in the release, which delays the handover of all other runs.

--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -35,12 +35,20 @@
 	readonly steps: StepCounter;
 	readonly clock: Clock;
 	readonly journal: Journal;
+	/** Cancelled once stops are given up as well. */
+	readonly disposal: CancellationToken;
 	/** Called when the target no longer accepts orders with this token or at this address. */
 	readonly onDidFail: (failure: OrderFailure) => void;
 };
 
-/** Sends starts and stops until each is answered or settled by a report. Sends nothing once the token is cancelled. */
+/**
+ * Sends starts and stops until each is answered or settled by a report. Once the token is cancelled only stops are sent, until
+ * their runs have ended: the target's next owner doesn't know these runs, and the target checks the fencing token.
+ */
 export class RunControl {
+	/** Whether the target rejected the token or is another incarnation; it accepts no further orders. */
+	#isRejected = false;
+
 	constructor(private readonly parts: RunControlParts, private readonly token: CancellationToken) {}
 
 	/** Sends a start order; the caller has checked the free capacity. */
@@ -160,8 +168,11 @@
 
 		if (reply.kind === 'accepted') {
 			run.stopConfirmedAtStep = this.parts.steps.next();
-			void this.parts.reports.poll();
+			if (!this.token.isCancellationRequested) {
+				void this.parts.reports.poll();
+			}
 		} else if (reply.kind === 'fenced' || reply.kind === 'replaced') {
+			this.#isRejected = true;
 			this.parts.onDidFail(reply);
 		} else {
 			await wait(this.parts.clock, stopRetryMilliseconds);
@@ -169,6 +180,6 @@
 	}
 
 	#isStopPending(run: Run): boolean {
-		return !this.token.isCancellationRequested && this.parts.runs.has(run) && run.stopConfirmedAtStep === undefined;
+		return !this.parts.disposal.isCancellationRequested && !this.#isRejected && this.parts.runs.has(run) && run.stopConfirmedAtStep === undefined;
 	}
 }
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -42,7 +42,9 @@
 	readonly #runControl: RunControl;
 	readonly #renewals: Renewals;
 	readonly #steps = new StepCounter();
+	/** Cancelled when the session is closed. */
 	readonly #cancellation = new CancellationSource();
+	readonly #disposal = new CancellationSource();
 	#isPaused = false;
 	#hasOverdue = false;
 
@@ -64,6 +66,7 @@
 			...sharedParts,
 			settlement: this.#settlement,
 			reports: this.#reports,
+			disposal: this.#disposal.token,
 			onDidFail: (failure: OrderFailure) => {
 				this.#handleFailure(failure);
 			},
@@ -84,6 +87,11 @@
 		return this.#runs;
 	}
 
+	/** Whether there are runs; those of a closed session end with their lease. */
+	get hasRuns(): boolean {
+		return this.#runs.size > 0;
+	}
+
 	hasRunOf(task: TaskId): boolean {
 		return this.#runs.hasRunOf(task);
 	}
@@ -201,7 +209,7 @@
 
 	/**
 	 * Closes the session and returns the runs for the next owner. Runs that are starting or stopping aren't handed over: they
-	 * end with this owner's lease.
+	 * end with this owner's lease, or by a stop.
 	 */
 	release(): Handover {
 		this.#close();
@@ -235,6 +243,7 @@
 
 	dispose(): void {
 		this.#close();
+		this.#disposal.cancel();
 	}
 
 	get #isClosed(): boolean {
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -49,6 +49,8 @@
 /** Opens a session for each newly owned target, with the runs handed over by its former owner, and closes the others. */
 export class TargetSessions implements Iterable<TargetSession>, Disposable {
 	readonly #sessions = new Map<InstanceId, TargetSession>();
+	/** Closed sessions with runs that go on until their lease has passed. */
+	readonly #closing = new Set<TargetSession>();
 	/** The highest token that each target rejected; no session is opened with that token or a lower one. */
 	readonly #rejectedTokens = new Map<InstanceId, FencingToken>();
 	readonly #handovers = new Map<InstanceId, ReceivedHandover>();
@@ -77,6 +79,12 @@
 		return this.#sessions.values();
 	}
 
+	/** The open sessions, and the closed ones that still have runs. */
+	* withRuns(): Iterable<TargetSession> {
+		yield * this.#sessions.values();
+		yield * this.#closing;
+	}
+
 	/** Opens sessions for new targets, updates existing ones, and abandons those of targets that are no longer owned. */
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
 		for (const [id, session] of this.#sessions) {
@@ -108,7 +116,7 @@
 		const {id} = session.target;
 		this.#sessions.delete(id);
 		const handover = session.release();
-		this.parts.orders.disconnect(session.target);
+		this.#retire(session);
 		this.parts.journal.record('targetReleased', {target: id, fence: session.fence, handedOver: handover.runs.length});
 		return handover;
 	}
@@ -132,11 +140,12 @@
 	}
 
 	dispose(): void {
-		for (const session of this.#sessions.values()) {
+		for (const session of this.withRuns()) {
 			session.dispose();
 		}
 
 		this.#sessions.clear();
+		this.#closing.clear();
 	}
 
 	#openOrUpdate(id: InstanceId, target: TargetRecord, fence: FencingToken): void {
@@ -172,6 +181,9 @@
 			target, fence, leaseMilliseconds, clockOffsets: this.#clockOffsetsOf(id), lastContact, orders, responseTimes: this.#responseTimes, clock, journal, listener: {
 				onDidEndRun: (run, outcome) => {
 					this.parts.listener.onDidEndRun(session, run, outcome);
+					if (this.#closing.has(session) && !session.hasRuns) {
+						this.#forget(session);
+					}
 				},
 				onDidReport: () => {
 					this.parts.listener.onDidReport(session);
@@ -225,18 +237,35 @@
 	#drop(id: InstanceId, session: TargetSession): void {
 		this.#sessions.delete(id);
 		session.abandon();
-		this.parts.orders.disconnect(session.target);
+		this.#retire(session);
 		this.parts.journal.record('targetDropped', {target: id});
 	}
 
 	#handleSessionEnd(session: TargetSession, cause: 'fenced' | 'replaced'): void {
 		const {id} = session.target;
 		this.#sessions.delete(id);
-		this.parts.orders.disconnect(session.target);
+		this.#retire(session);
 		if (cause === 'fenced') {
 			this.#rejectedTokens.set(id, session.fence);
 		}
 
 		this.parts.listener.onDidChange();
 	}
+
+	/** Keeps a closed session while it has runs, so that they can be stopped. Closes connections at once, since starts may still wait for one. */
+	#retire(session: TargetSession): void {
+		this.parts.orders.disconnect(session.target);
+		if (session.hasRuns) {
+			this.#closing.add(session);
+		}
+	}
+
+	/** Forgets a closed session without runs, and closes the connections that its stops have opened. */
+	#forget(session: TargetSession): void {
+		this.#closing.delete(session);
+		const isInUse = [...this.withRuns()].some(({target}) => target.id === session.target.id);
+		if (!isInUse) {
+			this.parts.orders.disconnect(session.target);
+		}
+	}
 }
--- a/test/features/execution/lease-limit.test.ts
+++ b/test/features/execution/lease-limit.test.ts
@@ -41,7 +41,7 @@
 	const {executor, orders, advance} = await createOwner();
 	executor.start(createRunRequest('abandoned.0', '9000'), alive);
 	assert.deepEqual(await advance(2000), ['abandoned']);
-	orders.behaviour.set(target.id, 'loses stops');
+	orders.lostStops.set(target.id, Number.POSITIVE_INFINITY);
 	executor.stop('abandoned.0', 1, 'its job is over');
 	assert.deepEqual(await advance(1000), ['abandoned']);
 	assert.deepEqual(await advance(150), []);
--- a/test/support/in-memory-targets.ts
+++ b/test/support/in-memory-targets.ts
@@ -22,10 +22,8 @@
 type OrderKind = 'start' | 'stop' | 'renewal';
 /** The kinds of orders that a target replies to, by its behaviour; none for a behaviour that isn't listed. */
 const answeredOrders: Readonly<Record<string, readonly OrderKind[]>> = {
-	answers: ['start', 'stop', 'renewal'], 'loses reports': ['start', 'stop'], 'loses start answers': ['stop', 'renewal'], 'loses starts': ['stop', 'renewal'], 'loses stops': ['start', 'renewal'],
+	answers: ['start', 'stop', 'renewal'], 'loses reports': ['start', 'stop'], 'loses start answers': ['stop', 'renewal'], 'loses starts': ['stop', 'renewal'],
 };
-/** Behaviours by which orders without an answer aren't executed either. */
-const droppingBehaviours: ReadonlySet<string> = new Set(['silent', 'loses starts', 'loses stops']);
 
 type ActiveRun = {readonly task: TaskId; readonly attempt: number; readonly endTimer: Disposable};
 type TargetState = {
@@ -56,9 +54,9 @@
 export class InMemoryTargets extends TargetOrders {
 	/**
 	 * `silent`: ignores every order. `loses answers`, `loses reports`, `loses start answers`: executes orders, but any reply, the
-	 * replies to renewals or those to starts are lost. `loses starts`, `loses stops`: these orders never arrive. `refuses`: connections are refused.
+	 * replies to renewals or those to starts are lost. `loses starts`: starts never arrive. `refuses`: connections are refused.
 	 */
-	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses start answers' | 'loses starts' | 'loses stops' | 'refuses'>();
+	readonly behaviour = new Map<InstanceId, 'answers' | 'silent' | 'loses answers' | 'loses reports' | 'loses start answers' | 'loses starts' | 'refuses'>();
 	/** Targets that reject a start beyond this processor capacity; other targets accept every start. */
 	readonly enforcedCpuMillis = new Map<InstanceId, number>();
 	/** How many of the next stops to a target get lost on the way; they count down. */
@@ -197,7 +195,7 @@
 			return action();
 		}
 
-		if (!droppingBehaviours.has(behaviour)) {
+		if (behaviour !== 'silent' && behaviour !== 'loses starts') {
 			void action();
 		}
 
