Failing test: a suspended entry places tasks before it has reconnected to its targets

Targets have closed its connections, so that polls and renewals fail at once; renewals repeat after 100 ms (Renewals.retryMilliseconds), polls don't at all. Placement is held for 60 ms. An owner of another zone has idle heartbeats with the entry (3.5 s) and hasn't lost it: it starts the waiting task.

--- a/test/entries/edge/suspended-requesters.test.ts
+++ b/test/entries/edge/suspended-requesters.test.ts
@@ -73,3 +73,15 @@
 	await cluster.advance(1000);
 	assert.equal(cluster.orders.peakConcurrentRuns, 1);
 });
+
+// Guards against a resumed entry that places tasks before its targets' clocks show the suspension, since all its connections are closed.
+test('a resumed entry of a large fleet that has to reconnect to its targets starts no waiting task', async () => {
+	const names = Array.from({length: 24}, (_, index) => `${'abc'.charAt(index % 3)}-${Math.floor(index / 3)}`);
+	const started = await createWaitingJob(names);
+	const {world, cluster, requester} = started;
+	world.keepMemberships();
+	await suspend(started, 2300);
+	world.resume(requester, resume);
+	await cluster.advance(1000);
+	assert.equal(cluster.orders.peakConcurrentRuns, 1);
+});
