Failing test: a suspension that shows on neither clock

An entry that owns no targets is suspended for 4.4 s, and its time of day is set back by as much meanwhile (clock steps on a quarter of the entries, beside suspensions). Neither clock has a gap and no target's clock is there to compare, so that no pause is detected. It places its waiting task at once, is refused as outdated, learns the others' epochs, is held for 60 ms by onDidDetectEviction, and is then accepted.

Common to this and the tests before: being evicted by a peer, which is proof that callers may have gone elsewhere, costs an entry 60 ms and nothing else.

--- a/test/entries/edge/suspended-requesters.test.ts
+++ b/test/entries/edge/suspended-requesters.test.ts
@@ -85,3 +85,14 @@
 	await cluster.advance(1000);
 	assert.equal(cluster.orders.peakConcurrentRuns, 1);
 });
+
+// Guards against a time of day that is set back by the length of a suspension, which then shows on neither of the entry's clocks.
+test('a resumed entry without targets whose time of day was set back meanwhile starts no waiting task', async () => {
+	const started = await createWaitingJob(['a-0', 'a-1', 'b-0', 'c-0'], false);
+	const {world, cluster, requester} = started;
+	await suspend(started, 4400);
+	world.clocks.get(requester)!.advanceWallTime(-4400);
+	world.resume(requester, resume);
+	await cluster.advance(1000);
+	assert.equal(cluster.orders.peakConcurrentRuns, 1);
+});
