Failing test: renewals keep a run alive whose stops get no answer

RenewalPlan.#leaseToRequest withholds the lease only if a renewal went unanswered as well (hasOverdueStop = unanswered > 0 and ...), against its own comment. The run goes on for as long as the stops are lost; the caller submits again 1.3 s later. By reckoning, not by a run: with the lease withheld from the first stop on it would end by 1.08 s.

--- /dev/null
+++ b/test/entries/edge/late-stops.test.ts
@@ -0,0 +1,45 @@
+/** Runs of lost requesters and ended jobs have to be over before the caller resubmits, 1300 ms after the loss. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {InstanceId} from '../../../src/base/instance-id.js';
+import {PausableCluster} from '../../support/pausable-cluster.js';
+
+const id = '00000000000000aa';
+const job = {payload: '5000', declaredMilliseconds: 2000, timeoutMilliseconds: 60_000};
+const target = 'b-target' as InstanceId;
+const resubmissionMilliseconds = 1300;
+const resume = {first: 'timers', countsPause: false, socketOrder: 0} as const;
+
+/** Times within the period of heartbeats at which a fault begins. */
+const phases = [0, 25, 50, 75, 100, 125, 150, 175];
+
+/** Starts a cluster in which the entry of zone `b` owns a target that runs the job of the given entry. */
+async function createRunningJob(requester: string, phase = 0) {
+	const world = new PausableCluster(['a-1', 'b-1', 'c-1'], 0);
+	const {cluster} = world;
+	cluster.addTarget(target, 'b');
+	await cluster.start();
+	await cluster.advance(2000);
+	const submission = world.submit(requester, id, job);
+	await cluster.advance(500 + phase);
+	assert.deepEqual(cluster.runningTasks(), [`${id}.0.0.0`]);
+	cluster.addTarget('c-target', 'c');
+	return {world, cluster, submission};
+}
+
+/** Submits the job again, and returns the highest number of concurrent runs of its task. */
+async function resubmit({world, cluster}: Awaited<ReturnType<typeof createRunningJob>>): Promise<number> {
+	world.submit('c-1', id, job);
+	await cluster.advance(2500);
+	return cluster.orders.peakConcurrentRuns;
+}
+
+// Guards against renewals that keep a run alive while its stops get no answer.
+test('a run whose stops are lost ends with its lease before the caller resubmits', async () => {
+	const started = await createRunningJob('b-1');
+	const {world, cluster, submission} = started;
+	world.loseStops(target, true);
+	submission.disconnect();
+	await cluster.advance(resubmissionMilliseconds);
+	assert.equal(await resubmit(started), 1);
+});
