Failing test: a slow owner stops a silent requester's run too late

Hypothesis 1: an owner that reads everything and runs its timers 300 ms late, without a pause that the detector could see (it looks at gaps of 500 ms), while a requester falls silent (suspended, cut off or crashed) just as its caller gives up. The last heartbeat is read 0.3 s late, the timeout is 0.8 s, the check's timer is late by up to 0.4 s, the stop's turn comes after that: more than 1.3 s. Renewals go on meanwhile, so that the lease bounds nothing.

--- a/test/entries/edge/late-stops.test.ts
+++ b/test/entries/edge/late-stops.test.ts
@@ -43,3 +43,17 @@
 	await cluster.advance(resubmissionMilliseconds);
 	assert.equal(await resubmit(started), 1);
 });
+
+// Guards against an owner that reads everything late, declares a silent requester lost too late, and renews the run's lease until then.
+test('a slow owner stops the run of a silent requester before the caller resubmits', async () => {
+	for (const phase of phases) {
+		const started = await createRunningJob('a-1', phase);
+		const {world, cluster} = started;
+		world.clocks.get('b-1')!.slowDown(300);
+		await cluster.advance(1000);
+		assert.deepEqual(cluster.runningTasks(), [`${id}.0.0.0`]);
+		world.pause('a-1');
+		await cluster.advance(resubmissionMilliseconds);
+		assert.equal(await resubmit(started), 1, `phase ${phase}`);
+	}
+});
