Failing test: suspensions that nobody notices delay the loss of a requester

A requester falls silent just as its caller gives up, and the run's owner is suspended for 450 ms, which its monotonic clock doesn't count. PauseDetector takes gaps above 500 ms only, so that these 450 ms aren't added to the requester's silence: loss after 0.9 s + 0.45 s, later than the caller's next submission 1.3 s after the loss; the lease was renewed all the while. Several short suspensions would add up; not tried.

--- a/test/entries/edge/late-stops.test.ts
+++ b/test/entries/edge/late-stops.test.ts
@@ -57,3 +57,18 @@
 		assert.equal(await resubmit(started), 1, `phase ${phase}`);
 	}
 });
+
+// Guards against suspensions below the pause detector's threshold, which delay the loss of a silent requester unnoticed.
+test('an owner that was suspended too briefly to notice stops the run of a silent requester before the caller resubmits', async () => {
+	for (const phase of phases) {
+		const started = await createRunningJob('a-1', phase);
+		const {world, cluster} = started;
+		world.pause('a-1');
+		await cluster.advance(20);
+		world.pause('b-1');
+		await cluster.advance(450);
+		world.resume('b-1', resume);
+		await cluster.advance(resubmissionMilliseconds - 470);
+		assert.equal(await resubmit(started), 1, `phase ${phase}`);
+	}
+});
