Failing test: an owner that wakes before a lease ends renews it for a silent requester

Requester and owner are suspended together; the owner goes on after 950 ms, just before the run's lease ends. Pool.#handlePause leaves each peer one heartbeat and a check (300 ms) to be heard, and the renewals go on at once: the run is alive until the requester is lost, 0.95 + 0.3 to 0.4 s after it fell silent, later than 1.3 s. Nothing holds the lease back while peers' silence is uncertain.

--- a/test/entries/edge/late-stops.test.ts
+++ b/test/entries/edge/late-stops.test.ts
@@ -72,3 +72,18 @@
 		assert.equal(await resubmit(started), 1, `phase ${phase}`);
 	}
 });
+
+// Guards against an owner that resumes just before a lease ends, renews it, and then waits for a heartbeat of a requester that is gone.
+test('an owner that resumes shortly before a lease ends does not keep the run of a silent requester', async () => {
+	for (const phase of phases) {
+		const started = await createRunningJob('a-1', phase);
+		const {world, cluster} = started;
+		world.pause('a-1');
+		await cluster.advance(20);
+		world.pause('b-1');
+		await cluster.advance(950);
+		world.resume('b-1', resume);
+		await cluster.advance(resubmissionMilliseconds - 970);
+		assert.equal(await resubmit(started), 1, `phase ${phase}`);
+	}
+});
