Failing tests: a lease outlasts the time to the caller's next submission

A requester falls silent as its caller gives up; its run's target doesn't receive stops, or goes silent 0.6 s later. The owner renews the full lease (1 s) until it has lost the requester, at 0.8 to 0.9 s; a stop that isn't carried out then leaves the run alive until 1.6 to 2.0 s (or for good, if renewals are answered, see the first test of the file). The caller submits again at 1.3 s. Withholding the lease from the stop on doesn't mend this: what is renewed has to depend on when the requester was last heard.

Two faults at once are needed, on the requester and on the target or its path.

--- a/test/entries/edge/late-stops.test.ts
+++ b/test/entries/edge/late-stops.test.ts
@@ -87,3 +87,21 @@
 		assert.equal(await resubmit(started), 1, `phase ${phase}`);
 	}
 });
+
+for (const [fault, milliseconds] of [['receives no stops', 0], ['is silent', 600]] as const) {
+	// Guards against leases that are renewed in full until a requester is lost, and then outlast the time to the caller's next submission.
+	test(`the run of a silent requester ends before the caller resubmits, also on a target that ${fault}`, async () => {
+		const started = await createRunningJob('a-1');
+		const {world, cluster} = started;
+		world.pause('a-1');
+		await cluster.advance(milliseconds);
+		if (fault === 'is silent') {
+			cluster.orders.behaviour.set(target, 'silent');
+		} else {
+			world.loseStops(target, true);
+		}
+
+		await cluster.advance(resubmissionMilliseconds - milliseconds);
+		assert.equal(await resubmit(started), 1);
+	});
+}
