Failing test: a suspended entry restarts its own run after its target changed owner

The same cause as of the first test of the file (nothing that answers carries a clock), with a run on the entry's own target. The session ends as 'fenced'; the run counts as gone a lease after the entry goes on (RunSettlement.endAllAfterLease), and attempt 2 starts elsewhere, 1.08 s after the entry went on: so the second run needn't begin right after the suspension.

--- a/test/entries/edge/suspended-requesters.test.ts
+++ b/test/entries/edge/suspended-requesters.test.ts
@@ -96,3 +96,22 @@
 	await cluster.advance(1000);
 	assert.equal(cluster.orders.peakConcurrentRuns, 1);
 });
+
+// Guards against further attempts by a resumed entry that can't tell its suspension, for its own runs that ended with their lease.
+test('a resumed entry whose own target changed owner starts no further attempt of its run there', async () => {
+	for (const milliseconds of [1700, 2300, 3000, 4400]) {
+		const world = new PausableCluster(['a-0', 'a-1', 'b-0', 'c-0'], 0);
+		const {cluster} = world;
+		cluster.addTarget('a-target', 'a');
+		cluster.addTarget('b-target', 'b');
+		await cluster.start();
+		await cluster.advance(2500);
+		const requester = ['a-0', 'a-1'].find(name => ownedTargets(world, name) === 1)!;
+		world.submit(requester, id, job);
+		await cluster.advance(500);
+		await suspend({world, cluster, requester}, milliseconds);
+		world.resume(requester, resume);
+		await cluster.advance(2000);
+		assert.equal(cluster.orders.peakConcurrentRuns, 1, `${milliseconds} ms`);
+	}
+});
