Suspensions of any length count as silence of the requesters

Cause: only gaps above the threshold of a pause were added to the contacts. Now any time that only the wall clock counted, from 50 ms on (above the adjustments of a clock that is kept in time), makes contacts older at once, and is added to the times that this entry states, so that its messages don't look old for as long as its peers remember the former difference. If the wall clock was only set, the next heartbeats restore the contacts.

--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -21,13 +21,13 @@
 export class PeerContacts {
 	readonly #contacts = new Map<MemberId, Contact>();
 	/** Time that this entry's monotonic clock didn't count. Added to sent times, which would jump back for the peers otherwise. */
-	#uncountedMilliseconds = 0;
+	#skippedMilliseconds = 0;
 
 	constructor(private readonly clock: Clock) {}
 
 	/** The time to state in a message that is sent now. */
 	get sendTime(): number {
-		return Math.floor(this.clock.now() + this.#uncountedMilliseconds);
+		return Math.floor(this.clock.now() + this.#skippedMilliseconds);
 	}
 
 	/** Records a message that a peer sent at a time of its own clock. */
@@ -52,11 +52,14 @@
 		return this.#contacts.get(member)?.lastAt;
 	}
 
-	/** Records time that this entry's monotonic clock didn't count, or a change of its wall clock: all contacts are older by that time. */
-	recordPause(uncountedMilliseconds: number): void {
-		this.#uncountedMilliseconds += uncountedMilliseconds;
+	/**
+	 * Records time that this entry's monotonic clock didn't count: all contacts are older by that time. If only the wall clock was
+	 * changed, that lasts until the peers' next messages.
+	 */
+	recordSkippedTime(milliseconds: number): void {
+		this.#skippedMilliseconds += milliseconds;
 		for (const contact of this.#contacts.values()) {
-			contact.lastAt -= uncountedMilliseconds;
+			contact.lastAt -= milliseconds;
 		}
 	}
 
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -67,6 +67,9 @@
 			},
 			clock,
 		});
+		this.#store.add(parts.pauses.onDidSkipTime(milliseconds => {
+			this.#contacts.recordSkippedTime(milliseconds);
+		}));
 		this.#store.add(parts.pauses.onDidPause(pause => {
 			this.#handlePause(pause);
 		}));
@@ -356,7 +359,6 @@
 	 */
 	#handlePause({milliseconds, monotonicMilliseconds: counted}: Pause): void {
 		const now = this.parts.clock.now();
-		this.#contacts.recordPause(milliseconds - counted);
 		for (const known of this.#members.values()) {
 			const {timeoutMilliseconds, periodMilliseconds} = known.expectedTiming;
 			const heartbeat = periodMilliseconds + checkMilliseconds;
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -16,6 +16,9 @@
 /** A delay of the event loop from which on stops and heartbeats of this entry are noticeably late. */
 const delayThresholdMilliseconds = 200;
 
+/** Above the adjustments by which a wall clock is kept in time. */
+const skippedTimeThresholdMilliseconds = 50;
+
 /** Time after a pause in which the event loop reads all input that arrived during the pause. */
 const resumeDelayMilliseconds = 60;
 /** How long to wait for another machine's clock; longer than a target that answers needs, also on a new connection. */
@@ -35,6 +38,7 @@
 	readonly #suspectedPause = new Emitter<Pause>();
 	readonly #confirmedPause = new Emitter<number>();
 	readonly #delay = new Emitter<number>();
+	readonly #skippedTime = new Emitter<number>();
 	readonly #timer: Disposable;
 	#lastMonotonicTime: number;
 	#lastWallTime: number;
@@ -71,6 +75,11 @@
 		return this.#delay.event;
 	}
 
+	/** Fires with milliseconds that only the wall clock counted: a suspension of any length, or a change of that clock. */
+	get onDidSkipTime() {
+		return this.#skippedTime.event;
+	}
+
 	/** Returns the longest delay of the event loop since the previous call, in milliseconds. */
 	takeLongestDelay(): number {
 		const longest = this.#longestDelayMilliseconds;
@@ -83,9 +92,14 @@
 		const now = this.clock.now();
 		const wall = this.clock.wallTime();
 		const monotonicMilliseconds = now - this.#lastMonotonicTime;
-		const elapsed = Math.max(monotonicMilliseconds, wall - this.#lastWallTime);
+		const wallMilliseconds = wall - this.#lastWallTime;
+		const elapsed = Math.max(monotonicMilliseconds, wallMilliseconds);
 		this.#lastMonotonicTime = now;
 		this.#lastWallTime = wall;
+		if (wallMilliseconds - monotonicMilliseconds > skippedTimeThresholdMilliseconds) {
+			this.#skippedTime.fire(wallMilliseconds - monotonicMilliseconds);
+		}
+
 		this.#recordDelay(monotonicMilliseconds - checkIntervalMilliseconds);
 		if (elapsed > pauseThresholdMilliseconds) {
 			this.#resumedAt = now;
@@ -148,6 +162,7 @@
 		this.#suspectedPause.dispose();
 		this.#confirmedPause.dispose();
 		this.#delay.dispose();
+		this.#skippedTime.dispose();
 	}
 
 	#recordDelay(milliseconds: number): void {
--- a/test/features/pool/peer-contacts.test.ts
+++ b/test/features/pool/peer-contacts.test.ts
@@ -56,7 +56,7 @@
 test('time that the clock did not count makes contacts older and is added to sent times', () => {
 	const {contacts} = createContacts();
 	const [before, sendTime] = [contacts.lastContact(peer)!, contacts.sendTime];
-	contacts.recordPause(700);
+	contacts.recordSkippedTime(700);
 	assert.deepEqual([contacts.lastContact(peer), contacts.sendTime], [before - 700, sendTime + 700]);
 });
 
--- a/test/runtime/pause-detector.test.ts
+++ b/test/runtime/pause-detector.test.ts
@@ -116,3 +116,22 @@
 	assert.deepEqual([detector.takeLongestDelay() >= 250, delays.length], [true, 1]);
 	assert.equal(detector.takeLongestDelay(), 0);
 });
+
+// Guards against suspensions below the threshold of a pause, which add up to more than the time that callers wait.
+test('time that only the wall clock counted is reported from 50 ms on', () => {
+	const clock = new FakeClock();
+	const detector = new PauseDetector(clock);
+	const skipped: number[] = [];
+	detector.onDidSkipTime(milliseconds => {
+		skipped.push(milliseconds);
+	});
+	clock.advance(1000);
+	clock.sleep(400);
+	clock.advance(100);
+	clock.advanceWallTime(30);
+	clock.advance(200);
+	assert.deepEqual(skipped, []);
+	clock.advanceWallTime(300);
+	clock.advance(200);
+	assert.deepEqual(skipped, [300]);
+});
