A target's clock is compared by incarnation, also in a report that was overtaken

A look that a pending renewal's answer overtook wasn't compared, which left an entry with one target waiting for the next renewal (up to 0.6 s) before it placed anything.

--- a/src/features/execution/clock-offsets.ts
+++ b/src/features/execution/clock-offsets.ts
@@ -1,4 +1,5 @@
 /** The difference between a target's clock and this entry's. */
+import type {Incarnation} from '../../base/incarnation.js';
 import type {TargetTime} from '../../base/target-time.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
 
@@ -18,6 +19,7 @@
  */
 export class ClockOffsets {
 	#readings: readonly Reading[] = [];
+	#incarnation: Incarnation | undefined;
 
 	/** Whether no reading is recent enough to be compared. */
 	isExpired(now: number): boolean {
@@ -48,9 +50,12 @@
 			: [...this.#readings.slice(1 - maximumReadings), {offset, at: receivedAt}];
 	}
 
-	/** Discards the readings of a former incarnation of the target. */
-	clear(): void {
-		this.#readings = [];
+	/** Discards the readings of a former incarnation of the target, which had another clock. */
+	selectIncarnation(incarnation: Incarnation | undefined): void {
+		if (incarnation !== this.#incarnation) {
+			this.#incarnation = incarnation;
+			this.#readings = [];
+		}
 	}
 
 	/** In order of time. */
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -30,7 +30,6 @@
 	/** Discards the clock of a former incarnation. */
 	restart(): void {
 		this.#clock = undefined;
-		this.offsets.clear();
 	}
 
 	/** Records the clock of an answer that was received at a monotonic time. */
--- a/src/features/execution/target-reports.ts
+++ b/src/features/execution/target-reports.ts
@@ -1,10 +1,12 @@
 /** Processing of the reports of one target. */
+import {match} from 'ts-pattern';
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {Clock} from '../../base/clock.js';
 import type {Incarnation} from '../../base/incarnation.js';
 import type {TargetTime} from '../../base/target-time.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {RenewalReply} from '../targets/renewal-reply.js';
+import type {ClockOffsets} from './clock-offsets.js';
 import type {LeaseSchedule} from './lease-schedule.js';
 import {outcomeOfEnd} from './outcome-of-end.js';
 import type {RenewalPlan} from './renewal-plan.js';
@@ -18,6 +20,7 @@
 import type {UnknownRuns} from './unknown-runs.js';
 
 type Report = Extract<RenewalReply, {kind: 'report'}>;
+type ReportAge = ReturnType<ReportOrder['classify']>;
 
 /** When a report was requested: the session's step, and the monotonic time. */
 type ReportRequest = {readonly sentAtStep: number; readonly requestedAt: number};
@@ -27,6 +30,7 @@
 	readonly runs: RunTable;
 	readonly orders: SessionOrders;
 	readonly lease: LeaseSchedule;
+	readonly clockOffsets: ClockOffsets;
 	readonly unknownRuns: UnknownRuns;
 	readonly plan: RenewalPlan;
 	readonly settlement: RunSettlement;
@@ -101,13 +105,37 @@
 
 	/** Records the target's clock. Listeners learn of a suspension of this entry before the rest of the answer is processed. */
 	recordClock(clock: TargetTime, requestedAt: number, now: number): void {
-		const uncounted = this.parts.lease.compareClocks(clock, requestedAt, now);
+		this.#compareClocks(clock, requestedAt, now);
 		this.parts.lease.recordClock(clock, now);
-		if (uncounted !== undefined) {
-			this.parts.listener.onDidCompareClocks(uncounted);
+	}
+
+	#compareClocks(clock: TargetTime, requestedAt: number, now: number): void {
+		const gap = this.parts.lease.compareClocks(clock, requestedAt, now);
+		if (gap !== undefined) {
+			this.parts.listener.onDidCompareClocks(gap);
 		}
 	}
 
+	#processClock({incarnation, clock}: Report, age: ReportAge, requestedAt: number, now: number): void {
+		const {clockOffsets, lease} = this.parts;
+		match(age)
+			.with('newest', () => {
+				clockOffsets.selectIncarnation(incarnation);
+				this.recordClock(clock, requestedAt, now);
+			})
+			.with('restarted', () => {
+				clockOffsets.selectIncarnation(incarnation);
+				lease.recordClock(clock, now);
+			})
+			.with('overtaken', () => {
+				this.#compareClocks(clock, requestedAt, now);
+			})
+			.with('former', () => {
+				// Its clock is gone.
+			})
+			.exhaustive();
+	}
+
 	#processRuns(report: Report, {sentAtStep, requestedAt}: ReportRequest, now: number): void {
 		const former = this.#order.incarnation;
 		const reportAge = this.#order.classify(report, sentAtStep);
@@ -115,12 +143,7 @@
 			this.#handleRestart(report, former);
 		}
 
-		if (reportAge === 'newest') {
-			this.recordClock(report.clock, requestedAt, now);
-		} else if (reportAge === 'restarted') {
-			this.parts.lease.recordClock(report.clock, now);
-		}
-
+		this.#processClock(report, reportAge, requestedAt, now);
 		this.#processEnds(report, now);
 		if (reportAge === 'former') {
 			return;
--- a/test/features/execution/clock-offsets.test.ts
+++ b/test/features/execution/clock-offsets.test.ts
@@ -1,6 +1,7 @@
 /** Tests of the comparison of a target's clock with this entry's. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {Incarnation} from '../../../src/base/incarnation.js';
 import type {TargetTime} from '../../../src/base/target-time.js';
 import {ClockOffsets} from '../../../src/features/execution/clock-offsets.js';
 
@@ -35,3 +36,13 @@
 	assert.equal(offsets.compare(20_000 as TargetTime, 12_000, 12_000), undefined);
 	assert.deepEqual([offsets.isExpired(10_000), offsets.isExpired(12_000)], [false, true]);
 });
+
+// Guards against taking the clock of a restarted target for that of its former incarnation, which shows a suspension that never was.
+test('readings of a former incarnation are not compared', () => {
+	const offsets = createOffsets();
+	offsets.selectIncarnation(7 as Incarnation);
+	assert.equal(offsets.compare(90_000 as TargetTime, 1249, 1250), undefined);
+	offsets.record(90_000 as TargetTime, 1250);
+	offsets.selectIncarnation(7 as Incarnation);
+	assert.equal(offsets.compare(90_250 as TargetTime, 1499, 1500)?.milliseconds, 0);
+});
