Failing test: a requester and then its owner are suspended

What callers see: two runs of one task for up to 0.35 s, without any slowness, lost message or unseen disconnect. The requester of a run is suspended (its channels break), and 0.35 to 0.85 s later the run's owner as well, before it has lost the requester. The owner renewed the lease until its own suspension, so that the run goes on until up to 1 s after that; the caller's next submission comes 1.3 s after the first loss. Both entries may stay away for any time: it's the lease that outlasts. Machines that fail one after the other do the same.

Cause: a lease is renewed in full while the requester is silent, though not yet lost; its length and the time to a loss add up to 1.8 s, where callers wait for 1.3 s. With the two tests before it the class is: the end of a run isn't bound to when its requester was last heard.

--- a/test/entries/edge/late-stops.test.ts
+++ b/test/entries/edge/late-stops.test.ts
@@ -105,3 +105,16 @@
 		assert.equal(await resubmit(started), 1);
 	});
 }
+
+// Guards against a lease that was renewed for a requester already silent, by an owner that then goes silent itself.
+test('a run ends before the caller resubmits when its requester and then its owner are suspended', async () => {
+	for (const milliseconds of [0, 200, 400, 600, 800]) {
+		const started = await createRunningJob('a-1');
+		const {world, cluster} = started;
+		world.pause('a-1');
+		await cluster.advance(milliseconds);
+		world.pause('b-1');
+		await cluster.advance(resubmissionMilliseconds - milliseconds);
+		assert.equal(await resubmit(started), 1, `${milliseconds} ms apart`);
+	}
+});
