Failing test: a late owner hands over the runs of a dead requester as if it had just been heard

Cause: Pool.describePeers states the silence since a message was read (PoolMember.heardAt), not since it was sent. The new owner takes the descriptor for its last contact (PeerDescriptors, Pool.lastContact), so that LeaseLimit lets it renew for 1.1 s from a moment at which the requester was long dead, and RemoteRuns counts the adoption's time from there. In a large fleet the new owner knows nothing better: it has idle heartbeats with the requester, or never met it. It also states no silence at all for a peer that is no member here any more, and for one that it knows from another entry's descriptor, the time since that.

The test beside it holds the other side, and passes before: 400 ms of lateness cost no run that is handed over.

--- a/test/entries/edge/adopted-runs.test.ts
+++ b/test/entries/edge/adopted-runs.test.ts
@@ -39,3 +39,45 @@
 	await Promise.all([...[...owners].slice(0, 2).map(async owner => world.entries.get(owner)!.leave()), world.advance(700)]);
 	assert.deepEqual(world.runningTasks(), []);
 });
+
+/** A job of 20 runs on targets of several owners of a large fleet, which read the requester's messages late. */
+async function createWorldWithLateOwners(lateMilliseconds: number) {
+	const names = Array.from({length: 24}, (_, index) => `z${index % 3}-${Math.floor(index / 3)}`);
+	const world = new PooledCluster(names, 8);
+	await world.startWithPeerList();
+	await world.advance(2000);
+	world.submit('z0-0', id, {...job, tasks: 20});
+	await world.advance(300);
+	const owners = [...new Set(world.journal.named('taskSent').map(({owner}) => String(owner).split('#')[0]!))];
+	for (let delay = 100; delay <= lateMilliseconds; delay += 100) {
+		for (const owner of owners) {
+			world.network.linkDelays.set(`z0-0#1>${owner}#1`, delay);
+		}
+
+		await world.advance(200);
+	}
+
+	assert.equal(world.runningTasks().length, 20);
+	return {world, owners};
+}
+
+// Guards against a former owner that describes a dead requester by when it read old messages, so that the new owner keeps its runs.
+test('runs that a late owner hands over after their requester crashed have ended before its callers resubmit', async () => {
+	const {world, owners} = await createWorldWithLateOwners(700);
+	world.network.isolate('z0-0', true);
+	for (const owner of owners) {
+		world.network.blockedLinks.delete(`z0-0#1>${owner}#1`);
+	}
+
+	world.entries.get('z0-0')!.dispose();
+	await world.advance(700);
+	await Promise.all([...owners.slice(0, 2).map(async owner => world.entries.get(owner)!.leave()), world.advance(600)]);
+	assert.deepEqual(world.runningTasks(), []);
+});
+
+// Guards against stopping runs whose requester is alive, since their former owner was slow.
+test('runs that are handed over by an owner whose messages are 400 ms late go on', async () => {
+	const {world, owners} = await createWorldWithLateOwners(400);
+	await Promise.all([...owners.slice(0, 2).map(async owner => world.entries.get(owner)!.leave()), world.advance(1300)]);
+	assert.deepEqual([world.runningTasks().length, world.orders.starts.length], [20, 20]);
+});
