Failing test: a suspended owner takes the unread heartbeats of a dead requester for recent ones

What callers saw: a run goes on beside its caller's next submission when the entry that had the job and the owner of the run's target fail at about the same time: the owner is suspended for 0.7 to 0.9 s, the requester dies 0.2 s later.

Cause: PeerContacts.recordPause makes contacts older by the time that the clock didn't count, but keeps the difference between the clocks. The clock of a suspended owner has lost that time, so that a message that waited in its socket looks as if it were sent now: sent time plus difference is the time of reading. The contact of a dead requester is renewed by the length of the suspension, and with it the lease. Loss by silence counts from that reading as well. The length is below that of a confirmed standstill (1.2 s), which would stop runs for others.

The two tests beside it hold the other side and pass before: a short suspension, or a step of the owner's time of day, costs a live requester no run.

--- /dev/null
+++ b/test/entries/edge/suspended-owners.test.ts
@@ -0,0 +1,64 @@
+/** Owners that are suspended for less than the time of a standstill while a requester of their runs dies. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {PausableCluster} from '../../support/pausable-cluster.js';
+import {PooledCluster} from '../../support/pooled-cluster.js';
+
+const id = '00000000000000aa';
+const job = {payload: '6000', declaredMilliseconds: 3000, timeoutMilliseconds: 9000};
+const resubmissionMilliseconds = 1300;
+/** How long the requester goes on after its owner was suspended; longer than the period of its heartbeats. */
+const requesterLifeMilliseconds = 210;
+
+/** A job of `a-1` runs on a target of `b-1`, and `c-1` has a target for a later submission. */
+async function createWorldWithRemoteRun() {
+	const world = new PooledCluster(['a-1', 'b-1', 'c-1'], 0);
+	world.addTarget('b-target', 'b');
+	await world.start();
+	const first = world.submit('a-1', id, job);
+	await world.advance(500);
+	assert.deepEqual(world.runningTasks(), [`${id}.0.0.0`]);
+	world.addTarget('c-target', 'c');
+	return {world, first};
+}
+
+// Guards against heartbeats that waited in the sockets of a suspended owner, whose clock doesn't show for how long.
+test('a suspended owner does not take the unread heartbeats of a dead requester for recent ones', async () => {
+	const {world} = await createWorldWithRemoteRun();
+	world.pause('b-1', 'suspended');
+	await world.advance(requesterLifeMilliseconds);
+	world.network.isolate('a-1', true);
+	world.entries.get('a-1')!.dispose();
+	await world.advance(800 - requesterLifeMilliseconds);
+	world.resume('b-1');
+	await world.advance(requesterLifeMilliseconds + resubmissionMilliseconds - 800);
+	world.submit('c-1', id, job);
+	await world.advance(2000);
+	assert.equal(world.orders.peakConcurrentRuns, 1);
+});
+
+// Guards against ending the runs of live requesters because their owner was suspended for a moment.
+test('runs of a live requester go on after a short suspension of their owner', async () => {
+	const {world, first} = await createWorldWithRemoteRun();
+	world.pause('b-1', 'suspended');
+	await world.advance(600);
+	world.resume('b-1');
+	await world.advance(6000);
+	assert.deepEqual([first.verdict, world.orders.starts.length], [{kind: 'answered', answer: 'complete'}, 1]);
+});
+
+// Guards against taking a step of the time of day for a suspension, after which all requesters would look silent.
+test('an owner whose time of day is set ahead goes on with runs of live requesters, and starts others', async () => {
+	const world = new PausableCluster(['a-1', 'b-1', 'c-1'], 0);
+	const {cluster} = world;
+	cluster.addTarget('b-target', 'b');
+	await cluster.start();
+	const jobs = [world.submit('a-1', id, job)];
+	await cluster.advance(500);
+	world.clocks.get('b-1')!.advanceWallTime(4400);
+	await cluster.advance(1000);
+	jobs.push(world.submit('a-1', '00000000000000bb', job));
+	await cluster.advance(7000);
+	assert.deepEqual(jobs.map(({submitted}) => submitted?.verdict), Array.from({length: 2}, () => ({kind: 'answered', answer: 'complete'})));
+	assert.equal(cluster.orders.starts.length, 2);
+});
