Failing test: a run that is started for a late requester lapses on an idle target

What callers saw: a task is lost and started again elsewhere, although its entry, its owner and its target are well; the messages to the owner are 0.6 to 0.8 s late.

Cause: LeaseLimit starts a run if 300 ms are left of its lease, which it says is long enough for the renewal. A renewal that waits on a target without runs takes up to 600 ms (RenewalPlan.idleWaitMilliseconds), and a start doesn't end that wait. Before the limit a run's first lease was 1000 ms, whatever the lateness.

--- a/test/features/execution/lease-limit.test.ts
+++ b/test/features/execution/lease-limit.test.ts
@@ -65,3 +65,21 @@
 	assert.equal(executor.start(createRunRequest('late.0', '200'), gone), undefined);
 	assert.equal(executor.start(createRunRequest('next.0', '200'), alive), target.id);
 });
+
+// Guards against starting a run with less lease than an idle target takes until its next renewal, so that it ends for nothing.
+test('a run that is started for a requester whose messages are late goes on until its end', async () => {
+	const fixture = createExecutorFixture();
+	const {clock, orders} = fixture;
+	const {executor} = fixture.createExecutor(() => clock.now() - 700);
+	fixture.assign(executor, target, 1);
+	const outcomes = new Set<string>();
+	for (let task = 0; task < 20; task += 1) {
+		await advanceClock(clock, 400 + (task * 35));
+		const isStarted = executor.start(createRunRequest(`${task}.0`, '1000'), alive) !== undefined;
+		await advanceClock(clock, 900);
+		outcomes.add(isStarted && orders.running(target.id).length === 0 ? 'lapsed' : 'started or refused');
+		await advanceClock(clock, 300);
+	}
+
+	assert.deepEqual([...outcomes], ['started or refused']);
+});
