Requesters are described by when they sent their last message

Now describePeers states the time since the last contact, by the sending time, as LeaseLimit uses it: also for a peer that isn't a member any more, and for one that is only known from another entry's descriptor (these two read in the code, no run shows them).

--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -28,6 +28,8 @@
 const channel = 'pool';
 /** Interval of the checks for due heartbeats and timed-out peers. */
 const checkMilliseconds = 100;
+/** The silence that is stated for a peer without any message; above all timeouts. */
+const longestSilenceMilliseconds = 60_000;
 
 /** Exchanges state with all peers and detects their loss. */
 export class Pool implements Disposable {
@@ -187,8 +189,9 @@
 		const {network, clock} = this.parts;
 		return [...ids].flatMap(id => {
 			const member = id === this.self ? network.self : this.#discovered.get(id);
-			const heardAt = this.#members.get(id)?.heardAt ?? clock.now();
-			return member === undefined ? [] : [{member, silentMilliseconds: id === this.self ? 0 : Math.round(clock.now() - heardAt)}];
+			// Not the time of reading: a message may have waited, and the new owner would keep the runs of a dead requester.
+			const silentMilliseconds = Math.round(Math.min(clock.now() - this.lastContact(id), longestSilenceMilliseconds));
+			return member === undefined ? [] : [{member, silentMilliseconds}];
 		});
 	}
 
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -10,7 +10,6 @@
 import type {Executor} from '../execution/executor.js';
 import {runKeyOf} from '../execution/run-key-of.js';
 import type {RunRequest} from '../execution/run-request.js';
-import {heartbeats} from './heartbeats.js';
 import type {Pool} from './pool.js';
 import type {PoolMessage} from './pool-message.js';
 
@@ -21,6 +20,11 @@
 const retentionMilliseconds = 30_000;
 /** How long after the end of a run its outcome is sent again on a new connection. */
 const resendMilliseconds = 3000;
+/**
+ * How long after its last message a requester may take to acknowledge the new owner. Short enough that the run has been stopped when
+ * the callers of a dead requester resubmit.
+ */
+const adoptionTimeoutMilliseconds = 1000;
 
 type TrackedRun = {
 	readonly requester: MemberId;
@@ -119,8 +123,8 @@
 		};
 		this.#runs.set(runKeyOf(request), run);
 		this.pool.send(requester, adopted);
-		// Includes the silence before the handover, after which the previous owner would have declared the requester lost.
-		const silenceLeft = heartbeats.active.timeoutMilliseconds - this.pool.reportedSilence(requester);
+		// Includes the silence before the handover.
+		const silenceLeft = adoptionTimeoutMilliseconds - this.pool.reportedSilence(requester);
 		this.clock.schedule(Math.max(0, handedOverAt + silenceLeft - now), () => {
 			if (!run.isAdoptionAcknowledged && run.endedAt === undefined) {
 				this.executor.stop(task, attempt, 'requester has not acknowledged the new owner');
