--- a/src/features/execution/lease-limit.ts
+++ b/src/features/execution/lease-limit.ts
@@ -7,8 +7,10 @@
  * entry or got no answer; the run has to be over by then, also on a target whose clock is 2% slow.
  */
 const orphanLimitMilliseconds = 1100;
-/** A target with less time left gets no new tasks, since they might end before their lease is renewed. */
+/** A lease that is limited to less gets no new tasks. */
 const leastMillisecondsToStart = 300;
+/** Time for a renewal from when its target answers the pending one. */
+const renewalMarginMilliseconds = 150;
 
 /**
  * Bounds the lease by what is known of the requesters. The target enforces it, so that a run ends in time although its owner is
@@ -28,13 +30,17 @@
 		return earliest + orphanLimitMilliseconds;
 	}
 
-	/** Whether a run that is started now gets a lease that is long enough for its renewal, beside the other runs. */
-	allowsStart(now: number): boolean {
-		return this.at - now >= leastMillisecondsToStart;
+	/** Whether a run that is started now goes on until the renewal that is due at a monotonic time, beside the other runs. */
+	allowsStart(now: number, renewalDueAt: number): boolean {
+		return this.at >= earliestLimit(now, renewalDueAt);
 	}
 
-	/** Whether a requester was alive recently enough to start a run for it. */
-	allowsStartFor(requester: MemberId, now: number): boolean {
-		return this.lastContact(requester) + orphanLimitMilliseconds - now >= leastMillisecondsToStart;
+	/** The same as far as the requester's last contact decides it. */
+	allowsStartFor(requester: MemberId, now: number, renewalDueAt: number): boolean {
+		return this.lastContact(requester) + orphanLimitMilliseconds >= earliestLimit(now, renewalDueAt);
 	}
 }
+
+function earliestLimit(now: number, renewalDueAt: number): number {
+	return Math.max(now + leastMillisecondsToStart, renewalDueAt + renewalMarginMilliseconds);
+}
--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -23,6 +23,7 @@
 	hasReport = false;
 	#acknowledged = 0;
 	#unanswered = 0;
+	#renewalDueAt = 0;
 
 	constructor(
 		private readonly lease: LeaseSchedule,
@@ -63,9 +64,16 @@
 		return unanswered;
 	}
 
+	/** When the pending renewal is answered at the latest, so that the next one can be sent; monotonic. */
+	get renewalDueAt(): number {
+		return this.#renewalDueAt;
+	}
+
 	/** Returns the parameters of a renewal that is sent at a monotonic time. */
 	next(now: number) {
-		return {acknowledged: this.#acknowledgementToSend(), leaseUntil: this.#leaseToRequest(now), waitMilliseconds: this.#waitToRequest()};
+		const waitMilliseconds = this.#waitToRequest();
+		this.#renewalDueAt = now + waitMilliseconds;
+		return {acknowledged: this.#acknowledgementToSend(), leaseUntil: this.#leaseToRequest(now), waitMilliseconds};
 	}
 
 	/**
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -103,12 +103,12 @@
 	get isOpen(): boolean {
 		const isAvailable = !this.#isClosed && !this.#isPaused && !this.#runs.isFull && this.#plan.hasReport && !this.#unknownRuns.hasAny;
 		const isUsable = isAvailable && this.isReachable && this.#isRecordCurrent && !this.target.isDraining && !this.#hasOverdue;
-		return isUsable && this.#limit.allowsStart(this.parts.clock.now());
+		return isUsable && this.#limit.allowsStart(this.parts.clock.now(), this.#plan.renewalDueAt);
 	}
 
 	/** Whether a run may be started for a requester; one that was silent for too long may be gone, and its request out of date. */
 	isOpenFor(requester: MemberId): boolean {
-		return this.isOpen && this.#limit.allowsStartFor(requester, this.parts.clock.now());
+		return this.isOpen && this.#limit.allowsStartFor(requester, this.parts.clock.now(), this.#plan.renewalDueAt);
 	}
 
 	/**
