Time that a suspended entry didn't count is told from a clock that was set, once for each suspension

Time that only the wall clock counted makes all contacts older until a target's clock has told why; if it was a suspension, the differences are corrected by it, and if the clock was set, the next heartbeats restore the contacts. No difference is learned in between.

A suspension soon after another one was taken for the former: targets' clocks were still compared with readings from before the first, the gap counted as reported, and it ended the verification. Readings from before a confirmed pause are dropped with it, and a gap that spans one neither confirms nor rules out anything.

Evidence: the two tests, red before; peer-contacts.test.ts holds that a clock that was set costs no contact.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -135,6 +135,9 @@
 		disposables.add(this.executor.onDidCompareClocks(uncounted => {
 			this.pauses.reportClockGap(uncounted);
 		}));
+		disposables.add(this.pauses.onDidSkipTime(() => {
+			this.executor.pollTargets();
+		}));
 		disposables.add(this.pauses.onDidPause(pause => {
 			this.#verifyPause(pause);
 		}));
--- a/src/features/execution/clock-offsets.ts
+++ b/src/features/execution/clock-offsets.ts
@@ -2,6 +2,7 @@
 import type {Incarnation} from '../../base/incarnation.js';
 import type {TargetTime} from '../../base/target-time.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
+import {confirmedPauseThresholdMilliseconds} from '../../runtime/confirmed-pause-threshold.js';
 
 /** Number of readings to compare: answers that were delayed by a pause show only a part of it. */
 const maximumReadings = 4;
@@ -42,8 +43,10 @@
 		};
 	}
 
+	/** A confirmed pause is compared once: what follows is compared with readings from after it. */
 	record(clock: TargetTime, receivedAt: number): void {
 		const offset = clock - receivedAt;
+		this.#readings = this.#readings.filter(reading => offset - reading.offset <= confirmedPauseThresholdMilliseconds);
 		const last = this.#readings.at(-1);
 		this.#readings = last !== undefined && receivedAt - last.at < readingIntervalMilliseconds
 			? [...this.#readings.slice(0, -1), {offset: Math.min(offset, last.offset), at: last.at}]
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -22,6 +22,8 @@
 	readonly #contacts = new Map<MemberId, Contact>();
 	/** Time that this entry's monotonic clock didn't count. Added to sent times, which would jump back for the peers otherwise. */
 	#skippedMilliseconds = 0;
+	/** The part of it of which isn't known yet whether this entry was suspended. Until then, contacts are taken to be older by it. */
+	#unexplainedMilliseconds = 0;
 
 	constructor(private readonly clock: Clock) {}
 
@@ -37,14 +39,12 @@
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
 			lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference,
 		});
-		if (now >= contact.windowEndsAt) {
-			contact.windowEndsAt = now + windowMilliseconds;
-			contact.previousDifference = contact.smallestDifference;
-			contact.smallestDifference = difference;
+		if (this.#unexplainedMilliseconds === 0) {
+			updateDifference(contact, difference, now);
 		}
 
-		contact.smallestDifference = Math.min(contact.smallestDifference, difference);
-		contact.lastAt = Math.max(contact.lastAt, sentAt + Math.min(contact.smallestDifference, contact.previousDifference));
+		const smallest = Math.min(contact.smallestDifference, contact.previousDifference);
+		contact.lastAt = Math.max(contact.lastAt, sentAt + smallest - this.#unexplainedMilliseconds);
 	}
 
 	/** The time of the latest message from a peer; undefined if there was none. */
@@ -52,17 +52,24 @@
 		return this.#contacts.get(member)?.lastAt;
 	}
 
-	/**
-	 * Records time that this entry's monotonic clock didn't count: all contacts are older by that time. If only the wall clock was
-	 * changed, that lasts until the peers' next messages.
-	 */
+	/** Records time that only this entry's wall clock counted: if it was suspended, all contacts are older by that time. */
 	recordSkippedTime(milliseconds: number): void {
 		this.#skippedMilliseconds += milliseconds;
+		this.#unexplainedMilliseconds += milliseconds;
 		for (const contact of this.#contacts.values()) {
 			contact.lastAt -= milliseconds;
 		}
 	}
 
+	/** Records how much of the skipped time was a suspension, by which this entry's clock is behind now. */
+	explainSkippedTime(suspendedMilliseconds: number): void {
+		this.#unexplainedMilliseconds = 0;
+		for (const contact of this.#contacts.values()) {
+			contact.smallestDifference -= suspendedMilliseconds;
+			contact.previousDifference -= suspendedMilliseconds;
+		}
+	}
+
 	#add(member: MemberId, contact: Contact): Contact {
 		this.#contacts.set(member, contact);
 		const [oldest] = this.#contacts.keys();
@@ -73,3 +80,13 @@
 		return contact;
 	}
 }
+
+function updateDifference(contact: Contact, difference: number, now: number): void {
+	if (now >= contact.windowEndsAt) {
+		contact.windowEndsAt = now + windowMilliseconds;
+		contact.previousDifference = contact.smallestDifference;
+		contact.smallestDifference = difference;
+	}
+
+	contact.smallestDifference = Math.min(contact.smallestDifference, difference);
+}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -72,6 +72,9 @@
 		this.#store.add(parts.pauses.onDidSkipTime(milliseconds => {
 			this.#contacts.recordSkippedTime(milliseconds);
 		}));
+		this.#store.add(parts.pauses.onDidExplainSkippedTime(milliseconds => {
+			this.#contacts.explainSkippedTime(milliseconds);
+		}));
 		this.#store.add(parts.pauses.onDidPause(pause => {
 			this.#handlePause(pause);
 		}));
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -5,11 +5,10 @@
 import {repeat} from '../base/repeat.js';
 import {wait} from '../base/wait.js';
 import type {ClockGap} from './clock-gap.js';
+import {confirmedPauseThresholdMilliseconds} from './confirmed-pause-threshold.js';
 import type {Pause} from './pause.js';
 
 const checkIntervalMilliseconds = 100;
-/** Callers resubmit a job elsewhere no sooner than this after losing an entry. */
-const confirmedPauseThresholdMilliseconds = 1200;
 /** Above the timer delays of a busy event loop, below the time after which peers declare an entry lost. */
 const pauseThresholdMilliseconds = 500;
 
@@ -29,6 +28,9 @@
 /** A possible suspension that no clock of another machine has shown or ruled out since the monotonic time `since`. */
 type Verification = {readonly since: number; readonly assumedMilliseconds: number; readonly timeout: Disposable};
 
+/** Time that only the wall clock counted, until another machine's clock tells why. */
+type SkippedTime = {readonly since: number; readonly milliseconds: number};
+
 /**
  * Compares the monotonic clock and the wall clock with the period of a timer. A stopped process shows a gap on both clocks;
  * a suspended machine only on the wall clock, which can't be told from a clock adjustment. Listeners of `onDidPause` must
@@ -38,7 +40,8 @@
 	readonly #suspectedPause = new Emitter<Pause>();
 	readonly #confirmedPause = new Emitter<number>();
 	readonly #delay = new Emitter<number>();
-	readonly #skippedTime = new Emitter<number>();
+	readonly #skipTime = new Emitter<number>();
+	readonly #explainSkip = new Emitter<number>();
 	readonly #timer: Disposable;
 	#lastMonotonicTime: number;
 	#lastWallTime: number;
@@ -46,6 +49,7 @@
 	#pauseConfirmedAt = Number.NEGATIVE_INFINITY;
 	#longestDelayMilliseconds = 0;
 	#verification: Verification | undefined;
+	#skippedTime: SkippedTime | undefined;
 
 	constructor(private readonly clock: Clock) {
 		this.#lastMonotonicTime = clock.now();
@@ -77,7 +81,12 @@
 
 	/** Fires with milliseconds that only the wall clock counted: a suspension of any length, or a change of that clock. */
 	get onDidSkipTime() {
-		return this.#skippedTime.event;
+		return this.#skipTime.event;
+	}
+
+	/** Fires after skipped time, with as much of it as was a suspension: all or nothing. */
+	get onDidExplainSkippedTime() {
+		return this.#explainSkip.event;
 	}
 
 	/** Returns the longest delay of the event loop since the previous call, in milliseconds. */
@@ -97,7 +106,7 @@
 		this.#lastMonotonicTime = now;
 		this.#lastWallTime = wall;
 		if (wallMilliseconds - monotonicMilliseconds > skippedTimeThresholdMilliseconds) {
-			this.#skippedTime.fire(wallMilliseconds - monotonicMilliseconds);
+			this.#recordSkippedTime(wallMilliseconds - monotonicMilliseconds);
 		}
 
 		this.#recordDelay(monotonicMilliseconds - checkIntervalMilliseconds);
@@ -132,15 +141,24 @@
 		this.#verification = {since, assumedMilliseconds, timeout};
 	}
 
-	/** Confirms a pause from a gap to another machine's monotonic clock; reports of the same pause count once. */
-	reportClockGap({milliseconds, since, comparedSince, requestedAt}: ClockGap): void {
-		if (this.#verification !== undefined && requestedAt >= this.#verification.since && comparedSince < this.#verification.since) {
+	/**
+	 * Confirms or rules out a pause by a gap to another machine's monotonic clock. Reports of the same pause count once; one that
+	 * spans a confirmed pause says nothing of what followed.
+	 */
+	reportClockGap(gap: ClockGap): void {
+		const isLong = gap.milliseconds > confirmedPauseThresholdMilliseconds;
+		if (isLong && gap.since < this.#pauseConfirmedAt) {
+			return;
+		}
+
+		this.#explainSkippedTime(gap);
+		if (this.#verification !== undefined && isAnswerTo(this.#verification, gap)) {
 			this.#verification.timeout.dispose();
 			this.#verification = undefined;
 		}
 
-		if (milliseconds > confirmedPauseThresholdMilliseconds && since > this.#pauseConfirmedAt) {
-			this.#confirmPause(milliseconds);
+		if (isLong) {
+			this.#confirmPause(gap.milliseconds);
 		}
 	}
 
@@ -162,7 +180,31 @@
 		this.#suspectedPause.dispose();
 		this.#confirmedPause.dispose();
 		this.#delay.dispose();
-		this.#skippedTime.dispose();
+		this.#skipTime.dispose();
+		this.#explainSkip.dispose();
+	}
+
+	#recordSkippedTime(milliseconds: number): void {
+		const skipped = {since: this.clock.now(), milliseconds: milliseconds + (this.#skippedTime?.milliseconds ?? 0)};
+		this.#skippedTime = skipped;
+		this.#skipTime.fire(milliseconds);
+		this.clock.schedule(verificationTimeoutMilliseconds, () => {
+			if (this.#skippedTime === skipped) {
+				this.#resolveSkippedTime(0);
+			}
+		});
+	}
+
+	#explainSkippedTime(gap: ClockGap): void {
+		if (this.#skippedTime !== undefined && isAnswerTo(this.#skippedTime, gap)) {
+			const {milliseconds} = this.#skippedTime;
+			this.#resolveSkippedTime(2 * gap.milliseconds > milliseconds ? milliseconds : 0);
+		}
+	}
+
+	#resolveSkippedTime(suspendedMilliseconds: number): void {
+		this.#skippedTime = undefined;
+		this.#explainSkip.fire(suspendedMilliseconds);
 	}
 
 	#recordDelay(milliseconds: number): void {
@@ -173,7 +215,16 @@
 	}
 
 	#confirmPause(milliseconds: number): void {
+		if (this.#skippedTime !== undefined) {
+			this.#resolveSkippedTime(this.#skippedTime.milliseconds);
+		}
+
 		this.#pauseConfirmedAt = this.clock.now();
 		this.#confirmedPause.fire(milliseconds);
 	}
 }
+
+/** Whether a gap was measured from before a moment by an answer to a request from after it. */
+function isAnswerTo({since}: {readonly since: number}, {comparedSince, requestedAt}: ClockGap): boolean {
+	return requestedAt >= since && comparedSince < since;
+}
--- a/test/features/pool/peer-contacts.test.ts
+++ b/test/features/pool/peer-contacts.test.ts
@@ -63,3 +63,27 @@
 test('a peer without messages has no contact', () => {
 	assert.equal(createContacts().contacts.lastContact('other#1' as MemberId), undefined);
 });
+
+// Guards against unread messages of a dead peer, which a suspended entry would take for recent ones because its clock is behind.
+test('messages that waited during a suspension count from when they were sent, before and after it is explained', () => {
+	const {clock, contacts} = createContacts();
+	const [before, sentAt] = [contacts.lastContact(peer)!, clock.now() + 200 + offset];
+	contacts.recordSkippedTime(800);
+	contacts.record(peer, sentAt);
+	assert.equal(contacts.lastContact(peer)! <= before + 201 - 800, true);
+	contacts.explainSkippedTime(800);
+	contacts.record(peer, sentAt);
+	assert.equal(contacts.lastContact(peer)! <= before + 201 - 800, true);
+	contacts.record(peer, clock.now() + 800 + offset - 1);
+	assert.equal(clock.now() - contacts.lastContact(peer)! <= 1, true);
+});
+
+// Guards against peers that look silent for as long as the difference of the clocks is remembered, because the wall clock was set.
+test('messages after a change of the wall clock count from when they were sent', () => {
+	const {clock, contacts} = createContacts();
+	contacts.recordSkippedTime(4400);
+	contacts.explainSkippedTime(0);
+	clock.advance(200);
+	contacts.record(peer, clock.now() + offset - 1);
+	assert.equal(clock.now() - contacts.lastContact(peer)! <= 2, true);
+});
