A confirmed pause ends its verification

Read in the code after the mend of repeated suspensions: an answer to a request from before the wake can confirm a pause (it shows a part of it), whose readings are dropped then; nothing compares from before the suspicion any more, and the verification's own limit was ignored as a report of the same pause, so that the entry would have placed nothing for good. The first new test of pause-detector.test.ts fails without the change.

--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -153,8 +153,7 @@
 
 		this.#explainSkippedTime(gap);
 		if (this.#verification !== undefined && isAnswerTo(this.#verification, gap)) {
-			this.#verification.timeout.dispose();
-			this.#verification = undefined;
+			this.#endVerification();
 		}
 
 		if (isLong) {
@@ -184,6 +183,11 @@
 		this.#explainSkip.dispose();
 	}
 
+	#endVerification(): void {
+		this.#verification?.timeout.dispose();
+		this.#verification = undefined;
+	}
+
 	#recordSkippedTime(milliseconds: number): void {
 		const skipped = {since: this.clock.now(), milliseconds: milliseconds + (this.#skippedTime?.milliseconds ?? 0)};
 		this.#skippedTime = skipped;
@@ -219,6 +223,7 @@
 			this.#resolveSkippedTime(this.#skippedTime.milliseconds);
 		}
 
+		this.#endVerification();
 		this.#pauseConfirmedAt = this.clock.now();
 		this.#confirmedPause.fire(milliseconds);
 	}
--- a/test/runtime/pause-detector.test.ts
+++ b/test/runtime/pause-detector.test.ts
@@ -135,3 +135,37 @@
 	clock.advance(200);
 	assert.deepEqual(skipped, [300]);
 });
+
+// Guards against an entry that waits for good: after a confirmed pause, no reading from before it is left to compare with.
+test('a pause that is confirmed by an answer to an earlier request ends the verification', () => {
+	const clock = new FakeClock();
+	const detector = new PauseDetector(clock);
+	const confirmedPauses = confirmedPausesOf(detector);
+	const before = clock.now();
+	clock.advance(100);
+	detector.awaitVerification(4400);
+	assert.equal(detector.isResuming, true);
+	detector.reportClockGap({
+		milliseconds: 2000, since: before, comparedSince: before, requestedAt: before,
+	});
+	clock.advance(2000);
+	assert.deepEqual([confirmedPauses, detector.isResuming], [[2000], false]);
+});
+
+// Guards against jobs that are given up after a change of the wall clock, because a target needs longer than usual to answer.
+test('an answer in time rules a suspension out', () => {
+	const clock = new FakeClock();
+	const detector = new PauseDetector(clock);
+	const confirmedPauses = confirmedPausesOf(detector);
+	const before = clock.now();
+	clock.advance(100);
+	detector.awaitVerification(4400);
+	const requestedAt = clock.now();
+	clock.advance(900);
+	assert.equal(detector.isResuming, true);
+	detector.reportClockGap({
+		milliseconds: 3, since: before, comparedSince: before, requestedAt,
+	});
+	clock.advance(2000);
+	assert.deepEqual([confirmedPauses, detector.isResuming], [[], false]);
+});
