Failing test: a slow owner runs a request that it reads late

The requester sends a request to an owner that reads everything 400 ms late, and is suspended as its caller's channel breaks. The owner starts the run, and counts the requester's silence from when it read the request (Pool.#receive sets heardAt to the reading), so that it loses the requester 0.4 s late, at a check that is late as well: more than 1.3 s after the request.

--- a/test/entries/edge/late-stops.test.ts
+++ b/test/entries/edge/late-stops.test.ts
@@ -28,7 +28,7 @@
 }
 
 /** Submits the job again, and returns the highest number of concurrent runs of its task. */
-async function resubmit({world, cluster}: Awaited<ReturnType<typeof createRunningJob>>): Promise<number> {
+async function resubmit({world, cluster}: Pick<Awaited<ReturnType<typeof createRunningJob>>, 'world' | 'cluster'>): Promise<number> {
 	world.submit('c-1', id, job);
 	await cluster.advance(2500);
 	return cluster.orders.peakConcurrentRuns;
@@ -118,3 +118,25 @@
 		assert.equal(await resubmit(started), 1, `${milliseconds} ms apart`);
 	}
 });
+
+// Guards against an owner that counts a requester's silence from when it reads a message, however long that has waited.
+test('a slow owner ends the run of a request that it reads late before the caller resubmits', async () => {
+	for (const phase of phases) {
+		const world = new PausableCluster(['a-1', 'b-1', 'c-1'], 0);
+		const {cluster} = world;
+		cluster.addTarget(target, 'b');
+		await cluster.start();
+		await cluster.advance(2000);
+		world.clocks.get('b-1')!.slowDown(400);
+		await cluster.advance(2000 + phase);
+		world.submit('a-1', id, job);
+		while (cluster.journal.named('taskSent').length === 0) {
+			await cluster.advance(5);
+		}
+
+		world.pause('a-1');
+		cluster.addTarget('c-target', 'c');
+		await cluster.advance(resubmissionMilliseconds + 5);
+		assert.equal(await resubmit({world, cluster}), 1, `phase ${phase}`);
+	}
+});
