Failing test: an entry that was suspended twice for 450 ms gets no tasks started elsewhere

What callers saw: jobs of one entry that aren't started on other entries' targets for 15 to 30 s, though all have room.

Cause: the time in a frame is the sender's monotonic clock plus the time that this clock didn't count, of which only jumps of the wall clock by more than 500 ms are noticed (PauseDetector). What shorter suspensions took from the clock adds up, and owners take it for lateness: the smallest difference of the clocks is kept for 15 to 30 s. From 800 ms on they start nothing for the entry (LeaseLimit.allowsStartFor).

--- a/test/entries/edge/suspended-requesters.test.ts
+++ b/test/entries/edge/suspended-requesters.test.ts
@@ -114,4 +114,21 @@
 		await cluster.advance(2000);
 		assert.equal(cluster.orders.peakConcurrentRuns, 1, `${milliseconds} ms`);
 	}
+// Guards against owners for which an entry looks silent for good, because its clock lost time in suspensions too short to be noticed.
+test('tasks of an entry that was suspended twice for less than half a second start at other owners', async () => {
+	const world = new PausableCluster(['a-1', 'b-1'], 0);
+	const {cluster} = world;
+	cluster.addTarget('b-target', 'b');
+	await cluster.start();
+	await cluster.advance(2000);
+	for (let suspension = 0; suspension < 2; suspension += 1) {
+		world.pause('a-1');
+		await cluster.advance(450);
+		world.resume('a-1', resume);
+		await cluster.advance(2000);
+	}
+
+	const submission = world.submit('a-1', id, job);
+	await cluster.advance(6000);
+	assert.deepEqual([submission.submitted?.verdict, cluster.orders.starts.length], [{kind: 'answered', answer: 'complete'}, 1]);
 });
