A run may go on for 1.2 s after its requester's last contact

A run still ends 76 ms before its caller's next submission, on a target whose clock is 2% slow as well.

--- a/src/features/execution/lease-limit.ts
+++ b/src/features/execution/lease-limit.ts
@@ -6,7 +6,7 @@
  * How long a run may go on after the last sign that its requester wants it. Callers resubmit a job 1300 ms after they lost its
  * entry or got no answer; the run has to be over by then, also on a target whose clock is 2% slow.
  */
-const orphanLimitMilliseconds = 1100;
+const orphanLimitMilliseconds = 1200;
 /** A lease that is limited to less gets no new tasks. */
 const leastMillisecondsToStart = 300;
 /** Time for a renewal from when its target answers the pending one. */
--- a/test/entries/edge/suspended-requesters.test.ts
+++ b/test/entries/edge/suspended-requesters.test.ts
@@ -114,6 +114,8 @@
 		await cluster.advance(2000);
 		assert.equal(cluster.orders.peakConcurrentRuns, 1, `${milliseconds} ms`);
 	}
+});
+
 // Guards against owners for which an entry looks silent for good, because its clock lost time in suspensions too short to be noticed.
 test('tasks of an entry that was suspended twice for less than half a second start at other owners', async () => {
 	const world = new PausableCluster(['a-1', 'b-1'], 0);
