Sent times learn of a suspension that the wall clock hides; resuming waits once

While an entry resumes, each event that would place tasks began a wait of its own; one is enough. A disposed detector waits for nothing any more.

--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -62,6 +62,7 @@
 	readonly #store = new DisposableStore();
 	#hasWaitingTasks = false;
 	#isPlacementScheduled = false;
+	#isWaitingToResume = false;
 
 	constructor(private readonly dependencies: DispatcherDependencies) {
 		this.#placer = new TaskPlacer(dependencies);
@@ -216,7 +217,13 @@
 
 	/** Waits for messages that arrived during a pause: the tasks may have been started elsewhere. */
 	async #placeAfterPause(): Promise<void> {
+		if (this.#isWaitingToResume) {
+			return;
+		}
+
+		this.#isWaitingToResume = true;
 		await this.dependencies.pauses.whenResumed();
+		this.#isWaitingToResume = false;
 		this.#schedulePlacement();
 	}
 
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -50,6 +50,7 @@
 	#longestDelayMilliseconds = 0;
 	#verification: Verification | undefined;
 	#skippedTime: SkippedTime | undefined;
+	#skippedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly clock: Clock) {
 		this.#lastMonotonicTime = clock.now();
@@ -157,6 +158,7 @@
 		}
 
 		if (isLong) {
+			this.#reportHiddenSuspension(gap);
 			this.#confirmPause(gap.milliseconds);
 		}
 	}
@@ -175,7 +177,7 @@
 
 	dispose(): void {
 		this.#timer.dispose();
-		this.#verification?.timeout.dispose();
+		this.#endVerification();
 		this.#suspectedPause.dispose();
 		this.#confirmedPause.dispose();
 		this.#delay.dispose();
@@ -191,6 +193,7 @@
 	#recordSkippedTime(milliseconds: number): void {
 		const skipped = {since: this.clock.now(), milliseconds: milliseconds + (this.#skippedTime?.milliseconds ?? 0)};
 		this.#skippedTime = skipped;
+		this.#skippedAt = skipped.since;
 		this.#skipTime.fire(milliseconds);
 		this.clock.schedule(verificationTimeoutMilliseconds, () => {
 			if (this.#skippedTime === skipped) {
@@ -199,6 +202,14 @@
 		});
 	}
 
+	/** Reports a suspension that the wall clock didn't show, because it was set back meanwhile. */
+	#reportHiddenSuspension({milliseconds, since}: ClockGap): void {
+		if (this.#skippedAt < since) {
+			this.#skipTime.fire(milliseconds);
+			this.#explainSkip.fire(milliseconds);
+		}
+	}
+
 	#explainSkippedTime(gap: ClockGap): void {
 		if (this.#skippedTime !== undefined && isAnswerTo(this.#skippedTime, gap)) {
 			const {milliseconds} = this.#skippedTime;
