A slow owner renews short leases sooner, and doesn't invite requesters that it refuses

And an owner that refuses a requester whose messages are late doesn't answer with its free capacity, which made that one repeat the request every 2 ms.

--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -10,6 +10,9 @@
  * and of the detection of overdue runs.
  */
 const busyWaitMilliseconds = 250;
+/** The same while the requesters' last contacts limit the lease to less than this: their next heartbeats extend it. */
+const shortLeaseMilliseconds = 850;
+const shortLeaseWaitMilliseconds = 100;
 /** The same without runs; shorter than the lease of a run that starts meanwhile. */
 const idleWaitMilliseconds = 600;
 /** Number of consecutive unanswered renewals after which the target gets no new tasks. */
@@ -71,7 +74,7 @@
 
 	/** Returns the parameters of a renewal that is sent at a monotonic time. */
 	next(now: number) {
-		const waitMilliseconds = this.#waitToRequest();
+		const waitMilliseconds = this.#waitToRequest(now);
 		this.#renewalDueAt = now + waitMilliseconds;
 		return {acknowledged: this.#acknowledgementToSend(), leaseUntil: this.#leaseToRequest(now), waitMilliseconds};
 	}
@@ -85,7 +88,7 @@
 		return this.hasReport && this.#unanswered === 0 ? this.#acknowledged : 0;
 	}
 
-	#waitToRequest(): number {
+	#waitToRequest(now: number): number {
 		if (!this.hasReport || this.#unanswered > 0) {
 			return 0;
 		}
@@ -94,7 +97,11 @@
 			return unknownRunsWaitMilliseconds;
 		}
 
-		return this.runs.size > 0 ? busyWaitMilliseconds : idleWaitMilliseconds;
+		if (this.runs.size === 0) {
+			return idleWaitMilliseconds;
+		}
+
+		return this.limit.at - now < shortLeaseMilliseconds ? shortLeaseWaitMilliseconds : busyWaitMilliseconds;
 	}
 
 	/** Undefined, to renew nothing, while there may be unknown runs or runs whose stop isn't confirmed. */
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -26,6 +26,9 @@
  */
 const adoptionTimeoutMilliseconds = 1000;
 
+/** A requester whose latest message was sent earlier may get no runs for that reason. */
+const latestContactMilliseconds = 400;
+
 type TrackedRun = {
 	readonly requester: MemberId;
 	readonly requestedAt: number;
@@ -159,8 +162,17 @@
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
 			});
-			// The requester's view of the free capacity is outdated; without an update it would send the task to the next full target.
-			this.pool.sendState(from);
+			this.#sendFreeCapacity(from);
+		}
+	}
+
+	/**
+	 * The requester's view of the free capacity is outdated; without an update it would send the task to the next full target. One
+	 * that is refused for its late messages would repeat the request at once.
+	 */
+	#sendFreeCapacity(requester: MemberId): void {
+		if (this.clock.now() - this.pool.lastContact(requester) < latestContactMilliseconds) {
+			this.pool.sendState(requester);
 		}
 	}
 
