Soak: suspensions, which an entry's monotonic clock excludes

The soak stopped entries by SIGSTOP alone, whose time the monotonic clock counts.

The time is stated in a file before the SIGCONT; performance.now and setTimeout in the entry's process exclude it.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -17,10 +17,12 @@
 const longestMilliseconds = 250;
 /** One job in this many has a payload that always fails. */
 const failingOneIn = 40;
-/** In soaks with pauses, one job in this many is long, and half of the callers of long jobs disconnect at a random time. */
-const longOneIn = 12;
+/** In soaks with pauses or suspensions, one job in this many is long, and half of the callers of long jobs disconnect at a random time. */
+const longOneIn = {pauses: 12, suspensions: 4};
 const longJobMilliseconds = 3000;
 const longTimeoutMilliseconds = 20_000;
+/** In soaks with suspensions, half of the long jobs must end within this time beyond their duration. */
+const shortMarginMilliseconds = 1500;
 const longDisconnectMilliseconds = 3000;
 const readinessMilliseconds = 250;
 const probeMilliseconds = 150;
@@ -58,7 +60,7 @@
 		private readonly entries: readonly EdgeProcess[],
 		private readonly random: Random,
 		private readonly record: SoakRecord,
-		private readonly plan: Pick<SoakPlan, 'crashingOneIn' | 'longestPauseMilliseconds'>,
+		private readonly plan: Pick<SoakPlan, 'crashingOneIn' | 'longestPauseMilliseconds' | 'longestSuspensionMilliseconds'>,
 	) {}
 
 	/** Submits jobs at a mean rate for the given time, then waits for the remaining answers. */
@@ -100,9 +102,11 @@
 	async #submit(): Promise<void> {
 		this.#jobs += 1;
 		const agent = this.#agents[this.random.below(connectionPools)]!;
-		const isLong = this.plan.longestPauseMilliseconds > 0 && this.random.below(longOneIn) === 0;
+		const hasSuspensions = this.plan.longestSuspensionMilliseconds > 0;
+		const isLong = (hasSuspensions || this.plan.longestPauseMilliseconds > 0) && this.random.below(hasSuspensions ? longOneIn.suspensions : longOneIn.pauses) === 0;
 		const milliseconds = (isLong ? longestMilliseconds : shortestMilliseconds) + this.random.below(isLong ? longJobMilliseconds : longestMilliseconds - shortestMilliseconds);
-		const timeout = isLong ? longTimeoutMilliseconds : soakBounds.callerTimeout;
+		const isUrgent = isLong && hasSuspensions && this.random.below(2) === 0;
+		const timeout = isLong ? (isUrgent ? milliseconds + shortMarginMilliseconds : longTimeoutMilliseconds) : soakBounds.callerTimeout;
 		const isFailing = this.random.below(failingOneIn) === 0;
 		const isCrashing = this.plan.crashingOneIn > 0 && this.#jobs % this.plan.crashingOneIn === 0;
 		const job = {
--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -2,7 +2,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {createWriteStream, type WriteStream, writeFileSync} from 'node:fs';
-import {join} from 'node:path';
+import {join, resolve} from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
@@ -23,6 +23,8 @@
 	readonly storeAddress: string;
 	readonly folder: string;
 	readonly profileFolder: string | undefined;
+	/** Bundle of the edge daemon. */
+	readonly bundle: string;
 	/** Called for each unexpected exit (`exits`) and each unhandled error (`defects`). */
 	readonly onDefect: (kind: 'exits' | 'defects', detail: string) => void;
 };
@@ -41,8 +43,12 @@
 	#ready = '';
 	#advertisedPeerAddress = '';
 	readonly #log: WriteStream;
+	/** Read by the process as it continues. */
+	readonly #suspensionFile: string;
+	#suspendedAt = 0;
 
 	constructor(readonly options: EdgeProcessOptions) {
+		this.#suspensionFile = resolve(options.folder, `${options.instance}.suspension`);
 		this.#log = createWriteStream(join(options.folder, `${options.instance}.log`));
 	}
 
@@ -79,7 +85,7 @@
 
 	/** Starts a new process. `seeds` are the peer addresses that it joins through. */
 	async start(seeds: readonly string[]): Promise<void> {
-		const {instance, zone, address, folder, profileFolder} = this.options;
+		const {instance, zone, address, folder, profileFolder, bundle} = this.options;
 		const settings = formatEdgeSettings({
 			instance, zone, address, storeAddress: await this.store.listen(), seeds,
 		});
@@ -94,7 +100,8 @@
 		this.#hasLogged = false;
 		const environment = Object.fromEntries([...Object.entries(process.env), ['SAVORYLOCK_SETTINGS', file]]);
 		const profiling = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
-		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, ...profiling, main, '9464', '--advertised-peers', this.#advertisedPeerAddress], {
+		const edgeArguments = [resolve(bundle), this.#suspensionFile, '9464', '--advertised-peers', this.#advertisedPeerAddress];
+		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, ...profiling, main, ...edgeArguments], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: environment,
 		});
 		this.#child = child;
@@ -122,6 +129,18 @@
 		this.#child?.kill(signal);
 	}
 
+	/** Stops the process until `resume`. Its monotonic clock and its timers exclude that time; its system time doesn't. */
+	suspend(): void {
+		this.#suspendedAt = Date.now();
+		this.signal('SIGSTOP');
+	}
+
+	/** Ends a suspension. */
+	resume(): void {
+		writeFileSync(this.#suspensionFile, `${this.#suspendedAt} ${Date.now()}`);
+		this.signal('SIGCONT');
+	}
+
 	/**
 	 * Steps the system time of the process by SIGUSR2. Does nothing before its first line of output, since the signal would
 	 * terminate a process that has no handler yet.
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -6,12 +6,13 @@
 import type {SoakEnvironment} from './soak-environment.js';
 
 const slowPeerMilliseconds = 120;
+const slowWorkerMilliseconds = 200;
 const slowStoreMilliseconds = 250;
 const lostReplies = 12;
 const lateMilliseconds = 3000;
 const slowness = 5;
 const restartMilliseconds = 250;
-/** Share of the entries that `entries-pause` suspends at once. */
+/** Share of the entries that `entries-pause` or `entries-suspend` stops at once. */
 const pausedShare = 0.35;
 
 /** Reverts a fault. */
@@ -43,6 +44,7 @@
 			.with('entry-kill', async () => this.#kill([entry]))
 			.with('entry-stop', async () => this.#stop(entry))
 			.with('entry-pause', () => pause([entry]))
+			.with('entry-suspend', () => suspend([entry]))
 			.with('entry-hup', () => {
 				entry.signal('SIGHUP');
 				return noReversion;
@@ -82,6 +84,7 @@
 		return match(kind)
 			.with('all-kill', async () => this.#kill(environment.entries))
 			.with('entries-pause', () => pause(this.#thirdFrom(index)))
+			.with('entries-suspend', () => suspend(this.#thirdFrom(index)))
 			.with('all-reset', () => {
 				for (const {peers} of environment.entries) {
 					peers.resetOpenConnections();
@@ -119,6 +122,12 @@
 				relay.resetOpenConnections();
 				return noReversion;
 			})
+			.with('worker-delay', () => {
+				relay.setDelay(slowWorkerMilliseconds);
+				return () => {
+					relay.setDelay(0);
+				};
+			})
 			.with('worker-slow', async () => fail({slowness}))
 			.with('worker-late', async () => fail({mode: 'late', lateMilliseconds}))
 			.with('worker-silent', 'worker-losing', 'worker-unhealthy', 'worker-failing', 'worker-hanging', 'worker-garbled', async mode => fail({mode: mode.replace('worker-', '')}))
@@ -175,6 +184,18 @@
 	};
 }
 
+function suspend(entries: readonly EdgeProcess[]): Reversion {
+	for (const entry of entries) {
+		entry.suspend();
+	}
+
+	return () => {
+		for (const entry of entries) {
+			entry.resume();
+		}
+	};
+}
+
 function cut(relay: EdgeProcess['peers'], isFrom: boolean, isTowards: boolean): Reversion {
 	relay.partition(() => isFrom, () => isTowards);
 	return () => {
--- a/soak/generate-pause-plan.ts
+++ b/soak/generate-pause-plan.ts
@@ -1,22 +1,21 @@
-/** Generates the schedule of process pauses, and of the faults that accompany them. */
+/** Generates the schedule of process pauses or suspensions, and of the faults that accompany them. */
 import {Random} from '../src/base/random.js';
 import {pauseKinds} from './pause-kinds.js';
 import type {PlannedFault} from './planned-fault.js';
 import {soakBounds} from './soak-bounds.js';
+import type {suspensionKinds} from './suspension-kinds.js';
 
 const faultFreeStartMilliseconds = 2000;
-const shortestMilliseconds = 3000;
 const meanGapMilliseconds = 2000;
 const maximumCompanions = 3;
 /** A companion fault may start up to this long after the pause ends. */
 const companionDelayMilliseconds = 300;
 const shortestCompanionMilliseconds = 200;
 const longestCompanionMilliseconds = 3500;
-/** Separates this random sequence from those of the faults and the callers. */
-const seedOffset = 2;
 
 /** Deterministic for a seed. Pauses may overlap, and all faults end before the fault-free end of the soak. */
-export function generatePausePlan(seed: number, milliseconds: number, longestMilliseconds: number): readonly PlannedFault[] {
+export function generatePausePlan(seed: number, milliseconds: number, longestMilliseconds: number, kinds: typeof pauseKinds | typeof suspensionKinds = pauseKinds): readonly PlannedFault[] {
+	const {pauses, companions, shortestMilliseconds, seedOffset} = kinds;
 	const random = new Random(seed + seedOffset);
 	const plan: PlannedFault[] = [];
 	const last = milliseconds - soakBounds.faultFreeEnd;
@@ -30,9 +29,9 @@
 
 	for (let at = faultFreeStartMilliseconds; at < last;) {
 		const duration = shortestMilliseconds + random.below(Math.max(1, longestMilliseconds - shortestMilliseconds));
-		addFault(pauseKinds.pauses[random.below(pauseKinds.pauses.length)]!, at, duration);
+		addFault(pauses[random.below(pauses.length)]!, at, duration);
 		for (let remaining = random.below(maximumCompanions + 1); remaining > 0; remaining -= 1) {
-			const kind = pauseKinds.companions[random.below(pauseKinds.companions.length)]!;
+			const kind = companions[random.below(companions.length)]!;
 			addFault(kind, at + random.below(duration + companionDelayMilliseconds), shortestCompanionMilliseconds + random.below(longestCompanionMilliseconds - shortestCompanionMilliseconds));
 		}
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -28,8 +28,10 @@
 	.option('faults', {type: 'boolean', default: true, describe: 'inject faults; without them the soak is a load test'})
 	.option('crashing', {type: 'number', default: 0, describe: 'one job in this many crashes every worker that starts its tasks; 0 for none'})
 	.option('pauses', {type: 'number', default: 0, describe: 'longest pause of an entry in seconds, from 3; callers of long jobs may also disconnect and submit elsewhere; 0 for none'})
+	.option('suspensions', {type: 'number', default: 0, describe: 'longest suspension of an entry in seconds, from 1, which its monotonic clock excludes; one job in four is long; 0 for none'})
 	.option('timed', {type: 'boolean', default: true, describe: 'check the invariants with time limits, which an overloaded machine can violate'})
 	.option('profile', {type: 'string', describe: 'folder for V8 CPU profiles of the entries, which are then stopped gracefully'})
+	.option('bundle', {type: 'string', default: 'target/savorylock-edge.js', describe: 'bundle of the edge daemon, which may be that of another commit'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'folder for the logs of the entries'})
 	.version(version)
 	.strict()
@@ -49,7 +51,18 @@
 	const milliseconds = options.seconds * 1000;
 	const {zones, entries: entriesPerZone, workers: workersPerZone, rate: jobsPerSecond, faults: hasFaults, crashing: crashingOneIn} = options;
 	const record = await runSoak({
-		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults, crashingOneIn, longestPauseMilliseconds: options.pauses * 1000, profileFolder: options.profile,
+		seed,
+		milliseconds,
+		zones,
+		entriesPerZone,
+		workersPerZone,
+		jobsPerSecond,
+		hasFaults,
+		crashingOneIn,
+		longestPauseMilliseconds: options.pauses * 1000,
+		longestSuspensionMilliseconds: options.suspensions * 1000,
+		profileFolder: options.profile,
+		bundle: options.bundle,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import {generateFaultPlan} from './generate-fault-plan.js';
 import {FaultScheduler} from './fault-scheduler.js';
 import {FaultInjector} from './fault-injector.js';
+import {suspensionKinds} from './suspension-kinds.js';
 import type {SoakPlan} from './soak-plan.js';
 import type {SoakRecord} from './soak-record.js';
 import {SoakEnvironment} from './soak-environment.js';
@@ -45,7 +46,8 @@
 	return record;
 }
 
-function faultsOf({seed, milliseconds, longestPauseMilliseconds, hasFaults}: SoakPlan): ReturnType<typeof generateFaultPlan> {
+function faultsOf({seed, milliseconds, longestPauseMilliseconds, longestSuspensionMilliseconds, hasFaults}: SoakPlan): ReturnType<typeof generateFaultPlan> {
 	const pauses = longestPauseMilliseconds > 0 ? generatePausePlan(seed, milliseconds, longestPauseMilliseconds) : [];
-	return [...(hasFaults ? generateFaultPlan(seed, milliseconds) : []), ...pauses];
+	const suspensions = longestSuspensionMilliseconds > 0 ? generatePausePlan(seed, milliseconds, longestSuspensionMilliseconds, suspensionKinds) : [];
+	return [...(hasFaults ? generateFaultPlan(seed, milliseconds) : []), ...pauses, ...suspensions];
 }
--- a/soak/soak-environment.ts
+++ b/soak/soak-environment.ts
@@ -136,6 +136,7 @@
 		storeAddress,
 		folder,
 		profileFolder: plan.profileFolder,
+		bundle: plan.bundle,
 		onDefect(kind, detail) {
 			record[kind].push(detail);
 		},
--- a/soak/soak-plan.ts
+++ b/soak/soak-plan.ts
@@ -11,8 +11,12 @@
 	readonly hasFaults: boolean;
 	/** Longest pause of an entry, in milliseconds. Also enables long jobs, whose callers may disconnect; 0 disables both. */
 	readonly longestPauseMilliseconds: number;
+	/** Longest suspension of an entry, in milliseconds. Also enables long jobs, of which more; 0 disables both. */
+	readonly longestSuspensionMilliseconds: number;
 	/** One job in this many crashes every worker that starts its tasks; 0 for none. */
 	readonly crashingOneIn: number;
 	/** Folder for V8 CPU profiles of the entries; `undefined` to take none. */
 	readonly profileFolder: string | undefined;
+	/** Bundle of the edge daemon that the entries run. */
+	readonly bundle: string;
 };
--- /dev/null
+++ b/soak/suspension-kinds.ts
@@ -0,0 +1,23 @@
+/** Fault kinds of the suspension schedule. */
+
+/** As `pauseKinds`; the monotonic clocks of suspended entries exclude the suspension. */
+export const suspensionKinds = {
+	pauses: ['entry-suspend', 'entries-suspend'],
+	companions: [
+		'all-reset',
+		'all-reset',
+		'peers-reset',
+		'peers-silent',
+		'peers-cut',
+		'worker-delay',
+		'worker-delay',
+		'worker-late',
+		'worker-silent',
+		'worker-losing',
+		'worker-cut',
+		'entry-stop',
+		'entry-kill',
+	],
+	shortestMilliseconds: 1000,
+	seedOffset: 3,
+} as const;
--- a/standins/worker/worker-host.ts
+++ b/standins/worker/worker-host.ts
@@ -13,6 +13,8 @@
 const heartbeatMilliseconds = 1500;
 /** Records expire after three missed heartbeats. */
 const expiryMilliseconds = 3 * heartbeatMilliseconds;
+/** Workers close connections that are idle for this long. */
+const idleMilliseconds = 2000;
 /** Time until a draining worker is replaced. */
 const drainMilliseconds = 3000;
 const topic = 'keyed.servers';
@@ -40,7 +42,9 @@
 		};
 		this.#slots.push(slot);
 		return new Promise(resolve => {
-			serve({fetch: async incoming => slot.service.routes().fetch(incoming), hostname: '127.0.0.1', port: 0}, ({port}) => {
+			serve({
+				fetch: async incoming => slot.service.routes().fetch(incoming), hostname: '127.0.0.1', port: 0, serverOptions: {keepAliveTimeout: idleMilliseconds},
+			}, ({port}) => {
 				resolve(port);
 			});
 		});
