Soak: a third of the entries slow, and suspensions that overlap

Beside suspensions, a third of the entries is stopped for 400 ms and continued for 15 ms in turn, so that they read their messages late without a pause that they could detect (500 ms).

A suspension that begins during another one keeps the first one's start, and a slow entry isn't continued while it is suspended; before, either would have made the clock exclude too little of it.

--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -45,7 +45,7 @@
 	readonly #log: WriteStream;
 	/** Read by the process as it continues. */
 	readonly #suspensionFile: string;
-	#suspendedAt = 0;
+	#suspendedAt: number | undefined;
 
 	constructor(readonly options: EdgeProcessOptions) {
 		this.#suspensionFile = resolve(options.folder, `${options.instance}.suspension`);
@@ -98,6 +98,7 @@
 		this.incarnation += 1;
 		this.#isTerminating = false;
 		this.#hasLogged = false;
+		this.#suspendedAt = undefined;
 		const environment = Object.fromEntries([...Object.entries(process.env), ['SAVORYLOCK_SETTINGS', file]]);
 		const profiling = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
 		const edgeArguments = [resolve(bundle), this.#suspensionFile, '9464', '--advertised-peers', this.#advertisedPeerAddress];
@@ -131,16 +132,24 @@
 
 	/** Stops the process until `resume`. Its monotonic clock and its timers exclude that time; its system time doesn't. */
 	suspend(): void {
-		this.#suspendedAt = Date.now();
+		this.#suspendedAt ??= Date.now();
 		this.signal('SIGSTOP');
 	}
 
 	/** Ends a suspension. */
 	resume(): void {
-		writeFileSync(this.#suspensionFile, `${this.#suspendedAt} ${Date.now()}`);
+		if (this.#suspendedAt !== undefined) {
+			writeFileSync(this.#suspensionFile, `${this.#suspendedAt} ${Date.now()}`);
+			this.#suspendedAt = undefined;
+		}
+
 		this.signal('SIGCONT');
 	}
 
+	get isSuspended(): boolean {
+		return this.#suspendedAt !== undefined;
+	}
+
 	/**
 	 * Steps the system time of the process by SIGUSR2. Does nothing before its first line of output, since the signal would
 	 * terminate a process that has no handler yet.
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -12,8 +12,10 @@
 const lateMilliseconds = 3000;
 const slowness = 5;
 const restartMilliseconds = 250;
-/** Share of the entries that `entries-pause` or `entries-suspend` stops at once. */
+/** Share of the entries that `entries-pause`, `entries-suspend` or `entries-slow` affects at once. */
 const pausedShare = 0.35;
+/** A slow entry is stopped and continued in turn; each stop is too short to be taken for a pause. */
+const slowEntryMilliseconds = {stopped: 400, running: 15};
 
 /** Reverts a fault. */
 type Reversion = () => Promise<void> | void;
@@ -85,6 +87,7 @@
 			.with('all-kill', async () => this.#kill(environment.entries))
 			.with('entries-pause', () => pause(this.#thirdFrom(index)))
 			.with('entries-suspend', () => suspend(this.#thirdFrom(index)))
+			.with('entries-slow', () => slow(this.#thirdFrom(index)))
 			.with('all-reset', () => {
 				for (const {peers} of environment.entries) {
 					peers.resetOpenConnections();
@@ -196,6 +199,31 @@
 	};
 }
 
+/** Leaves the entries a small share of the processor, so that they read their messages late. */
+function slow(entries: readonly EdgeProcess[]): Reversion {
+	const ending = new AbortController();
+	const signalAll = (signal: 'SIGSTOP' | 'SIGCONT') => {
+		for (const entry of entries.filter(({isSuspended}) => !isSuspended)) {
+			entry.signal(signal);
+		}
+	};
+
+	const alternate = async () => {
+		while (!ending.signal.aborted) {
+			signalAll('SIGSTOP');
+			await wait(slowEntryMilliseconds.stopped);
+			signalAll('SIGCONT');
+			await wait(slowEntryMilliseconds.running);
+		}
+	};
+
+	const ended = alternate();
+	return async () => {
+		ending.abort();
+		await ended;
+	};
+}
+
 function cut(relay: EdgeProcess['peers'], isFrom: boolean, isTowards: boolean): Reversion {
 	relay.partition(() => isFrom, () => isTowards);
 	return () => {
--- a/soak/suspension-kinds.ts
+++ b/soak/suspension-kinds.ts
@@ -1,8 +1,8 @@
 /** Fault kinds of the suspension schedule. */
 
-/** As `pauseKinds`; the monotonic clocks of suspended entries exclude the suspension. */
+/** As `pauseKinds`; the monotonic clocks of suspended entries exclude the suspension, and a third of the entries may be slow instead. */
 export const suspensionKinds = {
-	pauses: ['entry-suspend', 'entries-suspend'],
+	pauses: ['entry-suspend', 'entries-suspend', 'entries-slow'],
 	companions: [
 		'all-reset',
 		'all-reset',
