--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -15,7 +15,7 @@
 /** Share of the entries that `entries-pause`, `entries-suspend` or `entries-slow` affects at once. */
 const pausedShare = 0.35;
 /** A slow entry is stopped and continued in turn; each stop is too short to be taken for a pause. */
-const slowEntryMilliseconds = {stopped: 400, running: 15};
+const slowEntryMilliseconds = {stopped: 400, shortestRun: 3, longestRun: 18};
 
 /** Reverts a fault. */
 type Reversion = () => Promise<void> | void;
@@ -87,7 +87,7 @@
 			.with('all-kill', async () => this.#kill(environment.entries))
 			.with('entries-pause', () => pause(this.#thirdFrom(index)))
 			.with('entries-suspend', () => suspend(this.#thirdFrom(index)))
-			.with('entries-slow', () => slow(this.#thirdFrom(index)))
+			.with('entries-slow', () => slow(this.#thirdFrom(index), runMillisecondsOf(index)))
 			.with('all-reset', () => {
 				for (const {peers} of environment.entries) {
 					peers.resetOpenConnections();
@@ -199,8 +199,14 @@
 	};
 }
 
+/** How long slow entries run between two stops; drawn with the index of the fault. */
+function runMillisecondsOf(index: number): number {
+	const {shortestRun, longestRun} = slowEntryMilliseconds;
+	return shortestRun + (index % (longestRun - shortestRun));
+}
+
 /** Leaves the entries a small share of the processor, so that they read their messages late. */
-function slow(entries: readonly EdgeProcess[]): Reversion {
+function slow(entries: readonly EdgeProcess[], runMilliseconds: number): Reversion {
 	const ending = new AbortController();
 	const signalAll = (signal: 'SIGSTOP' | 'SIGCONT') => {
 		for (const entry of entries.filter(({isSuspended}) => !isSuspended)) {
@@ -213,7 +219,7 @@
 			signalAll('SIGSTOP');
 			await wait(slowEntryMilliseconds.stopped);
 			signalAll('SIGCONT');
-			await wait(slowEntryMilliseconds.running);
+			await wait(runMilliseconds);
 		}
 	};
 
--- a/soak/suspension-kinds.ts
+++ b/soak/suspension-kinds.ts
@@ -17,6 +17,8 @@
 		'worker-cut',
 		'entry-stop',
 		'entry-kill',
+		'entry-kill',
+		'entry-kill',
 	],
 	shortestMilliseconds: 1000,
 	seedOffset: 3,
