--- a/soak/longest-run-after-loss.ts
+++ b/soak/longest-run-after-loss.ts
@@ -3,7 +3,7 @@
 
 /**
  * The longest time in milliseconds from the loss of a caller's answer to the end of a run that began for that attempt, over all
- * attempts that were submitted again; 0 if there is none. Above `soakBounds.resubmissionDelay`, the next submission may begin
+ * attempts that were submitted again; 0 if there is none. A run belongs to the last attempt that was sent before it began. Above `soakBounds.resubmissionDelay`, the next submission may begin
  * the task while that run goes on.
  */
 export function longestRunAfterLoss({jobs, runs}: Pick<SoakRecord, 'jobs' | 'runs'>): number {
