--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -6,13 +6,16 @@
 import type {SoakEnvironment} from './soak-environment.js';
 
 const slowPeerMilliseconds = 120;
+const slowWorkerMilliseconds = 200;
 const slowStoreMilliseconds = 250;
 const lostReplies = 12;
 const lateMilliseconds = 3000;
 const slowness = 5;
 const restartMilliseconds = 250;
-/** Share of the entries that `entries-pause` suspends at once. */
+/** Share of the entries that `entries-pause`, `entries-suspend` or `entries-slow` affects at once. */
 const pausedShare = 0.35;
+/** A slow entry is stopped and continued in turn; each stop is too short to be taken for a pause. */
+const slowEntryMilliseconds = {stopped: 400, shortestRun: 3, longestRun: 18};
 
 /** Reverts a fault. */
 type Reversion = () => Promise<void> | void;
@@ -43,6 +46,7 @@
 			.with('entry-kill', async () => this.#kill([entry]))
 			.with('entry-stop', async () => this.#stop(entry))
 			.with('entry-pause', () => pause([entry]))
+			.with('entry-suspend', () => suspend([entry]))
 			.with('entry-hup', () => {
 				entry.signal('SIGHUP');
 				return noReversion;
@@ -82,6 +86,8 @@
 		return match(kind)
 			.with('all-kill', async () => this.#kill(environment.entries))
 			.with('entries-pause', () => pause(this.#thirdFrom(index)))
+			.with('entries-suspend', () => suspend(this.#thirdFrom(index)))
+			.with('entries-slow', () => slow(this.#thirdFrom(index), runMillisecondsOf(index)))
 			.with('all-reset', () => {
 				for (const {peers} of environment.entries) {
 					peers.resetOpenConnections();
@@ -119,6 +125,12 @@
 				relay.resetOpenConnections();
 				return noReversion;
 			})
+			.with('worker-delay', () => {
+				relay.setDelay(slowWorkerMilliseconds);
+				return () => {
+					relay.setDelay(0);
+				};
+			})
 			.with('worker-slow', async () => fail({slowness}))
 			.with('worker-late', async () => fail({mode: 'late', lateMilliseconds}))
 			.with('worker-silent', 'worker-losing', 'worker-unhealthy', 'worker-failing', 'worker-hanging', 'worker-garbled', async mode => fail({mode: mode.replace('worker-', '')}))
@@ -175,6 +187,49 @@
 	};
 }
 
+function suspend(entries: readonly EdgeProcess[]): Reversion {
+	for (const entry of entries) {
+		entry.suspend();
+	}
+
+	return () => {
+		for (const entry of entries) {
+			entry.resume();
+		}
+	};
+}
+
+/** How long slow entries run between two stops; drawn with the index of the fault. */
+function runMillisecondsOf(index: number): number {
+	const {shortestRun, longestRun} = slowEntryMilliseconds;
+	return shortestRun + (index % (longestRun - shortestRun));
+}
+
+/** Leaves the entries a small share of the processor, so that they read their messages late. */
+function slow(entries: readonly EdgeProcess[], runMilliseconds: number): Reversion {
+	const ending = new AbortController();
+	const signalAll = (signal: 'SIGSTOP' | 'SIGCONT') => {
+		for (const entry of entries.filter(({isSuspended}) => !isSuspended)) {
+			entry.signal(signal);
+		}
+	};
+
+	const alternate = async () => {
+		while (!ending.signal.aborted) {
+			signalAll('SIGSTOP');
+			await wait(slowEntryMilliseconds.stopped);
+			signalAll('SIGCONT');
+			await wait(runMilliseconds);
+		}
+	};
+
+	const ended = alternate();
+	return async () => {
+		ending.abort();
+		await ended;
+	};
+}
+
 function cut(relay: EdgeProcess['peers'], isFrom: boolean, isTowards: boolean): Reversion {
 	relay.partition(() => isFrom, () => isTowards);
 	return () => {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -11,6 +11,7 @@
 import {version} from '../src/entries/version.js';
 import {allInvariants} from './all-invariants.js';
 import {generateFaultPlan} from './generate-fault-plan.js';
+import {longestRunAfterLoss} from './longest-run-after-loss.js';
 import {runSoak} from './run-soak.js';
 import type {SoakRecord} from './soak-record.js';
 
@@ -28,8 +29,10 @@
 	.option('faults', {type: 'boolean', default: true, describe: 'inject faults; without them the soak is a load test'})
 	.option('crashing', {type: 'number', default: 0, describe: 'one job in this many crashes every worker that starts its tasks; 0 for none'})
 	.option('pauses', {type: 'number', default: 0, describe: 'longest pause of an entry in seconds, from 3; callers of long jobs may also disconnect and submit elsewhere; 0 for none'})
+	.option('suspensions', {type: 'number', default: 0, describe: 'longest suspension of an entry in seconds, from 1, which its monotonic clock excludes; one job in four is long; 0 for none'})
 	.option('timed', {type: 'boolean', default: true, describe: 'check the invariants with time limits, which an overloaded machine can violate'})
 	.option('profile', {type: 'string', describe: 'folder for V8 CPU profiles of the entries, which are then stopped gracefully'})
+	.option('bundle', {type: 'string', default: 'target/savorylock-edge.js', describe: 'bundle of the edge daemon, which may be that of another commit'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'folder for the logs of the entries'})
 	.version(version)
 	.strict()
@@ -49,7 +52,18 @@
 	const milliseconds = options.seconds * 1000;
 	const {zones, entries: entriesPerZone, workers: workersPerZone, rate: jobsPerSecond, faults: hasFaults, crashing: crashingOneIn} = options;
 	const record = await runSoak({
-		seed, milliseconds, zones, entriesPerZone, workersPerZone, jobsPerSecond, hasFaults, crashingOneIn, longestPauseMilliseconds: options.pauses * 1000, profileFolder: options.profile,
+		seed,
+		milliseconds,
+		zones,
+		entriesPerZone,
+		workersPerZone,
+		jobsPerSecond,
+		hasFaults,
+		crashingOneIn,
+		longestPauseMilliseconds: options.pauses * 1000,
+		longestSuspensionMilliseconds: options.suspensions * 1000,
+		profileFolder: options.profile,
+		bundle: options.bundle,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
@@ -58,7 +72,8 @@
 		.filter(({violations}) => violations.length > 0);
 	const faults = hasFaults ? generateFaultPlan(seed, milliseconds).length : 0;
 	const counts = `${faults} faults, ${record.jobs.length} jobs, ${served} served, median wait ${medianWait(record)} ms, ${record.runs.length} run events`;
-	print(`seed ${seed}: ${counts}, ${found.length === 0 ? 'all invariants held' : 'VIOLATED'}`);
+	const outlasted = `longest run after a lost answer ${longestRunAfterLoss(record)} ms`;
+	print(`seed ${seed}: ${counts}, ${outlasted}, ${found.length === 0 ? 'all invariants held' : 'VIOLATED'}`);
 	for (const {name, violations} of found) {
 		print(`  violated: ${name} (${violations.length})`);
 		for (const violation of violations.slice(0, shownViolations)) {
