--- a/src/features/execution/clock-offsets.ts
+++ b/src/features/execution/clock-offsets.ts
@@ -1,6 +1,8 @@
 /** The difference between a target's clock and this entry's. */
+import type {Incarnation} from '../../base/incarnation.js';
 import type {TargetTime} from '../../base/target-time.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
+import {confirmedPauseThresholdMilliseconds} from '../../runtime/confirmed-pause-threshold.js';
 
 /** Number of readings to compare: answers that were delayed by a pause show only a part of it. */
 const maximumReadings = 4;
@@ -18,6 +20,7 @@
  */
 export class ClockOffsets {
 	#readings: readonly Reading[] = [];
+	#incarnation: Incarnation | undefined;
 
 	/** Whether no reading is recent enough to be compared. */
 	isExpired(now: number): boolean {
@@ -40,17 +43,22 @@
 		};
 	}
 
+	/** A confirmed pause is compared once: what follows is compared with readings from after it. */
 	record(clock: TargetTime, receivedAt: number): void {
 		const offset = clock - receivedAt;
+		this.#readings = this.#readings.filter(reading => offset - reading.offset <= confirmedPauseThresholdMilliseconds);
 		const last = this.#readings.at(-1);
 		this.#readings = last !== undefined && receivedAt - last.at < readingIntervalMilliseconds
 			? [...this.#readings.slice(0, -1), {offset: Math.min(offset, last.offset), at: last.at}]
 			: [...this.#readings.slice(1 - maximumReadings), {offset, at: receivedAt}];
 	}
 
-	/** Discards the readings of a former incarnation of the target. */
-	clear(): void {
-		this.#readings = [];
+	/** Discards the readings of a former incarnation of the target, which had another clock. */
+	selectIncarnation(incarnation: Incarnation | undefined): void {
+		if (incarnation !== this.#incarnation) {
+			this.#incarnation = incarnation;
+			this.#readings = [];
+		}
 	}
 
 	/** In order of time. */
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -21,13 +21,15 @@
 export class PeerContacts {
 	readonly #contacts = new Map<MemberId, Contact>();
 	/** Time that this entry's monotonic clock didn't count. Added to sent times, which would jump back for the peers otherwise. */
-	#uncountedMilliseconds = 0;
+	#skippedMilliseconds = 0;
+	/** The part of it of which isn't known yet whether this entry was suspended. Until then, contacts are taken to be older by it. */
+	#unexplainedMilliseconds = 0;
 
 	constructor(private readonly clock: Clock) {}
 
 	/** The time to state in a message that is sent now. */
 	get sendTime(): number {
-		return Math.floor(this.clock.now() + this.#uncountedMilliseconds);
+		return Math.floor(this.clock.now() + this.#skippedMilliseconds);
 	}
 
 	/** Records a message that a peer sent at a time of its own clock. */
@@ -37,14 +39,12 @@
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
 			lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference,
 		});
-		if (now >= contact.windowEndsAt) {
-			contact.windowEndsAt = now + windowMilliseconds;
-			contact.previousDifference = contact.smallestDifference;
-			contact.smallestDifference = difference;
+		if (this.#unexplainedMilliseconds === 0) {
+			updateDifference(contact, difference, now);
 		}
 
-		contact.smallestDifference = Math.min(contact.smallestDifference, difference);
-		contact.lastAt = Math.max(contact.lastAt, sentAt + Math.min(contact.smallestDifference, contact.previousDifference));
+		const smallest = Math.min(contact.smallestDifference, contact.previousDifference);
+		contact.lastAt = Math.max(contact.lastAt, sentAt + smallest - this.#unexplainedMilliseconds);
 	}
 
 	/** The time of the latest message from a peer; undefined if there was none. */
@@ -52,11 +52,21 @@
 		return this.#contacts.get(member)?.lastAt;
 	}
 
-	/** Records time that this entry's monotonic clock didn't count, or a change of its wall clock: all contacts are older by that time. */
-	recordPause(uncountedMilliseconds: number): void {
-		this.#uncountedMilliseconds += uncountedMilliseconds;
+	/** Records time that only this entry's wall clock counted: if it was suspended, all contacts are older by that time. */
+	recordSkippedTime(milliseconds: number): void {
+		this.#skippedMilliseconds += milliseconds;
+		this.#unexplainedMilliseconds += milliseconds;
 		for (const contact of this.#contacts.values()) {
-			contact.lastAt -= uncountedMilliseconds;
+			contact.lastAt -= milliseconds;
+		}
+	}
+
+	/** Records how much of the skipped time was a suspension, by which this entry's clock is behind now. */
+	explainSkippedTime(suspendedMilliseconds: number): void {
+		this.#unexplainedMilliseconds = 0;
+		for (const contact of this.#contacts.values()) {
+			contact.smallestDifference -= suspendedMilliseconds;
+			contact.previousDifference -= suspendedMilliseconds;
 		}
 	}
 
@@ -70,3 +80,13 @@
 		return contact;
 	}
 }
+
+function updateDifference(contact: Contact, difference: number, now: number): void {
+	if (now >= contact.windowEndsAt) {
+		contact.windowEndsAt = now + windowMilliseconds;
+		contact.previousDifference = contact.smallestDifference;
+		contact.smallestDifference = difference;
+	}
+
+	contact.smallestDifference = Math.min(contact.smallestDifference, difference);
+}
