Sent times count skipped time only once it is known for a suspension, and from when a message is queued

A time of day that steps ahead made the sender's times jump, after which its peers took the lateness of the next frame for a difference of the clocks; and a stop was dated by the flush of its frame, up to as late as its entry is slow. Now skipped time is added when a target's clock has shown the suspension (or, without targets or an answer, when one is assumed), and a frame states when its first message was queued. An entry without targets explains any skipped time at once.

That case still overlaps by 0.3 s: three faults at once, on an entry whose targets can't tell it whether it was suspended.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -135,8 +135,8 @@
 		disposables.add(this.executor.onDidCompareClocks(uncounted => {
 			this.pauses.reportClockGap(uncounted);
 		}));
-		disposables.add(this.pauses.onDidSkipTime(() => {
-			this.executor.pollTargets();
+		disposables.add(this.pauses.onDidSkipTime(milliseconds => {
+			this.#explainSkippedTime(milliseconds);
 		}));
 		disposables.add(this.pauses.onDidPause(pause => {
 			this.#verifyPause(pause);
@@ -175,17 +175,24 @@
 	}
 
 	/** Compares with the targets' clocks whether the system was suspended or its clock set. Without targets, assumes a suspension. */
+	#explainSkippedTime(milliseconds: number): void {
+		if (this.executor.ownedTargets > 0) {
+			this.executor.pollTargets();
+			return;
+		}
+
+		const now = this.parts.clock.now();
+		this.pauses.reportClockGap({
+			milliseconds, since: now, comparedSince: Number.NEGATIVE_INFINITY, requestedAt: now,
+		});
+	}
+
 	#verifyPause({milliseconds, monotonicMilliseconds}: Pause): void {
 		const uncounted = milliseconds - monotonicMilliseconds;
-		if (this.executor.ownedTargets === 0) {
-			const now = this.parts.clock.now();
-			this.pauses.reportClockGap({
-				milliseconds, since: now, comparedSince: now, requestedAt: now,
-			});
-		} else if (uncounted < leastSuspensionMilliseconds) {
-			this.executor.pollTargets();
-		} else {
+		if (uncounted >= leastSuspensionMilliseconds) {
 			this.#askTargets(uncounted);
+		} else {
+			this.executor.pollTargets();
 		}
 	}
 
--- a/src/features/pool/outbox.ts
+++ b/src/features/pool/outbox.ts
@@ -9,7 +9,8 @@
 import type {PeerContacts} from './peer-contacts.js';
 import type {PoolMessage} from './pool-message.js';
 
-type Batch = {readonly member: Member; readonly acknowledgedEpoch: Epoch; messages: PoolMessage[]};
+/** `queuedAt` is the time to state: the first message was queued then, and the frame may leave later on a slow entry. */
+type Batch = {readonly member: Member; readonly acknowledgedEpoch: Epoch; readonly queuedAt: number; messages: PoolMessage[]};
 
 /** Dependencies of an outbox. */
 type OutboxParts = {
@@ -57,7 +58,9 @@
 			this.#send(known);
 		}
 
-		const batch = {member, acknowledgedEpoch, messages: []};
+		const batch = {
+			member, acknowledgedEpoch, queuedAt: this.parts.contacts.sendTime, messages: [],
+		};
 		this.#batches.set(member.id, batch);
 		return batch;
 	}
@@ -70,10 +73,10 @@
 		}
 	}
 
-	#send({member, acknowledgedEpoch, messages}: Batch): void {
-		const {network, channel, epochs, contacts} = this.parts;
+	#send({member, acknowledgedEpoch, queuedAt, messages}: Batch): void {
+		const {network, channel, epochs} = this.parts;
 		const frame = {
-			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: contacts.sendTime, messages,
+			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: queuedAt, messages,
 		};
 		network.send(member, {channel, body: encodeFrame(frame)});
 	}
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -54,7 +54,6 @@
 
 	/** Records time that only this entry's wall clock counted: if it was suspended, all contacts are older by that time. */
 	recordSkippedTime(milliseconds: number): void {
-		this.#skippedMilliseconds += milliseconds;
 		this.#unexplainedMilliseconds += milliseconds;
 		for (const contact of this.#contacts.values()) {
 			contact.lastAt -= milliseconds;
@@ -64,6 +63,7 @@
 	/** Records how much of the skipped time was a suspension, by which this entry's clock is behind now. */
 	explainSkippedTime(suspendedMilliseconds: number): void {
 		this.#unexplainedMilliseconds = 0;
+		this.#skippedMilliseconds += suspendedMilliseconds;
 		for (const contact of this.#contacts.values()) {
 			contact.smallestDifference -= suspendedMilliseconds;
 			contact.previousDifference -= suspendedMilliseconds;
--- a/src/features/pool/pool-frame.ts
+++ b/src/features/pool/pool-frame.ts
@@ -8,7 +8,10 @@
 	readonly epoch: Epoch;
 	/** The receiver's epoch for the sender, as last received by the sender when it queued the messages. */
 	readonly acknowledgedEpoch: Epoch;
-	/** When the frame was queued for sending, in milliseconds of the sender's clock; undefined from entries that don't state it. */
+	/**
+	 * When the first message was queued, in milliseconds of the sender's monotonic clock plus the time that it didn't count. Undefined
+	 * from entries that don't state it.
+	 */
 	readonly sentAt: number | undefined;
 	readonly messages: readonly PoolMessage[];
 };
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -75,6 +75,10 @@
 		this.#store.add(parts.pauses.onDidExplainSkippedTime(milliseconds => {
 			this.#contacts.explainSkippedTime(milliseconds);
 		}));
+		this.#store.add(parts.pauses.onDidFindHiddenSuspension(milliseconds => {
+			this.#contacts.recordSkippedTime(milliseconds);
+			this.#contacts.explainSkippedTime(milliseconds);
+		}));
 		this.#store.add(parts.pauses.onDidPause(pause => {
 			this.#handlePause(pause);
 		}));
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -22,6 +22,8 @@
 const resumeDelayMilliseconds = 60;
 /** How long to wait for another machine's clock; longer than a target that answers needs, also on a new connection. */
 const verificationTimeoutMilliseconds = 1000;
+/** The same for skipped time, which a verification that ends without an answer still explains. */
+const explanationTimeoutMilliseconds = 1100;
 /** Interval at which waiting input checks for the end of the verification. */
 const verificationPollMilliseconds = 20;
 
@@ -42,6 +44,7 @@
 	readonly #delay = new Emitter<number>();
 	readonly #skipTime = new Emitter<number>();
 	readonly #explainSkip = new Emitter<number>();
+	readonly #hiddenSuspension = new Emitter<number>();
 	readonly #timer: Disposable;
 	#lastMonotonicTime: number;
 	#lastWallTime: number;
@@ -90,6 +93,11 @@
 		return this.#explainSkip.event;
 	}
 
+	/** Fires with the length in milliseconds of a suspension that the wall clock didn't show. */
+	get onDidFindHiddenSuspension() {
+		return this.#hiddenSuspension.event;
+	}
+
 	/** Returns the longest delay of the event loop since the previous call, in milliseconds. */
 	takeLongestDelay(): number {
 		const longest = this.#longestDelayMilliseconds;
@@ -183,6 +191,7 @@
 		this.#delay.dispose();
 		this.#skipTime.dispose();
 		this.#explainSkip.dispose();
+		this.#hiddenSuspension.dispose();
 	}
 
 	#endVerification(): void {
@@ -195,7 +204,7 @@
 		this.#skippedTime = skipped;
 		this.#skippedAt = skipped.since;
 		this.#skipTime.fire(milliseconds);
-		this.clock.schedule(verificationTimeoutMilliseconds, () => {
+		this.clock.schedule(explanationTimeoutMilliseconds, () => {
 			if (this.#skippedTime === skipped) {
 				this.#resolveSkippedTime(0);
 			}
@@ -205,8 +214,8 @@
 	/** Reports a suspension that the wall clock didn't show, because it was set back meanwhile. */
 	#reportHiddenSuspension({milliseconds, since}: ClockGap): void {
 		if (this.#skippedAt < since) {
-			this.#skipTime.fire(milliseconds);
-			this.#explainSkip.fire(milliseconds);
+			this.#skippedAt = this.clock.now();
+			this.#hiddenSuspension.fire(milliseconds);
 		}
 	}
 
