--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -132,8 +132,8 @@
 	#subscribe(): void {
 		const {routing} = this.parts;
 		const disposables = this.#disposables;
-		disposables.add(this.executor.onDidCompareClocks(uncounted => {
-			this.pauses.reportClockGap(uncounted);
+		disposables.add(this.executor.onDidCompareClocks(gap => {
+			this.pauses.reportClockGap(gap);
 		}));
 		disposables.add(this.pauses.onDidSkipTime(milliseconds => {
 			this.#explainSkippedTime(milliseconds);
@@ -174,7 +174,7 @@
 		}));
 	}
 
-	/** Compares with the targets' clocks whether the system was suspended or its clock set. Without targets, assumes a suspension. */
+	/** Lets the targets' clocks show whether the system was suspended or its clock set. Without targets, assumes a suspension. */
 	#explainSkippedTime(milliseconds: number): void {
 		if (this.executor.ownedTargets > 0) {
 			this.executor.pollTargets();
@@ -187,6 +187,7 @@
 		});
 	}
 
+	/** Places nothing while the system may have been suspended. A pause that the monotonic clock counted needs no proof. */
 	#verifyPause({milliseconds, monotonicMilliseconds}: Pause): void {
 		const uncounted = milliseconds - monotonicMilliseconds;
 		if (uncounted >= leastSuspensionMilliseconds) {
@@ -196,7 +197,7 @@
 		}
 	}
 
-	/** Places nothing until a target has answered. Without an answer, assumes that the clock didn't count the given time. */
+	/** Without an answer, the system is taken to have been suspended for the given time. */
 	#askTargets(uncountedMilliseconds: number): void {
 		if (this.executor.ownedTargets > 0) {
 			this.pauses.awaitVerification(uncountedMilliseconds);
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -56,8 +56,8 @@
 				onDidReport: session => {
 					this.#stopOverdue(session);
 				},
-				onDidCompareClocks: uncounted => {
-					this.#clocksCompared.fire(uncounted);
+				onDidCompareClocks: gap => {
+					this.#clocksCompared.fire(gap);
 				},
 				onDidChange: () => {
 					this.#changed.fire();
@@ -105,7 +105,7 @@
 
 	/** The entries that requested the current runs, once for each run. */
 	* requesters(): Iterable<MemberId> {
-		for (const session of this.#sessions.withRuns()) {
+		for (const session of this.#sessions.withClosing()) {
 			for (const {requester} of session.runs) {
 				yield requester;
 			}
@@ -136,7 +136,7 @@
 
 	/** Whether any attempt of a task may be running. */
 	isRunning(task: TaskId): boolean {
-		for (const session of this.#sessions.withRuns()) {
+		for (const session of this.#sessions.withClosing()) {
 			if (session.hasRunOf(task)) {
 				return true;
 			}
@@ -185,14 +185,14 @@
 
 	/** Stops a run that nobody waits for any more. */
 	stop(task: string, attempt: number, cause: string): void {
-		for (const session of this.#sessions.withRuns()) {
+		for (const session of this.#sessions.withClosing()) {
 			session.abandonRun(task, attempt, cause);
 		}
 	}
 
 	/** Stops all runs that an entry requested, since their tasks can't start elsewhere before. */
 	stopRunsOf(requester: MemberId, cause: string): void {
-		for (const session of this.#sessions.withRuns()) {
+		for (const session of this.#sessions.withClosing()) {
 			for (const run of session.runs) {
 				if (run.requester === requester) {
 					session.abandonRun(run.request.task, run.request.attempt, cause);
--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -104,7 +104,7 @@
 		return this.limit.at - now < shortLeaseMilliseconds ? shortLeaseWaitMilliseconds : busyWaitMilliseconds;
 	}
 
-	/** Undefined, to renew nothing, while there may be unknown runs or runs whose stop isn't confirmed. */
+	/** Undefined, to renew nothing, while there may be unknown runs or, after an unanswered renewal, runs whose stop isn't confirmed. */
 	#leaseToRequest(now: number) {
 		// An unanswered renewal may have been executed: renewing an unreachable target would postpone the end of the lease,
 		// and with it the outcomes of the runs, indefinitely.
--- a/src/features/execution/session-listener.ts
+++ b/src/features/execution/session-listener.ts
@@ -17,7 +17,7 @@
 	/** The target answers for the first time, again, or as another incarnation. */
 	readonly onDidAnswer: (incarnation: Incarnation | undefined) => void;
 	/** The target's clock advanced by this much more than this entry's. */
-	readonly onDidCompareClocks: (uncounted: ClockGap) => void;
+	readonly onDidCompareClocks: (gap: ClockGap) => void;
 	/** Free capacity, health or reachability may have changed. */
 	readonly onDidChange: () => void;
 	/** The session has ended: another owner has the target, or its incarnation is over. Runs on a fenced target end with their lease. */
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -40,7 +40,7 @@
 		/** Called after each report of a target. */
 		readonly onDidReport: (session: TargetSession) => void;
 		/** Called with the time by which a target's clock advanced more than this entry's. */
-		readonly onDidCompareClocks: (uncounted: ClockGap) => void;
+		readonly onDidCompareClocks: (gap: ClockGap) => void;
 		/** Called when free capacity may have grown. */
 		readonly onDidChange: () => void;
 	};
@@ -80,7 +80,7 @@
 	}
 
 	/** The open sessions, and the closed ones that still have runs. */
-	* withRuns(): Iterable<TargetSession> {
+	* withClosing(): Iterable<TargetSession> {
 		yield * this.#sessions.values();
 		yield * this.#closing;
 	}
@@ -140,7 +140,7 @@
 	}
 
 	dispose(): void {
-		for (const session of this.withRuns()) {
+		for (const session of this.withClosing()) {
 			session.dispose();
 		}
 
@@ -199,8 +199,8 @@
 				onDidRestart: () => {
 					this.parts.health.forget(id);
 				},
-				onDidCompareClocks: uncounted => {
-					this.parts.listener.onDidCompareClocks(uncounted);
+				onDidCompareClocks: gap => {
+					this.parts.listener.onDidCompareClocks(gap);
 				},
 				onDidChange: () => {
 					this.parts.listener.onDidChange();
@@ -263,7 +263,7 @@
 	/** Forgets a closed session without runs, and closes the connections that its stops have opened. */
 	#forget(session: TargetSession): void {
 		this.#closing.delete(session);
-		const isInUse = [...this.withRuns()].some(({target}) => target.id === session.target.id);
+		const isInUse = [...this.withClosing()].some(({target}) => target.id === session.target.id);
 		if (!isInUse) {
 			this.parts.orders.disconnect(session.target);
 		}
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -20,9 +20,9 @@
  */
 export class PeerContacts {
 	readonly #contacts = new Map<MemberId, Contact>();
-	/** Time that this entry's monotonic clock didn't count. Added to sent times, which would jump back for the peers otherwise. */
+	/** Duration of this entry's suspensions. Added to sent times, which would fall behind for the peers otherwise. */
 	#skippedMilliseconds = 0;
-	/** The part of it of which isn't known yet whether this entry was suspended. Until then, contacts are taken to be older by it. */
+	/** Time that may have been a suspension; until that is known, contacts are taken to be older by it. */
 	#unexplainedMilliseconds = 0;
 
 	constructor(private readonly clock: Clock) {}
