Targets' clocks are compared in one place; tests share a run on another entry's target

LeaseSchedule only passed a comparison on to the clock offsets, which the reports hold themselves. late-owners and suspended-owners set up the same cluster and job, line by line; both call createRemoteRun now, with the assertions as they were.

--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -1,6 +1,5 @@
 /** The lease of the runs on one target. */
 import type {TargetTime} from '../../base/target-time.js';
-import type {ClockGap} from '../../runtime/clock-gap.js';
 import type {ClockOffsets} from './clock-offsets.js';
 
 /** Maximum rate by which a target's clock may be slower than ours, as specified by the platform. */
@@ -19,14 +18,6 @@
 
 	constructor(private readonly leaseMilliseconds: number, private readonly offsets: ClockOffsets) {}
 
-	/**
-	 * Compares the target's clock with its earlier answers, which shows a suspension of this entry; undefined without any. The
-	 * monotonic times are those of the order and its answer.
-	 */
-	compareClocks(clock: TargetTime, requestedAt: number, receivedAt: number): ClockGap | undefined {
-		return this.offsets.compare(clock, requestedAt, receivedAt);
-	}
-
 	/** Discards the clock of a former incarnation. */
 	restart(): void {
 		this.#clock = undefined;
--- a/src/features/execution/target-reports.ts
+++ b/src/features/execution/target-reports.ts
@@ -110,7 +110,7 @@
 	}
 
 	#compareClocks(clock: TargetTime, requestedAt: number, now: number): void {
-		const gap = this.parts.lease.compareClocks(clock, requestedAt, now);
+		const gap = this.parts.clockOffsets.compare(clock, requestedAt, now);
 		if (gap !== undefined) {
 			this.parts.listener.onDidCompareClocks(gap);
 		}
--- a/test/entries/edge/late-owners.test.ts
+++ b/test/entries/edge/late-owners.test.ts
@@ -1,24 +1,13 @@
 /** Owners that read the messages of their requesters late without having been paused. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {PooledCluster} from '../../support/pooled-cluster.js';
+import {createRemoteRun} from '../../support/create-remote-run.js';
+import type {PooledCluster} from '../../support/pooled-cluster.js';
 
 const id = '00000000000000aa';
 const job = {payload: '6000', declaredMilliseconds: 3000, timeoutMilliseconds: 9000};
 const resubmissionDelayMilliseconds = 1300;
 
-/** A job of `a-1` runs on a target of `b-1`; later submissions find the target of `c-1`. */
-async function createWorldWithRemoteRun() {
-	const world = new PooledCluster(['a-1', 'b-1', 'c-1'], 0);
-	world.addTarget('b-target', 'b');
-	await world.start();
-	const first = world.submit('a-1', id, job);
-	await world.advance(500);
-	assert.deepEqual(world.runningTasks(), [`${id}.0.0.0`]);
-	world.addTarget('c-target', 'c');
-	return {world, first};
-}
-
 /** Increases the delay of an owner's messages step by step, so that the gap between two of them isn't taken for a loss. */
 async function delayMessages(world: PooledCluster, owner: string, milliseconds: number): Promise<void> {
 	for (let delay = 0; delay <= milliseconds; delay += 100) {
@@ -32,7 +21,7 @@
 
 // Guards against an owner whose backlog makes a dead requester look alive until after its caller has resubmitted the job.
 test('a run ends before its caller resubmits although its owner reads old heartbeats of the dead requester', async () => {
-	const {world} = await createWorldWithRemoteRun();
+	const {world} = await createRemoteRun(id, job);
 	await delayMessages(world, 'b-1', 700);
 	world.network.isolate('a-1', true);
 	world.network.blockedLinks.delete('a-1#1>b-1#1');
@@ -45,7 +34,7 @@
 
 // Guards against a stop that waits in its owner's backlog while the owner goes on renewing the lease.
 test('a run ends before its caller resubmits although its owner reads the stop late', async () => {
-	const {world, first} = await createWorldWithRemoteRun();
+	const {world, first} = await createRemoteRun(id, job);
 	await delayMessages(world, 'b-1', 1500);
 	first.cancel();
 	await world.advance(resubmissionDelayMilliseconds);
@@ -56,7 +45,7 @@
 
 // Guards against ending runs for a delay that is ordinary on a busy entry.
 test('runs go on while their requester\'s messages are 400 ms late', async () => {
-	const {world, first} = await createWorldWithRemoteRun();
+	const {world, first} = await createRemoteRun(id, job);
 	await delayMessages(world, 'b-1', 400);
 	await world.advance(6000);
 	assert.deepEqual([first.verdict, world.orders.starts.length], [{kind: 'answered', answer: 'complete'}, 1]);
--- a/test/entries/edge/suspended-owners.test.ts
+++ b/test/entries/edge/suspended-owners.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {PausableCluster} from '../../support/pausable-cluster.js';
-import {PooledCluster} from '../../support/pooled-cluster.js';
+import {createRemoteRun} from '../../support/create-remote-run.js';
 
 const id = '00000000000000aa';
 const job = {payload: '6000', declaredMilliseconds: 3000, timeoutMilliseconds: 9000};
@@ -10,21 +10,9 @@
 /** How long the requester goes on after its owner was suspended; longer than the period of its heartbeats. */
 const requesterLifeMilliseconds = 210;
 
-/** A job of `a-1` runs on a target of `b-1`, and `c-1` has a target for a later submission. */
-async function createWorldWithRemoteRun() {
-	const world = new PooledCluster(['a-1', 'b-1', 'c-1'], 0);
-	world.addTarget('b-target', 'b');
-	await world.start();
-	const first = world.submit('a-1', id, job);
-	await world.advance(500);
-	assert.deepEqual(world.runningTasks(), [`${id}.0.0.0`]);
-	world.addTarget('c-target', 'c');
-	return {world, first};
-}
-
 // Guards against heartbeats that waited in the sockets of a suspended owner, whose clock doesn't show for how long.
 test('a suspended owner does not take the unread heartbeats of a dead requester for recent ones', async () => {
-	const {world} = await createWorldWithRemoteRun();
+	const {world} = await createRemoteRun(id, job);
 	world.pause('b-1', 'suspended');
 	await world.advance(requesterLifeMilliseconds);
 	world.network.isolate('a-1', true);
@@ -39,7 +27,7 @@
 
 // Guards against ending the runs of live requesters because their owner was suspended for a moment.
 test('runs of a live requester go on after a short suspension of their owner', async () => {
-	const {world, first} = await createWorldWithRemoteRun();
+	const {world, first} = await createRemoteRun(id, job);
 	world.pause('b-1', 'suspended');
 	await world.advance(600);
 	world.resume('b-1');
