--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -13,6 +13,7 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import {wait} from '../../base/wait.js';
 import {PoolReaderGroup} from '../../features/listing/pool-reader-group.js';
+import type {SchedulingSettings} from '../../features/dispatch/scheduling-settings.js';
 import {RoutingTable} from '../../features/routing/routing-table.js';
 import {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
@@ -46,6 +47,7 @@
 /** Dependencies of an edge daemon. */
 type EdgeDaemonParts = {
 	readonly settings: BootSettings;
+	readonly scheduling: SchedulingSettings;
 	/** The address that peers connect to, if it differs from the listening address. */
 	readonly advertisedPeers: string | undefined;
 	readonly clock: Clock;
@@ -97,6 +99,7 @@
 			evacuations,
 			orders: new TargetClient(journal),
 			routing: this.#routing,
+			scheduling: parts.scheduling,
 			clock,
 			journal,
 		}));
--- a/src/entries/edge/main.ts
+++ b/src/entries/edge/main.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 /**
- * The edge daemon, `savorylock-edge [METRICS-PORT] [--advertised-peers IP:PORT]`. Exit codes: 0 stopped, 2 invalid settings.
- * Peers connect to the advertised address if one is given (as behind a relay), otherwise to the listening address.
+ * The edge daemon, `savorylock-edge [METRICS-PORT] [--advertised-peers IP:PORT] [--scheduling FILE]`. Exit codes: 0 stopped,
+ * 2 invalid settings. Peers connect to the advertised address if one is given (as behind a relay), otherwise to the listening
+ * address. Without a scheduling file no part of it is enabled.
  */
 import './early-signals.js';
 import {readFileSync} from 'node:fs';
@@ -9,10 +10,14 @@
 import {parseArgs} from 'node:util';
 import type {BootSettings} from '../../../platform/boot-settings.js';
 import {readBootSettings} from '../../../platform/read-boot-settings.js';
+import type {SchedulingSettings} from '../../features/dispatch/scheduling-settings.js';
+import {schedulingSettingsSchema} from '../../features/dispatch/scheduling-settings-schema.js';
 import {SystemClock} from '../../base/system-clock.js';
 import {CountingJournal} from '../../runtime/journal/counting-journal.js';
 import {JsonLinesJournal} from '../../runtime/journal/json-lines-journal.js';
 import {TextMetrics} from '../../runtime/metrics/text-metrics.js';
+import {formatProblem} from '../../runtime/settings/format-problem.js';
+import {parseDocument} from '../../runtime/settings/parse-document.js';
 import {EdgeDaemon} from './edge-daemon.js';
 
 const exitSettings = 2;
@@ -25,9 +30,9 @@
 const journal = new CountingJournal(lines, metrics);
 const file = process.env[settingsVariable] ?? '';
 const settings = readSettings();
-const {positionals, values} = parseArgs({allowPositionals: true, options: {'advertised-peers': {type: 'string'}}});
+const {positionals, values} = parseArgs({allowPositionals: true, options: {'advertised-peers': {type: 'string'}, scheduling: {type: 'string'}}});
 const daemon = new EdgeDaemon({
-	settings, advertisedPeers: values['advertised-peers'], clock, journal, metrics,
+	settings, scheduling: readScheduling(values.scheduling), advertisedPeers: values['advertised-peers'], clock, journal, metrics,
 });
 
 // Keeps the process alive: an unhandled error affects one request or task, exiting would fail all of them.
@@ -61,6 +66,33 @@
 	}
 }
 
+/** Reads the scheduling file, or returns the defaults without one. */
+function readScheduling(path: string | undefined): SchedulingSettings {
+	if (path === undefined) {
+		return schedulingSettingsSchema.parse({});
+	}
+
+	const checked = parseDocument(readText(path), schedulingSettingsSchema);
+	if (checked.kind === 'valid') {
+		return checked.value;
+	}
+
+	for (const problem of checked.problems) {
+		process.stderr.write(`savorylock-edge: ${formatProblem(path, problem)}\n`);
+	}
+
+	process.exit(exitSettings);
+}
+
+function readText(path: string): string {
+	try {
+		return readFileSync(path, 'utf8');
+	} catch (error) {
+		process.stderr.write(`savorylock-edge: ${path}: ${(error as Error).message}\n`);
+		process.exit(exitSettings);
+	}
+}
+
 /** Validates the settings file and logs the result. No setting is applied before the next start. */
 function reload(): void {
 	try {
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -9,6 +9,7 @@
 import {Dispatcher} from '../../features/dispatch/dispatcher.js';
 import {CallerTimeouts} from '../../features/dispatch/caller-timeouts.js';
 import {LeastLaxity} from '../../features/dispatch/least-laxity.js';
+import type {SchedulingSettings} from '../../features/dispatch/scheduling-settings.js';
 import {Executor} from '../../features/execution/executor.js';
 import {LossHistory} from '../../features/execution/loss-history.js';
 import {Ownership} from '../../features/ownership/ownership.js';
@@ -47,6 +48,8 @@
 	readonly evacuations: ZoneEvacuations;
 	readonly orders: TargetOrders;
 	readonly routing: RoutingTable;
+	/** The decisions under load that this entry makes. */
+	readonly scheduling: SchedulingSettings;
 	readonly clock: Clock;
 	readonly journal: Journal;
 };
--- a/test/support/pooled-cluster.ts
+++ b/test/support/pooled-cluster.ts
@@ -10,6 +10,7 @@
 import type {Verdict} from '../../src/base/verdict.js';
 import {PooledEntry} from '../../src/entries/edge/pooled-entry.js';
 import type {JobOutcome} from '../../src/features/dispatch/job-outcome.js';
+import {schedulingSettingsSchema} from '../../src/features/dispatch/scheduling-settings-schema.js';
 import type {QueueRoute} from '../../src/features/routing/queue-route.js';
 import {RoutingTable} from '../../src/features/routing/routing-table.js';
 import {TargetCatalogue} from '../../src/features/targets/target-catalogue.js';
@@ -197,6 +198,7 @@
 			evacuations: this.evacuations,
 			orders,
 			routing: new RoutingTable(1500, clock, this.journal),
+			scheduling: schedulingSettingsSchema.parse({}),
 			clock,
 			journal: this.journal,
 		}, this)));
