Date late messages right when their sender counted a suspension wrongly

Cause: an entry without targets, or whose targets don't answer, takes a step of its wall clock for a suspension and adds it to the times that it states in its messages. The receivers saw a message from the future and learned a new difference of the clocks from it, so that the lateness of this message, of up to as much as the sender is slow, was lost. An owner therefore took the message with the stops for a contact at its reading, and renewed a run whose stops were lost until 1200 ms after that, beyond the caller's next submission (1300 ms after the requester gave up the job).

Change: a frame states the skipped time in its time of sending, as a trailing value that is left out if it is 0. If a message with more skipped time than before lies more than 50 ms in the future, the sender wasn't suspended: its known difference is corrected by the added time, and learned again from the messages of the next 1.5 s. A real suspension changes nothing, and no contact is later than the present.

--- a/src/features/pool/encode-frame.ts
+++ b/src/features/pool/encode-frame.ts
@@ -2,7 +2,11 @@
 import {encodeMessages} from './encode-messages.js';
 import type {PoolFrame} from './pool-frame.js';
 
-/** The four numbers of the two epochs, the messages, and the time of sending, which entries that don't know it ignore. */
-export function encodeFrame({epoch, acknowledgedEpoch, sentAt, messages}: PoolFrame): readonly unknown[] {
-	return [epoch.losses, epoch.pauses, acknowledgedEpoch.losses, acknowledgedEpoch.pauses, encodeMessages(messages), sentAt];
+/**
+ * The four numbers of the two epochs, the messages, the time of sending and, unless 0, the skipped time in it. Entries ignore values
+ * that they don't know.
+ */
+export function encodeFrame({epoch, acknowledgedEpoch, sentAt, skippedMilliseconds, messages}: PoolFrame): readonly unknown[] {
+	const skipped = skippedMilliseconds === 0 ? [] : [skippedMilliseconds];
+	return [epoch.losses, epoch.pauses, acknowledgedEpoch.losses, acknowledgedEpoch.pauses, encodeMessages(messages), sentAt, ...skipped];
 }
--- a/src/features/pool/outbox.ts
+++ b/src/features/pool/outbox.ts
@@ -9,8 +9,17 @@
 import type {PeerContacts} from './peer-contacts.js';
 import type {PoolMessage} from './pool-message.js';
 
-/** `queuedAt` is the time to state: the first message was queued then, and the frame may leave later on a slow entry. */
-type Batch = {readonly member: Member; readonly acknowledgedEpoch: Epoch; readonly queuedAt: number; messages: PoolMessage[]};
+/**
+ * `queuedAt` is the time to state, and `skippedMilliseconds` the skipped time in it: the first message was queued then, and the frame
+ * may leave later on a slow entry.
+ */
+type Batch = {
+	readonly member: Member;
+	readonly acknowledgedEpoch: Epoch;
+	readonly queuedAt: number;
+	readonly skippedMilliseconds: number;
+	messages: PoolMessage[];
+};
 
 /** Dependencies of an outbox. */
 type OutboxParts = {
@@ -58,8 +67,9 @@
 			this.#send(known);
 		}
 
+		const {sendTime, skippedMilliseconds} = this.parts.contacts;
 		const batch = {
-			member, acknowledgedEpoch, queuedAt: this.parts.contacts.sendTime, messages: [],
+			member, acknowledgedEpoch, queuedAt: sendTime, skippedMilliseconds, messages: [],
 		};
 		this.#batches.set(member.id, batch);
 		return batch;
@@ -73,10 +83,10 @@
 		}
 	}
 
-	#send({member, acknowledgedEpoch, queuedAt, messages}: Batch): void {
+	#send({member, acknowledgedEpoch, queuedAt, skippedMilliseconds, messages}: Batch): void {
 		const {network, channel, epochs} = this.parts;
 		const frame = {
-			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: queuedAt, messages,
+			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: queuedAt, skippedMilliseconds, messages,
 		};
 		network.send(member, {channel, body: encodeFrame(frame)});
 	}
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -10,8 +10,19 @@
 /** Well above the size of any fleet; the peers that were met first are dropped first. */
 const maximumPeers = 1000;
 
-/** `smallestDifference` and its predecessor cover one window each; both are in milliseconds. */
-type Contact = {lastAt: number; windowEndsAt: number; smallestDifference: number; previousDifference: number};
+/** Adjustments of a wall clock, by which the length that a peer states of a real suspension may be too long. */
+const clockAdjustmentMilliseconds = 50;
+/**
+ * How long messages of a peer that wrongly counted a suspension are taken to be as old as they can be. The stops of the jobs that it
+ * gives up are read meanwhile: their callers resubmit after 1300 ms.
+ */
+const wrongSkipMilliseconds = 1500;
+
+/**
+ * `smallestDifference` and its predecessor cover one window each; both are in milliseconds. `skippedMilliseconds` is the latest that
+ * the peer stated.
+ */
+type Contact = {lastAt: number; windowEndsAt: number; smallestDifference: number; previousDifference: number; skippedMilliseconds: number};
 
 /**
  * Estimates when each peer sent its latest message, by this entry's monotonic clock. The time at which a message is read proves
@@ -32,19 +43,33 @@
 		return Math.floor(this.clock.now() + this.#skippedMilliseconds);
 	}
 
-	/** Records a message that a peer sent at a time of its own clock. */
-	record(member: MemberId, sentAt: number): void {
+	/** The part of the time to state by which this entry's clock is taken to be behind. */
+	get skippedMilliseconds(): number {
+		return Math.round(this.#skippedMilliseconds);
+	}
+
+	/** Records a message that a peer sent at a time of its own clock, which includes the skipped time that the peer states. */
+	record(member: MemberId, sentAt: number, skippedMilliseconds = 0): void {
 		const now = this.clock.now();
 		const difference = now - sentAt;
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
-			lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference,
+			lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference, skippedMilliseconds,
 		});
+		const added = Math.max(0, skippedMilliseconds - contact.skippedMilliseconds);
+		const estimate = sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
+		// A message from the future: the peer wasn't suspended, and this message may be as late as the former ones.
+		const isWrong = added > 0 && estimate > now + clockAdjustmentMilliseconds;
 		if (this.#unexplainedMilliseconds === 0) {
+			contact.skippedMilliseconds += added;
+			if (isWrong) {
+				restartDifference(contact, added, now);
+			}
+
 			updateDifference(contact, difference, now);
 		}
 
-		const smallest = Math.min(contact.smallestDifference, contact.previousDifference);
-		contact.lastAt = Math.max(contact.lastAt, sentAt + smallest - this.#unexplainedMilliseconds);
+		const sentAtHere = isWrong ? estimate - added : sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
+		contact.lastAt = Math.max(contact.lastAt, Math.min(sentAtHere, now));
 	}
 
 	/** The time of the latest message from a peer; undefined if there was none. */
@@ -81,6 +106,17 @@
 	}
 }
 
+function smallestDifferenceOf({smallestDifference, previousDifference}: Contact): number {
+	return Math.min(smallestDifference, previousDifference);
+}
+
+/** Corrects the difference by time that the peer added wrongly, and learns it again from the messages that follow. */
+function restartDifference(contact: Contact, added: number, now: number): void {
+	contact.previousDifference = smallestDifferenceOf(contact) - added;
+	contact.smallestDifference = Number.POSITIVE_INFINITY;
+	contact.windowEndsAt = now + wrongSkipMilliseconds;
+}
+
 function updateDifference(contact: Contact, difference: number, now: number): void {
 	if (now >= contact.windowEndsAt) {
 		contact.windowEndsAt = now + windowMilliseconds;
--- a/src/features/pool/pool-frame.ts
+++ b/src/features/pool/pool-frame.ts
@@ -13,5 +13,7 @@
 	 * from entries that don't state it.
 	 */
 	readonly sentAt: number | undefined;
+	/** The time in `sentAt` that the sender's clock didn't count; 0 from entries that don't state it. */
+	readonly skippedMilliseconds: number;
 	readonly messages: readonly PoolMessage[];
 };
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -292,7 +292,7 @@
 
 		const now = this.parts.clock.now();
 		this.#members.get(from.id)!.heardAt = now;
-		this.#contacts.record(from.id, frame.sentAt ?? now);
+		this.#contacts.record(from.id, frame.sentAt ?? now, frame.skippedMilliseconds);
 		// Must precede the messages: they may report runs that were stopped because of the loss, which this entry would restart.
 		if (this.#epochs.observe(from.id, frame)) {
 			this.#detectEviction.fire();
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -97,11 +97,20 @@
 
 test('a frame survives encoding and decoding with its epochs', () => {
 	const frame = {
-		epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, sentAt: 4711, messages,
+		epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, sentAt: 4711, skippedMilliseconds: 12, messages,
 	};
 	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
 });
 
+// Guards against bytes in every frame for a time that hardly any entry has to state, and against rejecting entries that don't state it.
+test('a frame without skipped time leaves it out', () => {
+	const frame = {
+		epoch: {losses: 0, pauses: 0}, acknowledgedEpoch: {losses: 0, pauses: 0}, sentAt: 4711, skippedMilliseconds: 0, messages,
+	};
+	assert.equal(encodeFrame(frame).length, 6);
+	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
+});
+
 // Guards against repeating the payload, which makes up most of the bytes, for every task of a job.
 test('runs of one job in a batch carry the payload once', () => {
 	const runOf = (index: number) => ({kind: 'run' as const, request: {...request, task: `job.0.0.${index}` as TaskId}});
--- a/test/features/pool/peer-contacts.test.ts
+++ b/test/features/pool/peer-contacts.test.ts
@@ -92,3 +92,57 @@
 	contacts.record(peer, clock.now() + offset - 1);
 	assert.equal(clock.now() - contacts.lastContact(peer)! <= 2, true);
 });
+
+/** Contacts with a peer that was silent for 800 ms and adds 4912 ms to its sent times from now on, without having been suspended. */
+function createMisdatedContacts() {
+	const {clock, contacts} = createContacts();
+	clock.advance(800);
+	const recordLate = (lateMilliseconds: number) => {
+		clock.advance(200);
+		contacts.record(peer, clock.now() - lateMilliseconds + offset + 4912, 4912);
+		return clock.now() - contacts.lastContact(peer)!;
+	};
+
+	return {clock, contacts, recordLate};
+}
+
+// Guards against taking the lateness of the first message after a jump of the sent times for a difference of the clocks.
+test('late messages of a peer that counted a suspension wrongly count from when they were sent', () => {
+	const {recordLate} = createMisdatedContacts();
+	const ages = [400, 400, 300, 400].map(late => recordLate(late));
+	assert.deepEqual(ages.map(age => Math.round(age / 10) * 10), [400, 400, 300, 400]);
+});
+
+// Guards against a peer that looks silent for long because the length of its suspension was overstated.
+test('the difference to a peer whose suspension was overstated is learned again', () => {
+	const {clock, contacts} = createContacts();
+	// Suspended for 700 ms of the 1000 ms that it states.
+	const recordNow = () => {
+		clock.advance(200);
+		contacts.record(peer, clock.now() + offset + 300 - 1, 1000);
+		return clock.now() - contacts.lastContact(peer)!;
+	};
+
+	const ages = Array.from({length: 10}, () => recordNow());
+	assert.deepEqual([Math.max(...ages) <= 702, ages.at(-1)! <= 2], [true, true]);
+});
+
+// Guards against peers that look silent after a real suspension, whose length is known to some milliseconds only.
+test('messages after a suspension of their sender count from when they were sent', () => {
+	const {clock, contacts} = createContacts();
+	const ages = [0, 40, -40, 350].map(late => {
+		clock.advance(400);
+		contacts.record(peer, clock.now() + offset - 1 - late, 600);
+		return clock.now() - contacts.lastContact(peer)!;
+	});
+	assert.deepEqual(ages, [0, 40, 0, 390]);
+});
+
+// Guards against a message whose time of sending lies ahead, which counts as long as this entry may have been suspended itself.
+test('no contact is later than now, also while skipped time is not explained', () => {
+	const {clock, contacts, recordLate} = createMisdatedContacts();
+	contacts.recordSkippedTime(100);
+	assert.equal(recordLate(400) >= 400, true);
+	contacts.record(peer, clock.now() + offset + 9000);
+	assert.equal(contacts.lastContact(peer)! <= clock.now(), true);
+});
