--- a/bench/fleet-counts.ts
+++ b/bench/fleet-counts.ts
@@ -1,18 +1,10 @@
 /** What a fleet of entries sends and calls, counted in memory: the same figures in every run. */
-import {Random} from '../src/base/random.js';
 import {PooledCluster} from '../test/support/pooled-cluster.js';
+import {submitLoad} from './submit-load.js';
 
 /** Long enough for all entries to have met and to own their targets. */
 const settlingMilliseconds = 3000;
 const idleMilliseconds = 2000;
-const stepMilliseconds = 5;
-const seed = 1;
-/** The desks' traffic, by share of jobs: tasks of a job, and the milliseconds that each runs. */
-const mix = [
-	{share: 0.71, tasks: 2, milliseconds: 200},
-	{share: 0.95, tasks: 8, milliseconds: 60},
-	{share: 1, tasks: 4, milliseconds: 900},
-] as const;
 
 /** Each target has room for two tasks of the mix. */
 type FleetSize = {readonly zones: number; readonly entriesInZone: number; readonly targetsInZone: number};
@@ -43,7 +35,7 @@
 	await world.advance(idleMilliseconds);
 	const idleTo = totalsOf(world);
 	const neighbours = [...world.entries.values()].reduce((sum, {pool}) => sum + [...pool.members].length, 0);
-	const tasks = await load(world, names, jobsPerSecond, milliseconds);
+	const tasks = await submitLoad(world, names, {jobsPerSecond, milliseconds});
 	const loadedTo = totalsOf(world);
 	const perIdleSecond = (count: number) => rounded(count * 1000 / idleMilliseconds / names.length);
 	const idleShare = milliseconds / idleMilliseconds;
@@ -66,28 +58,6 @@
 	};
 }
 
-/** Returns how many tasks were submitted. */
-async function load(world: PooledCluster, names: readonly string[], jobsPerSecond: number, milliseconds: number): Promise<number> {
-	const random = new Random(seed);
-	let jobs = 0;
-	let tasks = 0;
-	for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
-		for (const name of names) {
-			if (random.fraction() < jobsPerSecond * stepMilliseconds / 1000) {
-				const draw = random.fraction();
-				const kind = mix.find(({share}) => draw <= share)!;
-				jobs += 1;
-				tasks += kind.tasks;
-				world.submit(name, jobs.toString(16).padStart(16, '0'), {tasks: kind.tasks, payload: String(kind.milliseconds), declaredMilliseconds: kind.milliseconds});
-			}
-		}
-
-		await world.advance(stepMilliseconds);
-	}
-
-	return tasks;
-}
-
 function rounded(figure: number): number {
 	return Math.round(figure * 100) / 100;
 }
