Look up running tasks in one index, and check targets' cheap conditions first

Cause: each start and each request of a peer walked all sessions to find out whether the task still runs, and chooseTarget computed whether a session is open, with its lease limit and the contacts of all requesters, before whether the task fits at all. Change: RunTable counts its runs in an index that all sessions share; chooseTarget compares free capacity and the best fit so far before it asks for labels, health and the lease.

--- a/src/features/execution/choose-target.ts
+++ b/src/features/execution/choose-target.ts
@@ -1,7 +1,6 @@
 /** Choice among the targets that an entry owns. */
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
-import type {Resources} from '../../base/resources.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {LossHistory} from './loss-history.js';
 import type {RunRequest} from './run-request.js';
@@ -19,32 +18,39 @@
  * tasks that may have crashed a target apart from other jobs' runs first. Undefined if no target is eligible.
  */
 export function chooseTarget(sessions: Iterable<TargetSession>, request: RunRequest, context: SelectionContext): TargetSession | undefined {
-	let best: {readonly session: TargetSession; readonly coLocatedRuns: number; readonly remainingCpuMillis: number} | undefined;
+	let best: TargetSession | undefined;
+	let [fewestCoLocatedRuns, leastRemainingCpuMillis] = [0, 0];
+	// Most targets are full under load, and an eligible one is rarely better than the best so far. The checks that take long come last.
 	for (const session of sessions) {
 		const {freeCapacity} = session;
-		if (!isEligible(session, request, freeCapacity, context)) {
+		if (!request.need.fitsInto(freeCapacity)) {
 			continue;
 		}
 
 		const coLocatedRuns = countCoLocatedRuns(session, request, context.losses);
 		const remainingCpuMillis = freeCapacity.cpuMillis - request.need.cpuMillis;
-		if (best === undefined || coLocatedRuns < best.coLocatedRuns || (coLocatedRuns === best.coLocatedRuns && remainingCpuMillis < best.remainingCpuMillis)) {
-			best = {session, coLocatedRuns, remainingCpuMillis};
+		const isBetter = best === undefined || coLocatedRuns < fewestCoLocatedRuns || (coLocatedRuns === fewestCoLocatedRuns && remainingCpuMillis < leastRemainingCpuMillis);
+		if (isBetter && isEligible(session, request, context)) {
+			best = session;
+			fewestCoLocatedRuns = coLocatedRuns;
+			leastRemainingCpuMillis = remainingCpuMillis;
 		}
 	}
 
-	return best?.session;
+	return best;
 }
 
-function isEligible(session: TargetSession, request: RunRequest, freeCapacity: Resources, {requester, health, now}: SelectionContext): boolean {
+/** Whether a target whose free capacity suffices may run the task. */
+function isEligible(session: TargetSession, request: RunRequest, {requester, health, now}: SelectionContext): boolean {
 	const {target} = session;
 	const isMatching = target.service === request.service && satisfiesConstraints(request, target.labels);
-	if (!isMatching || !session.isOpenFor(requester) || !request.need.fitsInto(freeCapacity) || request.excludedTargets.includes(target.id) || session.hasReachedJobLimit(request)) {
+	if (!isMatching || request.excludedTargets.includes(target.id)) {
 		return false;
 	}
 
 	const condition = health.condition(target.id, now);
-	return condition === 'probe' ? request.jobTaskCount <= maxProbeJobTasks : condition !== 'out';
+	const isFit = condition === 'probe' ? request.jobTaskCount <= maxProbeJobTasks : condition !== 'out';
+	return isFit && !session.hasReachedJobLimit(request) && session.isOpenFor(requester);
 }
 
 /** Counts the runs of other jobs on the target for a task that was lost before; for a sound one, only those that were lost before. */
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -136,13 +136,7 @@
 
 	/** Whether any attempt of a task may be running. */
 	isRunning(task: TaskId): boolean {
-		for (const session of this.#sessions.withClosing()) {
-			if (session.hasRunOf(task)) {
-				return true;
-			}
-		}
-
-		return false;
+		return this.#sessions.isRunning(task);
 	}
 
 	/** Starts a run and returns its target; undefined if no target is eligible. */
--- a/src/features/execution/run-table.ts
+++ b/src/features/execution/run-table.ts
@@ -2,22 +2,20 @@
 import type {JobId} from '../../base/job-id.js';
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {Resources} from '../../base/resources.js';
-import type {TaskId} from '../../base/task-id.js';
+import type {RunCounts} from './run-counts.js';
 import type {Run} from './run.js';
 import {runKeyOf} from './run-key-of.js';
 
 type RunIdentity = {readonly task: string; readonly attempt: number};
 
-/** All runs that use capacity of the target, indexed by attempt and by task. Caches the free capacity between changes. */
+/** All runs that use capacity of the target, indexed by attempt. Caches the free capacity between changes. */
 export class RunTable implements Iterable<Run> {
 	/** Whether the target has rejected a start for lack of capacity since its last report. */
 	isFull = false;
 	readonly #runs = new Map<string, Run>();
-	/** Number of runs by task. */
-	readonly #attemptCounts = new Map<TaskId, number>();
 	#freeCapacity: Resources | undefined;
 
-	constructor(private capacity: Resources) {}
+	constructor(private capacity: Resources, private readonly runCounts: RunCounts) {}
 
 	get size(): number {
 		return this.#runs.size;
@@ -49,30 +47,24 @@
 		return this.get(run.request) === run;
 	}
 
-	hasRunOf(task: TaskId): boolean {
-		return this.#attemptCounts.has(task);
-	}
-
 	countRunsOfJob(job: JobId): number {
 		return [...this.#runs.values()].filter(({request}) => jobOfTask(request.task) === job).length;
 	}
 
 	add(run: Run): void {
-		const {task} = run.request;
-		this.#runs.set(runKeyOf(run.request), run);
-		this.#attemptCounts.set(task, (this.#attemptCounts.get(task) ?? 0) + 1);
+		const key = runKeyOf(run.request);
+		if (!this.#runs.has(key)) {
+			this.runCounts.add(run.request.task);
+		}
+
+		this.#runs.set(key, run);
 		this.#freeCapacity = undefined;
 	}
 
 	remove(run: Run): void {
-		const {task} = run.request;
-		const others = (this.#attemptCounts.get(task) ?? 0) - 1;
-		this.#runs.delete(runKeyOf(run.request));
 		this.#freeCapacity = undefined;
-		if (others > 0) {
-			this.#attemptCounts.set(task, others);
-		} else {
-			this.#attemptCounts.delete(task);
+		if (this.#runs.delete(runKeyOf(run.request))) {
+			this.runCounts.remove(run.request.task);
 		}
 	}
 
--- a/src/features/execution/session-parts.ts
+++ b/src/features/execution/session-parts.ts
@@ -7,6 +7,7 @@
 import type {TargetRecord} from '../targets/target-record.js';
 import type {ClockOffsets} from './clock-offsets.js';
 import type {ResponseTimes} from './response-times.js';
+import type {RunCounts} from './run-counts.js';
 import type {SessionListener} from './session-listener.js';
 
 export type SessionParts = {
@@ -18,6 +19,7 @@
 	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly responseTimes: ResponseTimes;
+	readonly runCounts: RunCounts;
 	readonly clock: Clock;
 	readonly journal: Journal;
 	readonly listener: SessionListener;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -5,7 +5,6 @@
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {Resources} from '../../base/resources.js';
-import type {TaskId} from '../../base/task-id.js';
 import type {OrderFailure} from '../targets/order-failure.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import {findOverdueRuns} from './find-overdue-runs.js';
@@ -52,7 +51,7 @@
 		const {target, fence, leaseMilliseconds, clockOffsets, lastContact, clock} = parts;
 		const {token} = this.#cancellation;
 		this.#orders = new SessionOrders(parts, target, fence);
-		this.#runs = new RunTable(target.capacity);
+		this.#runs = new RunTable(target.capacity, parts.runCounts);
 		this.#unknownRuns = new UnknownRuns(clock.now());
 		this.#lease = new LeaseSchedule(leaseMilliseconds, clockOffsets);
 		this.#limit = new LeaseLimit(this.#runs, lastContact);
@@ -92,10 +91,6 @@
 		return this.#runs.size > 0;
 	}
 
-	hasRunOf(task: TaskId): boolean {
-		return this.#runs.hasRunOf(task);
-	}
-
 	/**
 	 * Whether new tasks may be started: the target answers, isn't draining, hasn't reported that it is full, has no unknown or
 	 * overdue runs, and none that limits its lease too much.
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -5,6 +5,7 @@
 import type {FencingToken} from '../../base/fencing-token.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
+import type {TaskId} from '../../base/task-id.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetHealth} from '../placement/target-health.js';
@@ -16,6 +17,7 @@
 import type {LossHistory} from './loss-history.js';
 import type {OwnedTarget} from './owned-target.js';
 import {ResponseTimes} from './response-times.js';
+import {RunCounts} from './run-counts.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import {TargetSession} from './target-session.js';
@@ -58,6 +60,8 @@
 	readonly #willRelease = new Emitter<Run>();
 	readonly #responseTimes = new ResponseTimes();
 	readonly #clockOffsets = new Map<InstanceId, ClockOffsets>();
+	/** Of the open sessions, and the closed ones that still have runs. */
+	readonly #runCounts = new RunCounts();
 
 	constructor(private readonly parts: TargetSessionsParts) {}
 
@@ -71,6 +75,11 @@
 		return this.#willRelease.event;
 	}
 
+	/** Whether any attempt of a task may be running on a target. */
+	isRunning(task: TaskId): boolean {
+		return this.#runCounts.has(task);
+	}
+
 	get size(): number {
 		return this.#sessions.size;
 	}
@@ -178,7 +187,7 @@
 	#createSession(id: InstanceId, target: TargetRecord, fence: FencingToken): TargetSession {
 		const {leaseMilliseconds, lastContact, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, clockOffsets: this.#clockOffsetsOf(id), lastContact, orders, responseTimes: this.#responseTimes, clock, journal, listener: {
+			target, fence, leaseMilliseconds, clockOffsets: this.#clockOffsetsOf(id), lastContact, orders, responseTimes: this.#responseTimes, runCounts: this.#runCounts, clock, journal, listener: {
 				onDidEndRun: (run, outcome) => {
 					this.parts.listener.onDidEndRun(session, run, outcome);
 					if (this.#closing.has(session) && !session.hasRuns) {
