--- a/src/features/dispatch/expiry-timer.ts
+++ b/src/features/dispatch/expiry-timer.ts
@@ -17,14 +17,20 @@
 
 	/** Reschedules the next check after jobs were added or their expiry changed. */
 	schedule(): void {
-		const due = this.clock.now() + this.#nextDelay();
+		const now = this.clock.now();
+		if (this.#timer !== undefined && this.#due <= now + minimumDelayMilliseconds) {
+			// No expiry can bring the pending check forward.
+			return;
+		}
+
+		const due = now + this.#nextDelay(now);
 		if (this.#timer !== undefined && due >= this.#due) {
 			return;
 		}
 
 		this.#timer?.dispose();
 		this.#due = due;
-		this.#timer = this.clock.schedule(due - this.clock.now(), () => {
+		this.#timer = this.clock.schedule(due - now, () => {
 			this.#timer = undefined;
 			this.callback();
 			if (this.jobs.size > 0) {
@@ -37,8 +43,7 @@
 		this.#timer?.dispose();
 	}
 
-	#nextDelay(): number {
-		const now = this.clock.now();
+	#nextDelay(now: number): number {
 		let delay = maximumDelayMilliseconds;
 		for (const job of this.jobs) {
 			delay = Math.min(delay, job.expiresAt - now);
--- a/src/features/dispatch/job-table.ts
+++ b/src/features/dispatch/job-table.ts
@@ -21,7 +21,7 @@
 	get waitingTasks(): number {
 		let waiting = 0;
 		for (const job of this.#jobs.values()) {
-			waiting += job.waiting.length;
+			waiting += job.waitingCount;
 		}
 
 		return waiting;
@@ -31,10 +31,14 @@
 	get minimumNeeds(): readonly CapacityDemand[] {
 		const minimum = new Map<string, CapacityDemand>();
 		for (const running of this.#jobs.values()) {
+			if (!running.hasWaiting) {
+				continue;
+			}
+
 			const {service} = running.job.route;
 			const {need} = running.job.shape;
 			const known = minimum.get(service);
-			if (running.hasWaiting && (known === undefined || need.cpuMillis < known.need.cpuMillis)) {
+			if (known === undefined || need.cpuMillis < known.need.cpuMillis) {
 				minimum.set(service, {service, need});
 			}
 		}
--- a/src/features/dispatch/least-laxity.ts
+++ b/src/features/dispatch/least-laxity.ts
@@ -21,6 +21,6 @@
 			return job.mayHaveRun ? weightedStart - classOffsetMilliseconds : weightedStart;
 		}
 
-		return job.waiting.length <= nearlyDoneShare * job.tasks.length ? latestStart : latestStart + classOffsetMilliseconds;
+		return job.waitingCount <= nearlyDoneShare * job.tasks.length ? latestStart : latestStart + classOffsetMilliseconds;
 	}
 }
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -103,11 +103,28 @@
 	}
 
 	get waiting(): readonly TaskState[] {
-		return this.tasks.filter(state => state.owner === undefined && !state.isDone);
+		return this.tasks.filter(state => isWaiting(state));
+	}
+
+	get waitingCount(): number {
+		let count = 0;
+		for (const state of this.tasks) {
+			if (isWaiting(state)) {
+				count += 1;
+			}
+		}
+
+		return count;
 	}
 
 	get hasWaiting(): boolean {
-		return this.tasks.some(state => state.owner === undefined && !state.isDone);
+		for (const state of this.tasks) {
+			if (isWaiting(state)) {
+				return true;
+			}
+		}
+
+		return false;
 	}
 
 	get #firstSubmittedAt(): number {
@@ -124,6 +141,10 @@
 	}
 }
 
+function isWaiting(state: TaskState): boolean {
+	return state.owner === undefined && !state.isDone;
+}
+
 function createTask(job: JobId, index: number): TaskState {
 	return {
 		id: `${job}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, handedOverAt: undefined, isDone: false, excludedTargets: new Set<string>(),
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -98,9 +98,16 @@
 	/** The free capacity of each target that accepts any task; targets to probe are left to this entry's own jobs. */
 	get freeCapacity(): readonly FreeCapacity[] {
 		const now = this.parts.clock.now();
-		return [...this.#sessions]
-			.filter(session => session.isOpen && ['fit', 'slow'].includes(this.parts.health.condition(session.target.id, now)))
-			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.freeCapacity}));
+		const free: FreeCapacity[] = [];
+		for (const session of this.#sessions) {
+			const {target} = session;
+			const condition = this.parts.health.condition(target.id, now);
+			if ((condition === 'fit' || condition === 'slow') && session.isOpen) {
+				free.push({service: target.service, labels: target.labels, room: session.freeCapacity});
+			}
+		}
+
+		return free;
 	}
 
 	/** The entries that requested the current runs, once for each run. */
--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -134,8 +134,11 @@
 			return;
 		}
 
-		const {ownState, outbox, clock} = this.parts;
-		const state = ownState();
+		this.#sendState(receivers, this.parts.ownState());
+	}
+
+	#sendState(receivers: readonly PoolMember[], state: EntryState): void {
+		const {outbox, clock} = this.parts;
 		for (const known of receivers) {
 			this.#sentAt.set(known, clock.now());
 			outbox.put(known.member, {kind: 'state', state, isForMonitor: known.isMonitor});
@@ -154,13 +157,23 @@
 
 	#announceCapacityNow(): void {
 		const {members, ownState, clock} = this.parts;
-		const state = ownState();
 		const peers = [...members()];
-		const candidates = peers.filter(member => isWaiting(member)).map(member => ({member, targets: countEligibleTargets(member.demand, state.freeCapacity)})).filter(({targets}) => targets > 0);
-		const targets = Math.max(0, ...candidates.map(candidate => candidate.targets));
+		const waiting = peers.filter(member => isWaiting(member));
+		// The state takes long to compute, and most announcements under load find that no peer waits any more.
+		const state = waiting.length === 0 ? undefined : ownState();
+		const candidates: PoolMember[] = [];
+		let targets = 0;
+		for (const member of waiting) {
+			const eligible = countEligibleTargets(member.demand, state!.freeCapacity);
+			targets = Math.max(targets, eligible);
+			if (eligible > 0) {
+				candidates.push(member);
+			}
+		}
+
 		const isNew = targets > this.#announcedTargets;
 		this.#announcedTargets = Math.min(this.#announcedTargets, targets);
-		if (targets === 0) {
+		if (state === undefined || targets === 0) {
 			return;
 		}
 
@@ -174,18 +187,18 @@
 		this.#announcedTargets = targets;
 		this.#capacityAnnouncedAt = clock.now();
 		this.#repeatDueAt = clock.now() + Math.min(longestRepeatMilliseconds, Math.max(shortestRepeatMilliseconds, interval));
-		this.#sendInRotation(candidates.map(({member}) => member), receivers);
+		this.#sendInRotation(candidates, receivers, state);
 		this.#scheduleCapacity(this.#repeatDueAt);
 	}
 
-	#sendInRotation(waiting: readonly PoolMember[], count: number): void {
+	#sendInRotation(waiting: readonly PoolMember[], count: number, state: EntryState): void {
 		const receivers = Array.from({length: count}, (_, index) => waiting[(this.#rotation + index + 1) % waiting.length]!);
 		this.#rotation += count;
 		for (const member of receivers) {
 			member.capacityUpdates += 1;
 		}
 
-		this.#send(receivers);
+		this.#sendState(receivers, state);
 	}
 }
 
