End a placement pass early if no target has room for the smallest waiting task

Cause: each pass of an overloaded entry listed the targets of all peers, ranked all waiting jobs and tried six of them on all targets, although nothing was free.

--- a/src/features/dispatch/choose-remote-target.ts
+++ b/src/features/dispatch/choose-remote-target.ts
@@ -13,14 +13,23 @@
  * get refused. Prefers this zone when it has enough candidates, which reduces payload and heartbeat traffic between zones.
  */
 export function chooseRemoteTarget(available: readonly RemoteTarget[], request: RunRequest, zone: AvailabilityZone, random: Random): RemoteTarget | undefined {
-	const eligible = available.filter(({target}) => canRun(target, request));
-	const sameZone = eligible.filter(({member}) => member.member.zone === zone);
+	const eligible: RemoteTarget[] = [];
+	const sameZone: RemoteTarget[] = [];
+	for (const choice of available) {
+		if (canRun(choice.target, request)) {
+			eligible.push(choice);
+			if (choice.member.member.zone === zone) {
+				sameZone.push(choice);
+			}
+		}
+	}
+
 	const choices = sameZone.length >= minimumZoneChoices ? sameZone : eligible;
 	return choices.length === 0 ? undefined : choices[random.below(choices.length)];
 }
 
 function canRun(target: RemoteTarget['target'], request: RunRequest): boolean {
-	return target.service === request.service
-		&& satisfiesConstraints(request, target.labels)
-		&& request.need.fitsInto(target.room);
+	return request.need.fitsInto(target.room)
+		&& target.service === request.service
+		&& satisfiesConstraints(request, target.labels);
 }
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -35,15 +35,27 @@
 
 	/** Runs a placement pass; returns whether no task is left waiting. */
 	placeAll(jobs: Iterable<RunningJob>): boolean {
-		const {pool, order, clock} = this.dependencies;
+		const {executor, pool, order, clock} = this.dependencies;
 		const now = clock.now();
-		const waiting = [...jobs].filter(job => job.hasWaiting);
+		const waiting: RunningJob[] = [];
+		let leastCpuMillis = Number.POSITIVE_INFINITY;
+		for (const job of jobs) {
+			if (job.hasWaiting) {
+				waiting.push(job);
+				leastCpuMillis = Math.min(leastCpuMillis, job.job.shape.need.cpuMillis);
+			}
+		}
+
 		if (waiting.length === 0) {
 			return true;
 		}
 
-		const leastCpuMillis = Math.min(...waiting.map(({job}) => job.shape.need.cpuMillis));
 		const available = availableRemoteTargets(pool, leastCpuMillis);
+		if (available.length === 0 && executor.largestFreeCpuMillis < leastCpuMillis) {
+			// Most passes of an overloaded fleet end here.
+			return false;
+		}
+
 		const ranked = waiting.map(job => ({job, rank: order.rank(job, now)}));
 		ranked.sort((left, right) => left.rank - right.rank);
 		let misses = 0;
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -110,6 +110,16 @@
 		return free;
 	}
 
+	/** The free CPU of the target with the most of it, in thousandths of a core, whether it accepts tasks or not. */
+	get largestFreeCpuMillis(): number {
+		let largest = Number.NEGATIVE_INFINITY;
+		for (const {freeCapacity} of this.#sessions) {
+			largest = Math.max(largest, freeCapacity.cpuMillis);
+		}
+
+		return largest;
+	}
+
 	/** The entries that requested the current runs, once for each run. */
 	* requesters(): Iterable<MemberId> {
 		for (const session of this.#sessions.withClosing()) {
