Announce demand only to peers that don't know it

Cause: an entry whose waiting tasks come and go announced them to all active peers each time, although a peer still offers its free capacity for the demand that it received last, until it has made two offers. Change: AnnouncedDemand remembers the demand that each peer was sent and how many states it has sent since; those that would still offer capacity for all of the demand are left out. Heartbeats repeat the demand as before.

--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -348,6 +348,7 @@
 		const hasNewDemand = known.demand.length === 0 && state.demand.length > 0;
 		// A request for capacity that was published in a previous epoch would be refused.
 		Object.assign(known, state, {isMonitored: isForMonitor, capacityUpdates: 0, freeCapacity: isCurrent ? state.freeCapacity : []});
+		this.#broadcaster.recordReceived(known);
 		this.#changeCapacity.fire();
 		if (hasNewDemand) {
 			// The peer may not know of capacity that became free after the last heartbeat.
--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -1,6 +1,7 @@
 /** Decides when this entry sends its state, and to which peers. */
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
+import {AnnouncedDemand} from './announced-demand.js';
 import type {EntryState} from './entry-state.js';
 import {heartbeats} from './heartbeats.js';
 import type {Outbox} from './outbox.js';
@@ -48,6 +49,7 @@
 export class StateBroadcaster implements Disposable {
 	/** When the state was last sent to each peer. */
 	readonly #sentAt = new WeakMap<PoolMember, number>();
+	readonly #announcedDemand = new AnnouncedDemand(announcementsPerDemand);
 	#demandAnnouncedAt = Number.NEGATIVE_INFINITY;
 	#capacityAnnouncedAt = Number.NEGATIVE_INFINITY;
 	#rotation = 0;
@@ -89,14 +91,20 @@
 		});
 	}
 
-	/** Announces to active and monitored peers that tasks wait here. */
+	/** Records that a peer has sent its state. */
+	recordReceived(member: PoolMember): void {
+		this.#announcedDemand.recordReceived(member);
+	}
+
+	/** Announces to active and monitored peers that tasks wait here, unless they know it from the latest state. */
 	announceDemand(): void {
 		const {length} = this.#nonIdle;
 		const due = this.#demandAnnouncedAt + (length * demandMillisecondsPerReceiver) - this.parts.clock.now();
 		this.#pendingDemand ??= this.parts.clock.schedule(Math.max(0, due), () => {
 			this.#pendingDemand = undefined;
 			this.#demandAnnouncedAt = this.parts.clock.now();
-			this.#send(this.#nonIdle);
+			const state = this.parts.ownState();
+			this.#sendState(this.#nonIdle.filter(member => !this.#announcedDemand.isKnownTo(member, state.demand)), state);
 		});
 	}
 
@@ -141,6 +149,7 @@
 		const {outbox, clock} = this.parts;
 		for (const known of receivers) {
 			this.#sentAt.set(known, clock.now());
+			this.#announcedDemand.recordSent(known, state.demand);
 			outbox.put(known.member, {kind: 'state', state, isForMonitor: known.isMonitor});
 		}
 	}
