--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -98,9 +98,26 @@
 	/** The free capacity of each target that accepts any task; targets to probe are left to this entry's own jobs. */
 	get freeCapacity(): readonly FreeCapacity[] {
 		const now = this.parts.clock.now();
-		return [...this.#sessions]
-			.filter(session => session.isOpen && ['fit', 'slow'].includes(this.parts.health.condition(session.target.id, now)))
-			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.freeCapacity}));
+		const free: FreeCapacity[] = [];
+		for (const session of this.#sessions) {
+			const {target} = session;
+			const condition = this.parts.health.condition(target.id, now);
+			if ((condition === 'fit' || condition === 'slow') && session.isOpen) {
+				free.push({service: target.service, labels: target.labels, room: session.freeCapacity});
+			}
+		}
+
+		return free;
+	}
+
+	/** The free CPU of the target with the most of it, in thousandths of a core, whether it accepts tasks or not. */
+	get largestFreeCpuMillis(): number {
+		let largest = Number.NEGATIVE_INFINITY;
+		for (const {freeCapacity} of this.#sessions) {
+			largest = Math.max(largest, freeCapacity.cpuMillis);
+		}
+
+		return largest;
 	}
 
 	/** The entries that requested the current runs, once for each run. */
@@ -136,13 +153,7 @@
 
 	/** Whether any attempt of a task may be running. */
 	isRunning(task: TaskId): boolean {
-		for (const session of this.#sessions.withClosing()) {
-			if (session.hasRunOf(task)) {
-				return true;
-			}
-		}
-
-		return false;
+		return this.#sessions.isRunning(task);
 	}
 
 	/** Starts a run and returns its target; undefined if no target is eligible. */
