--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -10,6 +10,9 @@
 /** An encoded message: a list whose first element is the message code. */
 type Encoded = readonly unknown[];
 
+/** States are immutable. */
+const encodedStates = new WeakMap<EntryState, Encoded>();
+
 /**
  * Encodes a batch for one peer as positional lists. Consecutive runs of one job carry its payload only once, since the payload
  * makes up most of their size and traffic between zones is billed.
@@ -95,13 +98,22 @@
 	];
 }
 
-function encodeState({isLeaving, routingVersion, demand, freeCapacity}: EntryState): Encoded {
-	return [
+/** Encoded once for all receivers. */
+function encodeState(state: EntryState): Encoded {
+	const known = encodedStates.get(state);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const {isLeaving, routingVersion, demand, freeCapacity} = state;
+	const encoded = [
 		isLeaving,
 		routingVersion,
 		demand.map(({service, need}) => [service, ...amountsOf(need)]),
 		freeCapacity.map(capacity => [capacity.service, ...amountsOf(capacity.room), ...capacity.labels]),
 	];
+	encodedStates.set(state, encoded);
+	return encoded;
 }
 
 function encodeRequest(request: RunRequest): Encoded {
--- a/src/runtime/peers/outgoing-connection.ts
+++ b/src/runtime/peers/outgoing-connection.ts
@@ -184,9 +184,9 @@
 	/** Sends a message; drops it if it is addressed to a previous incarnation, whose state the current one doesn't share. */
 	#deliver(entry: QueuedMessage): void {
 		if (entry.to === this.#peer?.id) {
-			const stamp = Math.floor(this.parts.clock.now());
+			const {channel, body} = entry.message;
 			this.#socket?.send({
-				kind: 'message', ...entry.message, stamp, echo: this.parts.listener.lastStampOf(this.#peer),
+				kind: 'message', channel, body, stamp: Math.floor(this.parts.clock.now()), echo: this.parts.listener.lastStampOf(this.#peer),
 			});
 		}
 	}
