--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -91,6 +91,11 @@
 		});
 	}
 
+	/** Whether a peer with waiting tasks may still be sent offers of capacity. */
+	isWaiting(member: PoolMember): boolean {
+		return isWaiting(member);
+	}
+
 	/** Records that a peer has sent its state. */
 	recordReceived(member: PoolMember): void {
 		this.#announcedDemand.recordReceived(member);
