Compute an entry's state for an offer only if a target has room for the smallest demand

Cause: each due announcement computed the state, with the lease limits of all targets, as soon as any peer waited, also when nothing was free. Change: the broadcaster compares the largest free capacity with the peers' smallest needs first; the check of a target's record builds no list.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -83,6 +83,7 @@
 		this.pool = disposables.add(new Pool({
 			network,
 			ownState: () => this.#nodeState(),
+			largestFreeCpuMillis: () => this.executor.largestFreeCpuMillis,
 			peersInUse: () => new Set([...this.executor.requesters(), ...this.dispatcher.jobs.owners()]),
 			pauses: this.pauses,
 			clock,
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -111,7 +111,8 @@
 	 * same id may have another capacity and other labels, so that an outdated record could overload it.
 	 */
 	get #isRecordCurrent(): boolean {
-		const [listed, reporting] = [this.target.incarnation, this.#reports.incarnation];
+		const listed = this.target.incarnation;
+		const reporting = this.#reports.incarnation;
 		return listed === undefined || reporting === undefined || listed >= reporting;
 	}
 
--- a/src/features/pool/pool-parts.ts
+++ b/src/features/pool/pool-parts.ts
@@ -10,6 +10,8 @@
 export type PoolParts = {
 	readonly network: PeerNetwork;
 	readonly ownState: () => EntryState;
+	/** The free CPU of this entry's target with the most of it, in thousandths of a core. */
+	readonly largestFreeCpuMillis: () => number;
 	/** Peers that run tasks for this entry, or that this entry runs tasks for. */
 	readonly peersInUse: () => ReadonlySet<MemberId>;
 	readonly pauses: PauseDetector;
--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -41,6 +41,8 @@
 type StateBroadcasterParts = {
 	readonly members: () => Iterable<PoolMember>;
 	readonly ownState: () => EntryState;
+	/** An upper bound of the free CPU of each target in the state, in thousandths of a core. */
+	readonly largestFreeCpuMillis: () => number;
 	readonly outbox: Outbox;
 	readonly clock: Clock;
 };
@@ -172,8 +174,9 @@
 	#announceCapacityNow(): void {
 		const {members, ownState, clock} = this.parts;
 		const peers = [...members()];
-		const waiting = peers.filter(member => isWaiting(member));
-		// The state takes long to compute, and most announcements under load find that no peer waits any more.
+		const largestCpuMillis = this.parts.largestFreeCpuMillis();
+		const waiting = peers.filter(member => isWaiting(member) && leastCpuMillisOf(member) <= largestCpuMillis);
+		// The state takes long to compute, and most announcements under load find no capacity, or no peer that waits for it.
 		const state = waiting.length === 0 ? undefined : ownState();
 		const candidates: PoolMember[] = [];
 		let targets = 0;
@@ -216,6 +219,15 @@
 	}
 }
 
+function leastCpuMillisOf({demand}: PoolMember): number {
+	let least = Number.POSITIVE_INFINITY;
+	for (const {need} of demand) {
+		least = Math.min(least, need.cpuMillis);
+	}
+
+	return least;
+}
+
 function isWaiting({demand, capacityUpdates}: PoolMember): boolean {
 	return demand.length > 0 && capacityUpdates < announcementsPerDemand;
 }
--- a/test/features/pool/pool.test.ts
+++ b/test/features/pool/pool.test.ts
@@ -42,6 +42,7 @@
 	const network = new CountingNetwork(clock);
 	const pools = Array.from({length: count}, (_, index) => new Pool({
 		network: network.join(`entry-${index}`, `zone-${index % zones}`),
+		largestFreeCpuMillis: () => Number.POSITIVE_INFINITY,
 		ownState: () => ({
 			isLeaving: false,
 			routingVersion: 0,
--- a/test/features/pool/state-broadcaster.test.ts
+++ b/test/features/pool/state-broadcaster.test.ts
@@ -57,6 +57,7 @@
 		ownState: () => ({
 			isLeaving: false, routingVersion: 0, demand: [], freeCapacity: Array.from({length: world.targets}, () => ({service, labels: [], room: need})),
 		}),
+		largestFreeCpuMillis: () => need.cpuMillis,
 		outbox: new Outbox({
 			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), contacts: new PeerContacts(clock), clock,
 		}),
--- a/test/support/target-list-cluster.ts
+++ b/test/support/target-list-cluster.ts
@@ -106,6 +106,7 @@
 		const {journal} = this;
 		const pool = new Pool({
 			network,
+			largestFreeCpuMillis: () => Number.POSITIVE_INFINITY,
 			ownState: () => ({
 				isLeaving: this.entries.get(name)?.isLeaving ?? false, routingVersion: 0, demand: [], freeCapacity: [],
 			}),
