Contacts count from before the input that a slow requester hasn't read

Cause: a run whose stops are lost may go on for 1200 ms after its requester's last contact, and callers resubmit 1300 ms after their disconnect. A slow requester reads the disconnect later than it came, and what it sends meanwhile counted as contact. Change: entries measure how late their timers fire, and state this delay in a frame after the skipped time; contacts are earlier by it, also for an entry's own runs. Entries that are so late that peers would end their runs between two heartbeats state less.

--- a/src/features/pool/decode-frame.ts
+++ b/src/features/pool/decode-frame.ts
@@ -8,7 +8,12 @@
 export function decodeFrame(body: unknown): PoolFrame {
 	const values = new EncodedValues(Array.isArray(body) ? body : []);
 	return {
-		epoch: decodeEpoch(values), acknowledgedEpoch: decodeEpoch(values), messages: decodeMessages(values.list()), sentAt: values.optionalNumber(), skippedMilliseconds: values.optionalNumber() ?? 0,
+		epoch: decodeEpoch(values),
+		acknowledgedEpoch: decodeEpoch(values),
+		messages: decodeMessages(values.list()),
+		sentAt: values.optionalNumber(),
+		skippedMilliseconds: values.optionalNumber() ?? 0,
+		readingDelayMilliseconds: values.optionalNumber() ?? 0,
 	};
 }
 
--- a/src/features/pool/outbox.ts
+++ b/src/features/pool/outbox.ts
@@ -11,13 +11,14 @@
 
 /**
  * `queuedAt` is the time to state, and `skippedMilliseconds` the skipped time in it: the first message was queued then, and the frame
- * may leave later on a slow entry.
+ * may leave later on a slow entry. `readingDelayMilliseconds` is from that time as well.
  */
 type Batch = {
 	readonly member: Member;
 	readonly acknowledgedEpoch: Epoch;
 	readonly queuedAt: number;
 	readonly skippedMilliseconds: number;
+	readonly readingDelayMilliseconds: number;
 	messages: PoolMessage[];
 };
 
@@ -67,9 +68,9 @@
 			this.#send(known);
 		}
 
-		const {sendTime, skippedMilliseconds} = this.parts.contacts;
+		const {sendTime, skippedMilliseconds, readingDelayMilliseconds} = this.parts.contacts;
 		const batch = {
-			member, acknowledgedEpoch, queuedAt: sendTime, skippedMilliseconds, messages: [],
+			member, acknowledgedEpoch, queuedAt: sendTime, skippedMilliseconds, readingDelayMilliseconds, messages: [],
 		};
 		this.#batches.set(member.id, batch);
 		return batch;
@@ -83,10 +84,10 @@
 		}
 	}
 
-	#send({member, acknowledgedEpoch, queuedAt, skippedMilliseconds, messages}: Batch): void {
+	#send({member, acknowledgedEpoch, queuedAt, skippedMilliseconds, readingDelayMilliseconds, messages}: Batch): void {
 		const {network, channel, epochs} = this.parts;
 		const frame = {
-			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: queuedAt, skippedMilliseconds, messages,
+			epoch: epochs.local(member.id), acknowledgedEpoch, sentAt: queuedAt, skippedMilliseconds, readingDelayMilliseconds, messages,
 		};
 		network.send(member, {channel, body: encodeFrame(frame)});
 	}
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -1,6 +1,7 @@
 /** When peers were last known to be alive. */
 import type {Clock} from '../../base/clock.js';
 import type {MemberId} from '../../base/member-id.js';
+import type {ReadingDelay} from './reading-delay.js';
 
 /**
  * How long a clock difference counts at least. Long enough to contain a message that was read at once, also on an entry that
@@ -18,6 +19,14 @@
  */
 const wrongSkipMilliseconds = 1500;
 
+/**
+ * The age that the last contact with this entry may reach on its peers before its next message arrives. Its runs on their targets end
+ * at 1200 ms; the rest is for peers that are slow themselves, and for the next renewal.
+ */
+const longestContactAgeMilliseconds = 850;
+/** The longest interval between two heartbeats to a peer in use, without the delay of the timer for it. */
+const heartbeatMilliseconds = 150;
+
 /**
  * `smallestDifference` and its predecessor cover one window each; both are in milliseconds. `skippedMilliseconds` is the latest that
  * the peer stated.
@@ -36,7 +45,7 @@
 	/** Time that may have been a suspension; until that is known, contacts are taken to be older by it. */
 	#unexplainedMilliseconds = 0;
 
-	constructor(private readonly clock: Clock) {}
+	constructor(private readonly clock: Clock, private readonly readingDelay: Pick<ReadingDelay, 'milliseconds'>) {}
 
 	/** The time to state in a message that is sent now. */
 	get sendTime(): number {
@@ -48,8 +57,21 @@
 		return Math.round(this.#skippedMilliseconds);
 	}
 
-	/** Records a message that a peer sent at a time of its own clock, which includes the skipped time that the peer states. */
-	record(member: MemberId, sentAt: number, skippedMilliseconds = 0): void {
+	/**
+	 * By how much this entry's contacts count as earlier, because it may not have read yet that a caller has disconnected. Less than the
+	 * delay itself if its heartbeats are so late that peers would end its runs.
+	 */
+	get readingDelayMilliseconds(): number {
+		const {milliseconds} = this.readingDelay;
+		// The timer for the heartbeat and the frame are late as well.
+		return Math.max(0, Math.min(milliseconds, longestContactAgeMilliseconds - heartbeatMilliseconds - (2 * milliseconds)));
+	}
+
+	/**
+	 * Records a message that a peer sent at a time of its own clock, which includes the skipped time that the peer states. The peer may
+	 * have read its input later than it arrived, by the given delay.
+	 */
+	record(member: MemberId, sentAt: number, skippedMilliseconds = 0, readingDelayMilliseconds = 0): void {
 		const now = this.clock.now();
 		const difference = now - sentAt;
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
@@ -69,7 +91,7 @@
 		}
 
 		const sentAtHere = isWrong ? estimate - added : sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
-		contact.lastAt = Math.max(contact.lastAt, Math.min(sentAtHere, now));
+		contact.lastAt = Math.max(contact.lastAt, Math.min(sentAtHere, now) - readingDelayMilliseconds);
 	}
 
 	/** The time of the latest message from a peer; undefined if there was none. */
--- a/src/features/pool/pool-frame.ts
+++ b/src/features/pool/pool-frame.ts
@@ -15,5 +15,7 @@
 	readonly sentAt: number | undefined;
 	/** The time in `sentAt` that the sender's clock didn't count; 0 from entries that don't state it. */
 	readonly skippedMilliseconds: number;
+	/** How long before `sentAt` callers may have disconnected unread by the sender; 0 from entries that don't state it. */
+	readonly readingDelayMilliseconds: number;
 	readonly messages: readonly PoolMessage[];
 };
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -20,6 +20,7 @@
 import type {PoolMember} from './pool-member.js';
 import type {PoolMessage} from './pool-message.js';
 import type {PoolParts} from './pool-parts.js';
+import {ReadingDelay} from './reading-delay.js';
 import {StateBroadcaster} from './state-broadcaster.js';
 
 /** `isCurrent` is false for a message of a previous epoch: its sender has been lost here since, or this entry has stalled. */
@@ -39,6 +40,7 @@
 	readonly #descriptors = new PeerDescriptors();
 	readonly #store = new DisposableStore();
 	readonly #epochs = new Epochs();
+	readonly #readingDelay: ReadingDelay;
 	readonly #contacts: PeerContacts;
 	readonly #message = new Emitter<ReceivedPoolMessage>();
 	readonly #loseMember = new Emitter<MemberId>();
@@ -53,7 +55,8 @@
 	constructor(private readonly parts: PoolParts) {
 		const {network, ownState, largestFreeCpuMillis, peersInUse, clock} = parts;
 		const members = () => this.#members.values();
-		this.#contacts = new PeerContacts(clock);
+		this.#readingDelay = this.#store.add(new ReadingDelay(clock));
+		this.#contacts = new PeerContacts(clock, this.#readingDelay);
 		this.#outbox = new Outbox({
 			network, channel, epochs: this.#epochs, contacts: this.#contacts, clock,
 		});
@@ -152,18 +155,19 @@
 	}
 
 	/**
-	 * The latest time, by this entry's monotonic clock, at which an entry is known to have been alive: when it sent its latest
-	 * message, or when another entry last heard it.
+	 * The latest time, by this entry's monotonic clock, at which an entry is known to have been alive and to have had no unread input:
+	 * before it sent its latest message, or when another entry last heard it.
 	 */
 	lastContact(id: MemberId): number {
 		if (id === this.self) {
-			return this.parts.clock.now();
+			return this.parts.clock.now() - this.#contacts.readingDelayMilliseconds;
 		}
 
 		return Math.max(this.#contacts.lastContact(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
 	}
 
 	start(): void {
+		this.#readingDelay.start();
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
 			this.parts.pauses.check();
 			this.#connections.update();
@@ -292,7 +296,7 @@
 
 		const now = this.parts.clock.now();
 		this.#members.get(from.id)!.heardAt = now;
-		this.#contacts.record(from.id, frame.sentAt ?? now, frame.skippedMilliseconds);
+		this.#contacts.record(from.id, frame.sentAt ?? now, frame.skippedMilliseconds, frame.readingDelayMilliseconds);
 		// Must precede the messages: they may report runs that were stopped because of the loss, which this entry would restart.
 		if (this.#epochs.observe(from.id, frame)) {
 			this.#detectEviction.fire();
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -97,7 +97,7 @@
 
 test('a frame survives encoding and decoding with its epochs', () => {
 	const frame = {
-		epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, sentAt: 4711, skippedMilliseconds: 12, messages,
+		epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, sentAt: 4711, skippedMilliseconds: 12, readingDelayMilliseconds: 34, messages,
 	};
 	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
 });
@@ -105,7 +105,7 @@
 // Guards against bytes in every frame for a time that hardly any entry has to state, and against rejecting entries that don't state it.
 test('a frame without skipped time leaves it out', () => {
 	const frame = {
-		epoch: {losses: 0, pauses: 0}, acknowledgedEpoch: {losses: 0, pauses: 0}, sentAt: 4711, skippedMilliseconds: 0, messages,
+		epoch: {losses: 0, pauses: 0}, acknowledgedEpoch: {losses: 0, pauses: 0}, sentAt: 4711, skippedMilliseconds: 0, readingDelayMilliseconds: 0, messages,
 	};
 	assert.equal(encodeFrame(frame).length, 6);
 	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
--- a/test/features/pool/peer-contacts.test.ts
+++ b/test/features/pool/peer-contacts.test.ts
@@ -12,7 +12,7 @@
 /** Contacts with a peer whose messages were read at once for a second. */
 function createContacts() {
 	const clock = new FakeClock();
-	const contacts = new PeerContacts(clock);
+	const contacts = new PeerContacts(clock, {milliseconds: 0});
 	for (let sent = 0; sent < 5; sent += 1) {
 		clock.advance(200);
 		contacts.record(peer, clock.now() + offset - 1);
--- a/test/features/pool/state-broadcaster.test.ts
+++ b/test/features/pool/state-broadcaster.test.ts
@@ -59,7 +59,7 @@
 		}),
 		largestFreeCpuMillis: () => need.cpuMillis,
 		outbox: new Outbox({
-			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), contacts: new PeerContacts(clock), clock,
+			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), contacts: new PeerContacts(clock, {milliseconds: 0}), clock,
 		}),
 		clock,
 	});
