Targets are chosen by their learned speeds, if targetSpeeds.enabled is set

Cause: a task of 800 ms takes 1143 ms at a speed of 0.7, and its objective is at 1340 ms. Targets were chosen by fit only, so that long jobs were late on slow targets although fast ones were free.

A 'run' message carries the time left to the objective. Tasks take the slowest target on which they are in time, else wait for a faster one for a limited time, else take the fastest (target-preference.ts). Expected times are the usual declared times of a queue: measured ones depend on the speeds of the targets in use.

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -180,11 +180,17 @@
 
 	#updateGauges(): void {
 		const {metrics} = this.parts;
-		const {dispatcher, executor, pauses} = this.#entry;
+		const {dispatcher, executor, pauses, targetSpeeds} = this.#entry;
 		metrics.gauge('event_loop_delay_milliseconds', Math.round(pauses.takeLongestDelay()));
 		metrics.gauge('jobs_in_flight', dispatcher.inFlight);
 		metrics.gauge('tasks_waiting', dispatcher.jobs.waitingTasks);
 		metrics.gauge('targets_owned', executor.ownedTargets);
+		if (targetSpeeds !== undefined && executor.ownedTargets > 0) {
+			const {slowdowns} = targetSpeeds;
+			metrics.gauge('target_slowdown_least', Math.min(...slowdowns));
+			metrics.gauge('target_slowdown_greatest', Math.max(...slowdowns));
+		}
+
 		metrics.gauge('routing_version', this.#routing.version);
 	}
 }
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -12,9 +12,11 @@
 import type {SchedulingSettings} from '../../features/dispatch/scheduling-settings.js';
 import {Executor} from '../../features/execution/executor.js';
 import {LossHistory} from '../../features/execution/loss-history.js';
+import {TargetSpeeds} from '../../features/execution/target-speeds.js';
 import {Ownership} from '../../features/ownership/ownership.js';
 import type {PartitionGroup} from '../../features/ownership/partition-group.js';
 import {MeanRunTimes} from '../../features/placement/mean-run-times.js';
+import {NormalRunTimes} from '../../features/placement/normal-run-times.js';
 import {TargetHealth} from '../../features/placement/target-health.js';
 import type {EntryState} from '../../features/pool/entry-state.js';
 import {Pool} from '../../features/pool/pool.js';
@@ -62,20 +64,24 @@
 	readonly dispatcher: Dispatcher;
 	readonly callerTimeouts = new CallerTimeouts();
 	readonly pauses: PauseDetector;
+	/** Undefined if speeds aren't learned. */
+	readonly targetSpeeds: TargetSpeeds | undefined;
 	readonly #disposables = new DisposableStore();
 	readonly #lossHistory: LossHistory;
 	#isLeaving = false;
 
 	constructor(private readonly parts: PooledEntryParts) {
-		const {zone, member, leaseMilliseconds, network, group, catalogue, evacuations, orders, clock, journal} = parts;
+		const {zone, member, leaseMilliseconds, network, group, catalogue, evacuations, orders, scheduling, clock, journal} = parts;
 		const disposables = this.#disposables;
 		this.#lossHistory = new LossHistory(clock, journal);
 		this.pauses = disposables.add(new PauseDetector(clock));
+		this.targetSpeeds = scheduling.targetSpeeds.enabled ? new TargetSpeeds(journal) : undefined;
 		this.executor = disposables.add(new Executor({
 			leaseMilliseconds,
 			lastContact: requester => this.pool.lastContact(requester),
 			orders,
 			health: new TargetHealth(journal),
+			speeds: this.targetSpeeds,
 			losses: this.#lossHistory,
 			clock,
 			journal,
@@ -97,8 +103,9 @@
 			executor: this.executor,
 			pool: this.pool,
 			order: new LeastLaxity(),
+			scheduling,
 			leaseMilliseconds,
-			runTimes: new MeanRunTimes(),
+			runTimes: scheduling.targetSpeeds.enabled ? new NormalRunTimes() : new MeanRunTimes(),
 			timeouts: this.callerTimeouts,
 			losses: this.#lossHistory,
 			pauses: this.pauses,
--- a/src/features/dispatch/choose-remote-target.ts
+++ b/src/features/dispatch/choose-remote-target.ts
@@ -1,8 +1,8 @@
 /** Chooses a remote target for a task. */
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Random} from '../../base/random.js';
-import {satisfiesConstraints} from '../execution/satisfies-constraints.js';
 import type {RunRequest} from '../execution/run-request.js';
+import {canRun} from './can-run.js';
 import type {RemoteTarget} from './remote-target.js';
 
 /** Below this number of candidates in the zone, entries would pick the same target too often. */
@@ -18,9 +18,3 @@
 	const choices = sameZone.length >= minimumZoneChoices ? sameZone : eligible;
 	return choices.length === 0 ? undefined : choices[random.below(choices.length)];
 }
-
-function canRun(target: RemoteTarget['target'], request: RunRequest): boolean {
-	return target.service === request.service
-		&& satisfiesConstraints(request, target.labels)
-		&& request.need.fitsInto(target.room);
-}
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -25,6 +25,7 @@
 import {JobTable} from './job-table.js';
 import {OwnerCommands} from './owner-commands.js';
 import type {QueueOrder} from './queue-order.js';
+import type {SchedulingSettings} from './scheduling-settings.js';
 import {RunResults} from './run-results.js';
 import {TaskPlacer} from './task-placer.js';
 import {uncertainVerdict} from './uncertain-verdict.js';
@@ -36,6 +37,7 @@
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
+	readonly scheduling: SchedulingSettings;
 	/** The longest lease that a target grants, in milliseconds. */
 	readonly leaseMilliseconds: number;
 	readonly runTimes: MeanRunTimes;
@@ -65,7 +67,6 @@
 	#isWaitingToResume = false;
 
 	constructor(private readonly dependencies: DispatcherDependencies) {
-		this.#placer = new TaskPlacer(dependencies);
 		this.#expiryTimer = this.#store.add(new ExpiryTimer(this.#jobs, dependencies.clock, () => {
 			this.#endExpired();
 		}));
@@ -74,6 +75,7 @@
 			this.#schedulePlacement();
 		};
 
+		this.#placer = this.#store.add(new TaskPlacer({...dependencies, schedulePlacement}));
 		this.#completion = new JobCompletion({
 			...dependencies, jobs: this.#jobs, ownerCommands: this.#ownerCommands, schedulePlacement,
 		});
--- a/src/features/dispatch/job-admission.ts
+++ b/src/features/dispatch/job-admission.ts
@@ -45,9 +45,9 @@
 
 	#accept(job: BestEffortJob, submission: Submission, token: CancellationToken): void {
 		const {runTimes, journal} = this.dependencies;
-		const expected = runTimes.mean(job.route.queue, job.shape.declaredMilliseconds);
+		const expected = runTimes.expected(job.route.queue, job.shape.declaredMilliseconds);
 		const previousTasks = this.dependencies.jobs.takeEnded(job.id);
-		const running = new RunningJob(job, submission, Math.max(expected, job.shape.declaredMilliseconds), previousTasks);
+		const running = new RunningJob(job, submission, expected, previousTasks);
 		running.isBeforeCapacityKnown = !this.#checkCapacityKnown();
 		this.dependencies.jobs.add(running);
 		journal.record('jobAccepted', {
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -1,6 +1,7 @@
 /** Placement of waiting tasks. */
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {Random} from '../../base/random.js';
 import type {Journal} from '../../runtime/journal/journal.js';
@@ -13,10 +14,14 @@
 import type {RemoteTarget} from './remote-target.js';
 import {requestOf} from './request-of.js';
 import type {RunningJob} from './running-job.js';
+import type {SchedulingSettings} from './scheduling-settings.js';
+import {SpeedPlacement} from './speed-placement.js';
 import type {TaskState} from './task-state.js';
 
 /** Jobs that could not be placed before a pass stops and waits for the next change of capacity. */
 const maximumMisses = 6;
+/** Jobs that wait for faster targets don't keep others from those that are free; this bounds the cost of a pass. */
+const maximumLaterJobs = 32;
 
 /** Dependencies of `TaskPlacer`. */
 type TaskPlacerDependencies = {
@@ -24,13 +29,23 @@
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
+	readonly scheduling: SchedulingSettings;
 	readonly random: Random;
 	readonly clock: Clock;
 	readonly journal: Journal;
+	/** Schedules a placement pass. */
+	readonly schedulePlacement: () => void;
 };
 
 /** Places tasks on local and remote targets with free capacity, in queue order. */
-export class TaskPlacer {
+export class TaskPlacer implements Disposable {
+	/** Defined during a pass, if targets are chosen by their speeds. */
+	#speedPlacement: SpeedPlacement | undefined;
+	/** Jobs of the current pass that wait for faster targets, and the time at which the first of them stops to. */
+	#laterJobs = 0;
+	#laterUntil = Number.POSITIVE_INFINITY;
+	#laterPass: {readonly at: number; readonly timer: Disposable} | undefined;
+
 	constructor(private readonly dependencies: TaskPlacerDependencies) {}
 
 	/** Runs a placement pass; returns whether no task is left waiting. */
@@ -46,17 +61,46 @@
 		const available = availableRemoteTargets(pool, leastCpuMillis);
 		const ranked = waiting.map(job => ({job, rank: order.rank(job, now)}));
 		ranked.sort((left, right) => left.rank - right.rank);
+		this.#beginPass();
 		let misses = 0;
 		for (const {job} of ranked) {
 			misses += this.#placeTasks(job, available) ? 0 : 1;
-			if (misses >= maximumMisses) {
+			if (misses - this.#laterJobs >= maximumMisses || this.#laterJobs >= maximumLaterJobs) {
 				break;
 			}
 		}
 
+		this.#scheduleLaterPass(now);
 		return misses === 0;
 	}
 
+	dispose(): void {
+		this.#laterPass?.timer.dispose();
+	}
+
+	#beginPass(): void {
+		const {scheduling} = this.dependencies;
+		this.#speedPlacement = scheduling.targetSpeeds.enabled ? new SpeedPlacement(this.dependencies) : undefined;
+		this.#laterJobs = 0;
+		this.#laterUntil = Number.POSITIVE_INFINITY;
+	}
+
+	/** Schedules a pass for the time at which the first job stops to wait for a faster target. */
+	#scheduleLaterPass(now: number): void {
+		const at = now + this.#laterUntil;
+		if (at === Number.POSITIVE_INFINITY || (this.#laterPass !== undefined && this.#laterPass.at <= at)) {
+			return;
+		}
+
+		const {clock, schedulePlacement} = this.dependencies;
+		this.#laterPass?.timer.dispose();
+		const timer = clock.schedule(Math.ceil(this.#laterUntil), () => {
+			this.#laterPass = undefined;
+			schedulePlacement();
+		});
+		this.#laterPass = {at, timer};
+	}
+
 	#placeTasks(job: RunningJob, available: readonly RemoteTarget[]): boolean {
 		return job.waiting.every(state => this.#place(job, state, available));
 	}
@@ -78,6 +122,10 @@
 	}
 
 	#start(job: RunningJob, state: TaskState, request: RunRequest, available: readonly RemoteTarget[]): boolean {
+		if (this.#speedPlacement !== undefined) {
+			return this.#startBySpeed(job, state, request, {available, placement: this.#speedPlacement});
+		}
+
 		const {zone, executor, pool, random} = this.dependencies;
 		if (executor.start(request, pool.self) !== undefined) {
 			recordStart(job, state, pool.self);
@@ -94,6 +142,30 @@
 		return true;
 	}
 
+	#startBySpeed(job: RunningJob, state: TaskState, request: RunRequest, {available, placement}: {readonly available: readonly RemoteTarget[]; readonly placement: SpeedPlacement}): boolean {
+		const {pool, clock} = this.dependencies;
+		const now = clock.now();
+		const timed = {...request, millisecondsToObjective: Math.round(job.objectiveAt - now)};
+		const placed = placement.place(timed, available, now - job.receivedAt);
+		if (placed.kind === 'started') {
+			recordStart(job, state, pool.self);
+			return true;
+		}
+
+		if (placed.kind === 'remote') {
+			this.#send(placed.request, placed.choice);
+			recordStart(job, state, placed.choice.member.member.id);
+			return true;
+		}
+
+		if (placed.kind === 'later') {
+			this.#laterJobs += 1;
+			this.#laterUntil = Math.min(this.#laterUntil, placed.milliseconds);
+		}
+
+		return false;
+	}
+
 	#send(request: RunRequest, {member, target}: RemoteTarget): void {
 		const {pool, clock, journal} = this.dependencies;
 		target.room = target.room.minus(request.need);
--- a/src/features/execution/choose-target.ts
+++ b/src/features/execution/choose-target.ts
@@ -6,34 +6,73 @@
 import type {LossHistory} from './loss-history.js';
 import type {RunRequest} from './run-request.js';
 import {satisfiesConstraints} from './satisfies-constraints.js';
+import {TargetPreference} from './target-preference.js';
 import type {TargetSession} from './target-session.js';
+import type {TargetSpeeds} from './target-speeds.js';
 
 /** Maximum number of tasks of a job that may probe a target; a failed probe delays or fails its whole job. */
 const maxProbeJobTasks = 2;
 
 /** State that the choice depends on; `now` is monotonic. */
-type SelectionContext = {readonly requester: MemberId; readonly health: TargetHealth; readonly losses: LossHistory; readonly now: number};
+type SelectionContext = {
+	readonly requester: MemberId;
+	readonly health: TargetHealth;
+	readonly speeds?: TargetSpeeds | undefined;
+	readonly losses: LossHistory;
+	readonly now: number;
+};
+
+/** `isInTime` is set if the task is in time on the target, or if speeds aren't taken into account. */
+type TargetChoice = {readonly session: TargetSession; readonly isInTime: boolean};
 
 /**
- * Best fit: chooses the eligible target with the least remaining CPU, which keeps whole targets free for large tasks. Keeps
- * tasks that may have crashed a target apart from other jobs' runs first. Undefined if no target is eligible.
+ * Chooses among the eligible targets. Keeps tasks that may have crashed a target apart from other jobs' runs first; then prefers
+ * by speed; then by best fit: the least remaining CPU, which keeps whole targets free for large tasks. Undefined if no target is
+ * eligible.
  */
-export function chooseTarget(sessions: Iterable<TargetSession>, request: RunRequest, context: SelectionContext): TargetSession | undefined {
-	let best: {readonly session: TargetSession; readonly coLocatedRuns: number; readonly remainingCpuMillis: number} | undefined;
+export function chooseTarget(sessions: Iterable<TargetSession>, request: RunRequest, context: SelectionContext): TargetChoice | undefined {
+	const eligible: TargetSession[] = [];
 	for (const session of sessions) {
-		const {freeCapacity} = session;
-		if (!isEligible(session, request, freeCapacity, context)) {
-			continue;
+		if (isEligible(session, request, session.freeCapacity, context)) {
+			eligible.push(session);
 		}
+	}
+
+	const {targets, isInTime} = selectBySpeed(selectApart(eligible, request, context.losses), request, context.speeds);
+	const session = selectBestFit(targets);
+	return session === undefined ? undefined : {session, isInTime};
+}
+
+/** Returns the targets with the fewest runs from which the task has to be kept apart. */
+function selectApart(sessions: readonly TargetSession[], request: RunRequest, losses: LossHistory): readonly TargetSession[] {
+	if (losses.isEmpty) {
+		return sessions;
+	}
 
-		const coLocatedRuns = countCoLocatedRuns(session, request, context.losses);
-		const remainingCpuMillis = freeCapacity.cpuMillis - request.need.cpuMillis;
-		if (best === undefined || coLocatedRuns < best.coLocatedRuns || (coLocatedRuns === best.coLocatedRuns && remainingCpuMillis < best.remainingCpuMillis)) {
-			best = {session, coLocatedRuns, remainingCpuMillis};
+	const counts = sessions.map(session => countCoLocatedRuns(session, request, losses));
+	const least = Math.min(...counts);
+	return sessions.filter((_, index) => counts[index] === least);
+}
+
+function selectBySpeed(sessions: readonly TargetSession[], request: RunRequest, speeds: TargetSpeeds | undefined) {
+	const {millisecondsToObjective} = request;
+	if (speeds === undefined || millisecondsToObjective === undefined) {
+		return {targets: sessions, isInTime: true};
+	}
+
+	return new TargetPreference(request, millisecondsToObjective).select(sessions, ({target}) => ({slowdown: speeds.slowdown(target.id), labels: target.labels}));
+}
+
+/** The need is the same on all targets, so the least free CPU leaves the least remaining CPU. */
+function selectBestFit(sessions: readonly TargetSession[]): TargetSession | undefined {
+	let best: TargetSession | undefined;
+	for (const session of sessions) {
+		if (best === undefined || session.freeCapacity.cpuMillis < best.freeCapacity.cpuMillis) {
+			best = session;
 		}
 	}
 
-	return best?.session;
+	return best;
 }
 
 function isEligible(session: TargetSession, request: RunRequest, freeCapacity: Resources, {requester, health, now}: SelectionContext): boolean {
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -23,6 +23,8 @@
 import {slowdownOf} from './slowdown-of.js';
 import type {TargetSession} from './target-session.js';
 import {TargetSessions} from './target-sessions.js';
+import type {TargetSpeed} from './target-speed.js';
+import type {TargetSpeeds} from './target-speeds.js';
 
 /** How long a release waits for unanswered starts. */
 const pendingStartGraceMilliseconds = 60;
@@ -34,6 +36,8 @@
 	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
+	/** Undefined if speeds aren't learned; all targets then count as equally fast. */
+	readonly speeds?: TargetSpeeds | undefined;
 	readonly losses: LossHistory;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -100,7 +104,7 @@
 		const now = this.parts.clock.now();
 		return [...this.#sessions]
 			.filter(session => session.isOpen && ['fit', 'slow'].includes(this.parts.health.condition(session.target.id, now)))
-			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.freeCapacity}));
+			.map(session => this.#freeCapacityOf(session));
 	}
 
 	/** The entries that requested the current runs, once for each run. */
@@ -116,6 +120,7 @@
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
 		this.#sessions.assign(owned);
 		this.parts.health.retain(new Set(owned.keys()));
+		this.parts.speeds?.retain([...owned.values()].map(({target}) => target));
 		this.#changed.fire();
 	}
 
@@ -145,13 +150,21 @@
 		return false;
 	}
 
-	/** Starts a run and returns its target; undefined if no target is eligible. */
-	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
-		const session = chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
-		if (session === undefined) {
+	/** The speed of the target on which a run would be started; undefined if no target is eligible. */
+	findFree(request: RunRequest, requester: MemberId): TargetSpeed | undefined {
+		const session = this.#choose(request, requester)?.session;
+		return session === undefined ? undefined : {slowdown: this.parts.speeds?.slowdown(session.target.id) ?? 1, labels: session.target.labels};
+	}
+
+	/** Starts a run and returns its target; undefined if no target is eligible, or if the task has to be in time and isn't on any. */
+	start(request: RunRequest, requester: MemberId, requirement: 'any' | 'inTime' = 'any'): InstanceId | undefined {
+		const choice = this.#choose(request, requester);
+		if (choice === undefined || (requirement === 'inTime' && !choice.isInTime)) {
 			return undefined;
 		}
 
+		const {session} = choice;
+
 		const {clock, health, journal} = this.parts;
 		const {target} = session;
 		if (health.condition(target.id, clock.now()) === 'probe') {
@@ -205,9 +218,20 @@
 		this.#sessions.dispose();
 	}
 
+	#choose(request: RunRequest, requester: MemberId) {
+		return chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
+	}
+
+	#freeCapacityOf({target: {id, service, labels}, freeCapacity: room}: TargetSession): FreeCapacity {
+		const slowdown = this.parts.speeds?.slowdown(id) ?? 1;
+		return {
+			service, labels, room, ...(slowdown !== 1 && {slowdown}),
+		};
+	}
+
 	/** Stops the overdue runs of a slow or stuck target, so that their tasks can start elsewhere. */
 	#stopOverdue(session: TargetSession): void {
-		const [first, ...others] = session.findOverdue();
+		const [first, ...others] = session.findOverdue(this.parts.speeds?.allowance(session.target.id) ?? 1);
 		if (first === undefined) {
 			return;
 		}
@@ -242,19 +266,23 @@
 
 	/** Reports the end to the target's health; returns the outcome, with `isTargetSuspect` set for a failure on an ejected target. */
 	#reportHealth(session: TargetSession, run: Run, outcome: RunOutcome): RunOutcome {
-		const {health, clock} = this.parts;
+		const {health, speeds, clock} = this.parts;
 		const {id} = session.target;
 		const now = clock.now();
+		const expectedMilliseconds = run.slowdown * run.request.expectedMilliseconds;
 		const end = {
 			target: id,
 			profile: run.request.queue,
 			runMilliseconds: now - run.startedAt,
-			expectedMilliseconds: run.slowdown * run.request.expectedMilliseconds,
+			expectedMilliseconds: expectedMilliseconds * (speeds?.allowance(id) ?? 1),
 			job: jobOfTask(run.request.task),
 			hasFailedElsewhere: run.request.excludedTargets.length > 0,
 		};
 		if (outcome.kind === 'done') {
 			health.report({...end, outcome: 'result'}, now);
+			if (run.isAdopted === undefined) {
+				speeds?.record(id, {runMilliseconds: now - run.startedAt, expectedMilliseconds});
+			}
 		} else if (outcome.kind === 'failed') {
 			health.report({...end, outcome: 'failure'}, now);
 			return {...outcome, isTargetSuspect: health.condition(id, now) === 'out'};
--- a/src/features/execution/find-overdue-runs.ts
+++ b/src/features/execution/find-overdue-runs.ts
@@ -18,10 +18,13 @@
 	readonly overdue: readonly Run[];
 };
 
-/** Returns the runs that were overdue at the time of a report, which is monotonic. */
-export function findOverdueRuns(runs: Iterable<Run>, reportedAt: number): Findings {
-	const suspects = [...runs].filter(run => run.state === 'running' && exceeds(run, reportedAt, suspectDurationFactor));
-	const overdue = suspects.length >= minSuspectsForOverdue ? suspects : suspects.filter(run => exceeds(run, reportedAt, overdueDurationFactor));
+/**
+ * Returns the runs that were overdue at the time of a report, which is monotonic. The allowance is the factor by which all runs
+ * may take longer on their target: a slow target isn't a faulty one.
+ */
+export function findOverdueRuns(runs: Iterable<Run>, reportedAt: number, allowance = 1): Findings {
+	const suspects = [...runs].filter(run => run.state === 'running' && exceeds(run, reportedAt, allowance * suspectDurationFactor));
+	const overdue = suspects.length >= minSuspectsForOverdue ? suspects : suspects.filter(run => exceeds(run, reportedAt, allowance * overdueDurationFactor));
 	return {suspects, overdue};
 }
 
--- a/src/features/execution/free-capacity.ts
+++ b/src/features/execution/free-capacity.ts
@@ -7,4 +7,6 @@
 	readonly service: ServiceName;
 	readonly labels: readonly string[];
 	readonly room: Resources;
+	/** How long the target takes relative to a normal one; absent means 1. */
+	readonly slowdown?: number;
 };
--- a/src/features/execution/run-request.ts
+++ b/src/features/execution/run-request.ts
@@ -21,4 +21,9 @@
 	readonly jobTaskCount: number;
 	/** Expected duration near the task's data. */
 	readonly expectedMilliseconds: number;
+	/**
+	 * Time from the request to the job's objective; absent if the choice of the target doesn't depend on it. In a message to an
+	 * owner, 0 allows any target, and a greater value only targets on which the task is in time.
+	 */
+	readonly millisecondsToObjective?: number;
 };
--- a/src/features/execution/run.ts
+++ b/src/features/execution/run.ts
@@ -13,6 +13,8 @@
 	readonly requester: MemberId;
 	/** Factor by which the run takes longer on this target than near its data; 1 or more. */
 	readonly slowdown: number;
+	/** Whether the run was adopted from a former owner, so that its run time isn't known. */
+	readonly isAdopted?: true;
 	state: 'starting' | 'running' | 'stopping';
 	/** Monotonic. */
 	startedAt: number;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -126,10 +126,11 @@
 
 	/**
 	 * Returns the runs whose duration indicates a slow or stuck target. While there is a suspect run, the target gets no new
-	 * tasks. Durations are measured up to the latest report, since a lost answer makes an ended run appear to continue.
+	 * tasks. Durations are measured up to the latest report, since a lost answer makes an ended run appear to continue. The allowance
+	 * is the factor by which runs may take longer on this target than on a normal one.
 	 */
-	findOverdue(): readonly Run[] {
-		const {suspects, overdue} = findOverdueRuns(this.#runs, this.#reports.latestReportAt);
+	findOverdue(allowance: number): readonly Run[] {
+		const {suspects, overdue} = findOverdueRuns(this.#runs, this.#reports.latestReportAt, allowance);
 		this.#hasOverdue = suspects.length > 0;
 		return overdue;
 	}
@@ -172,6 +173,7 @@
 				request,
 				requester,
 				slowdown: slowdownOf(request.place, this.target.labels),
+				isAdopted: true,
 				state: 'running',
 				startedAt: now,
 				confirmedAtStep: this.#steps.next(),
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -19,6 +19,7 @@
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import {TargetSession} from './target-session.js';
+import type {TargetSpeeds} from './target-speeds.js';
 
 /** How long an unused handover is kept; longer than the lease of the runs in it. */
 const handoverRetentionMilliseconds = 1500;
@@ -32,6 +33,7 @@
 	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
+	readonly speeds?: TargetSpeeds | undefined;
 	readonly losses: LossHistory;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -198,6 +200,7 @@
 				},
 				onDidRestart: () => {
 					this.parts.health.forget(id);
+					this.parts.speeds?.forget(id);
 				},
 				onDidCompareClocks: gap => {
 					this.parts.listener.onDidCompareClocks(gap);
--- a/src/features/placement/mean-run-times.ts
+++ b/src/features/placement/mean-run-times.ts
@@ -11,6 +11,11 @@
 		this.#samples.record(profile, milliseconds);
 	}
 
+	/** The time that a task of a new job is expected to take, in milliseconds. */
+	expected(profile: ProfileName, declaredMilliseconds: number): number {
+		return Math.max(this.mean(profile, declaredMilliseconds), declaredMilliseconds);
+	}
+
 	/** In milliseconds; the declared time until enough tasks have been measured. */
 	mean(profile: ProfileName, declaredMilliseconds: number): number {
 		return this.#samples.sufficientSample(profile)?.mean ?? declaredMilliseconds;
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -54,7 +54,9 @@
 	const code = values.number();
 	switch (code) {
 		case messageCode.state: {
-			return {kind: 'state', state: decodeState(values), isForMonitor: values.flag()};
+			const state = decodeState(values);
+			const isForMonitor = values.flag();
+			return {kind: 'state', state: addSlowdowns(state, values.optionalNumbers()), isForMonitor};
 		}
 
 		case messageCode.lost: {
@@ -66,7 +68,9 @@
 		}
 
 		case messageCode.run: {
-			return {kind: 'run', request: decodeRequest(values)};
+			const request = decodeRequest(values);
+			const millisecondsToObjective = values.optionalNumber();
+			return {kind: 'run', request: {...request, ...(millisecondsToObjective !== undefined && {millisecondsToObjective})}};
 		}
 
 		case messageCode.nextRun: {
@@ -151,6 +155,24 @@
 	};
 }
 
+/** Targets without a value count as normal. */
+function addSlowdowns(state: EntryState, slowdowns: readonly number[]): EntryState {
+	if (slowdowns.length === 0) {
+		return state;
+	}
+
+	if (!slowdowns.every(slowdown => slowdown > 0 && Number.isFinite(slowdown))) {
+		throw new TypeError(`invalid slowdowns ${slowdowns.join(', ')}`);
+	}
+
+	return {
+		...state, freeCapacity: state.freeCapacity.map((capacity, index) => {
+			const slowdown = slowdowns[index] ?? 1;
+			return slowdown === 1 ? capacity : {...capacity, slowdown};
+		}),
+	};
+}
+
 function decodeRequest(values: EncodedValues): RunRequest {
 	return {
 		task: values.text<TaskId>(),
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -25,13 +25,13 @@
 		const {request} = message;
 		const isSameJob = previous !== undefined && belongToSameJob(previous, request);
 		previous = request;
-		return isSameJob ? [messageCode.nextRun, request.task, request.attempt, request.excludedTargets] : [messageCode.run, ...encodeRequest(request)];
+		return isSameJob ? [messageCode.nextRun, request.task, request.attempt, request.excludedTargets] : [messageCode.run, ...encodeRequest(request), ...encodeTimeLeft(request)];
 	});
 }
 
 function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
 	return match(message)
-		.with({kind: 'state'}, ({state, isForMonitor}) => [messageCode.state, ...encodeState(state), isForMonitor])
+		.with({kind: 'state'}, ({state, isForMonitor}) => [messageCode.state, ...encodeState(state), isForMonitor, ...encodeSlowdowns(state)])
 		.with({kind: 'lost'}, ({member}) => [messageCode.lost, member])
 		.with({kind: 'entries'}, ({entries}) => [messageCode.entries, entries.map(({address, zone}) => [address, zone])])
 		.with({kind: 'report'}, ({task, attempt, outcome}) => [messageCode.report, task, attempt, ...encodeOutcome(outcome)])
@@ -58,6 +58,17 @@
 	];
 }
 
+/** Nothing if the choice of the target doesn't depend on the time that is left. */
+function encodeTimeLeft({millisecondsToObjective}: RunRequest): Encoded {
+	return millisecondsToObjective === undefined ? [] : [millisecondsToObjective];
+}
+
+/** The slowdowns of all targets in the order of the free capacity; nothing if all are 1. */
+function encodeSlowdowns({freeCapacity}: EntryState): Encoded {
+	const slowdowns = freeCapacity.map(({slowdown}) => slowdown ?? 1);
+	return slowdowns.some(slowdown => slowdown !== 1) ? [slowdowns] : [];
+}
+
 function encodeRequest(request: RunRequest): Encoded {
 	return [
 		request.task,
@@ -99,5 +110,6 @@
 		&& left.place === right.place
 		&& left.requiresNearData === right.requiresNearData
 		&& left.jobTaskCount === right.jobTaskCount
-		&& left.expectedMilliseconds === right.expectedMilliseconds;
+		&& left.expectedMilliseconds === right.expectedMilliseconds
+		&& left.millisecondsToObjective === right.millisecondsToObjective;
 }
--- a/src/features/pool/encoded-values.ts
+++ b/src/features/pool/encoded-values.ts
@@ -53,6 +53,12 @@
 		return this.list().map(item => typeof item === 'string' ? item : this.#fail('a list of strings', item));
 	}
 
+	/** Reads a list of numbers; an absent one is empty. */
+	optionalNumbers(): readonly number[] {
+		const value = this.#take() ?? [];
+		return Array.isArray(value) ? value.map(item => typeof item === 'number' ? item : this.#fail('a list of numbers', item)) : this.#fail('a list of numbers', value);
+	}
+
 	/** Reads all remaining values as strings. */
 	rest(): readonly string[] {
 		const rest = this.values.slice(this.#next);
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -157,7 +157,9 @@
 		this.#runs.set(key, {
 			requester: from, requestedAt: this.clock.now(), lastMessage: undefined, endedAt: undefined, isAdoptionAcknowledged: true,
 		});
-		if (this.executor.start(request, from) === undefined) {
+		// A requester whose view of the free capacity is outdated would rather wait for a faster target than be late on a slow one.
+		const requirement = (request.millisecondsToObjective ?? 0) > 0 ? 'inTime' : 'any';
+		if (this.executor.start(request, from, requirement) === undefined) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
--- a/src/runtime/journal/events/ownership-events.ts
+++ b/src/runtime/journal/events/ownership-events.ts
@@ -84,6 +84,12 @@
 	formerLifeEnded: {
 		number: 727, level: 'notice', meaning: 'This entry removed its own previous incarnation from a group', fields: ['group', 'holder'],
 	},
+	targetSpeedChanged: {
+		number: 730,
+		level: 'notice',
+		meaning: 'The slowdown of a target, its run times relative to the expected ones, changed by more than a quarter',
+		fields: ['target', 'slowdown', 'formerSlowdown', 'samples'],
+	},
 	runFound: {
 		number: 728, level: 'detail', meaning: 'A start without a response turned out to have succeeded; the run continues', fields: ['target', 'task', 'attempt'],
 	},
--- /dev/null
+++ b/test/entries/edge/target-speeds.test.ts
@@ -0,0 +1,105 @@
+/** Placement on fleets whose targets have different speeds. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {InstanceId} from '../../../src/base/instance-id.js';
+import {Random} from '../../../src/base/random.js';
+import {schedulingSettingsSchema} from '../../../src/features/dispatch/scheduling-settings-schema.js';
+import {advanceClock} from '../../support/advance-clock.js';
+import {PooledCluster} from '../../support/pooled-cluster.js';
+
+/** Speeds of 1.7 and 0.7 as factors of the run time. */
+const fast = 1 / 1.7;
+const slow = 1 / 0.7;
+const targetsInZone = 12;
+const stepMilliseconds = 10;
+
+/** A kind of job; the run times of its jobs differ by up to 25%, and its declared times are off by up to 40%. */
+type Kind = {readonly name: string; readonly tasks: number; readonly milliseconds: number; readonly jobsPerSecond: number};
+
+type Submission = {readonly kind: Kind; readonly at: number; endedAt: number; readonly submitted: ReturnType<PooledCluster['submit']>};
+
+const long: Kind = {
+	name: 'long', tasks: 2, milliseconds: 800, jobsPerSecond: 8,
+};
+const short: Kind = {
+	name: 'short', tasks: 4, milliseconds: 55, jobsPerSecond: 50,
+};
+
+/** Creates a fleet of two zones in which every third target is fast. */
+async function startFleet(isEnabled: boolean, slowdownOf = (index: number) => index % 3 === 0 ? fast : slow) {
+	const scheduling = schedulingSettingsSchema.parse({targetSpeeds: {enabled: isEnabled}});
+	const cluster = new PooledCluster(['a-1', 'a-2', 'b-1', 'b-2'], targetsInZone, (_, dependencies) => ({...dependencies, scheduling}));
+	for (const zone of ['a', 'b']) {
+		for (let index = 0; index < targetsInZone; index += 1) {
+			cluster.orders.slowdown.set(`${zone}-target-${index}` as InstanceId, slowdownOf(index));
+		}
+	}
+
+	await cluster.start();
+	return cluster;
+}
+
+/** Submits jobs of the given kinds at random times for a while; returns them with the times at which they were answered. */
+async function play(cluster: PooledCluster, kinds: readonly Kind[], milliseconds: number, seed = 1) {
+	const random = new Random(seed);
+	const within = (share: number) => 1 + (share * ((2 * random.fraction()) - 1));
+	const names = [...cluster.entries.keys()];
+	const jobs: Submission[] = [];
+	const recordEnds = () => {
+		for (const job of jobs) {
+			if (job.submitted.verdict !== undefined && Number.isNaN(job.endedAt)) {
+				job.endedAt = cluster.clock.now();
+			}
+		}
+	};
+
+	for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
+		for (const kind of kinds) {
+			if (random.fraction() < kind.jobsPerSecond * stepMilliseconds / 1000) {
+				const runMilliseconds = kind.milliseconds * within(0.25);
+				const id = (jobs.length + (seed * 0x1_00_00)).toString(16).padStart(16, '0');
+				const submitted = cluster.submit(names[random.below(names.length)]!, id, {
+					queue: kind.name,
+					tasks: kind.tasks,
+					payload: String(runMilliseconds),
+					declaredMilliseconds: kind.milliseconds * within(0.4),
+					timeoutMilliseconds: 5 * ((1.6 * kind.milliseconds) + 60),
+				});
+				jobs.push({
+					kind, at: cluster.clock.now(), endedAt: Number.NaN, submitted,
+				});
+			}
+		}
+
+		await advanceClock(cluster.clock, stepMilliseconds);
+		recordEnds();
+	}
+
+	for (let passed = 0; passed < 3000; passed += stepMilliseconds) {
+		await advanceClock(cluster.clock, stepMilliseconds);
+		recordEnds();
+	}
+
+	return jobs;
+}
+
+/** Counts the jobs of a kind, and those that were answered as complete within their objective. */
+function count(jobs: readonly Submission[], kind: Kind) {
+	const ofKind = jobs.filter(job => job.kind === kind);
+	const inTime = ofKind.filter(({submitted, at, endedAt}) => submitted.verdict?.kind === 'answered' && submitted.verdict.answer === 'complete' && endedAt - at <= (1.6 * kind.milliseconds) + 60);
+	return {all: ofKind.length, inTime: inTime.length};
+}
+
+// A long task on a slow target takes 1.43 times its usual time, and its job is late if the task is a little longer than usual,
+// although fast targets were free.
+for (const seed of [1, 3]) {
+	test(`at half load, all long jobs are in time on a fleet of which two thirds are slow, seed ${seed}`, async () => {
+		const cluster = await startFleet(true);
+		await play(cluster, [long, short], 8000, seed);
+		const jobs = await play(cluster, [long, short], 8000, seed + 1);
+		const [ofLong, ofShort] = [count(jobs, long), count(jobs, short)];
+		assert.equal(ofLong.inTime, ofLong.all);
+		assert.equal(ofShort.inTime, ofShort.all);
+		assert.equal(cluster.orders.peakConcurrentRuns, 1);
+	});
+}
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -31,6 +31,13 @@
 			isLeaving: true, routingVersion: 7, demand: [{service, need}], freeCapacity: [{service, labels: ['a', 'rack-1'], room: need}, {service, labels: [], room: Resources.none}],
 		},
 	},
+	{
+		kind: 'state', isForMonitor: false, state: {
+			isLeaving: false, routingVersion: 7, demand: [], freeCapacity: [{
+				service, labels: [], room: need, slowdown: 0.59,
+			}, {service, labels: ['a'], room: need}],
+		},
+	},
 	{kind: 'entries', entries: [{address: '10.0.0.1:1', zone: 'zone' as AvailabilityZone}]},
 	{kind: 'run', request},
 	{
@@ -45,6 +52,10 @@
 			}, requiresNearData: true, payload: 'other',
 		},
 	},
+	{kind: 'run', request: {...request, millisecondsToObjective: 140}},
+	{kind: 'run', request: {...request, task: 'job.0.0.1' as TaskId, millisecondsToObjective: 140}},
+	// The owner treats 0 differently, so it must not be replaced by the time left of the previous run.
+	{kind: 'run', request: {...request, task: 'job.0.0.2' as TaskId, millisecondsToObjective: 0}},
 	{
 		kind: 'report', task, attempt: 1, outcome: {kind: 'done', target: 'target-1', ranMilliseconds: 61.5},
 	},
@@ -102,6 +113,28 @@
 	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
 });
 
+// Old and new entries work together during an update: slowdowns and the time left are trailing values that an old entry neither
+// sends nor reads.
+test('slowdowns and the time left are absent in messages of old entries, and ignored by them', () => {
+	const state = (...trailing: readonly unknown[]) => [0, false, 7, [], [['service', 27_000, 64, 0, 'a'], ['service', 9000, 64, 0]], true, ...trailing];
+	const slowdownsOf = (body: readonly unknown[]) => decodeMessages([body]).flatMap(message => message.kind === 'state' ? message.state.freeCapacity.map(({slowdown}) => slowdown) : []);
+	assert.deepEqual(slowdownsOf(state()), [undefined, undefined]);
+	assert.deepEqual(slowdownsOf(state([])), [undefined, undefined]);
+	assert.deepEqual(slowdownsOf(state([0.59, 1])), [0.59, undefined]);
+	assert.deepEqual(slowdownsOf(state([0.59], 'a later value')), [0.59, undefined]);
+	const capacity = {service, labels: ['a'], room: need};
+	const encode = (slowdown?: number) => encodeMessages([{
+		kind: 'state', isForMonitor: true, state: {
+			isLeaving: false, routingVersion: 7, demand: [], freeCapacity: [slowdown === undefined ? capacity : {...capacity, slowdown}],
+		},
+	}])[0]!;
+	assert.equal(encode().length, 6);
+	assert.deepEqual(encode(1.43), [...encode(), [1.43]]);
+	const run = encodeMessages([{kind: 'run', request}])[0]!;
+	assert.deepEqual(encodeMessages([{kind: 'run', request: {...request, millisecondsToObjective: 9}}]), [[...run, 9]]);
+	assert.deepEqual(decodeMessages([[...run, 9, 'a later value']]), [{kind: 'run', request: {...request, millisecondsToObjective: 9}}]);
+});
+
 // Guards against repeating the payload, which makes up most of the bytes, for every task of a job.
 test('runs of one job in a batch carry the payload once', () => {
 	const runOf = (index: number) => ({kind: 'run' as const, request: {...request, task: `job.0.0.${index}` as TaskId}});
@@ -119,7 +152,7 @@
 		}
 	};
 
-	assert.deepEqual([undefined, 'text', [1], [[99]], [[3, 'task', 1, []]], [[0, 'yes']], [[4, 'task', 1, 'refused', 'bored']]].map(body => detailOf(body)), [
+	assert.deepEqual([undefined, 'text', [1], [[99]], [[3, 'task', 1, []]], [[0, 'yes']], [[4, 'task', 1, 'refused', 'bored']], [[0, true, 1, [], [], true, ['fast']]], [[0, true, 1, [], [], true, [-1]]]].map(body => detailOf(body)), [
 		'TypeError: value 1 is undefined, not a list',
 		'TypeError: value 1 is string, not a list',
 		'TypeError: value 1 is number, not a list of lists',
@@ -127,5 +160,7 @@
 		'TypeError: a nextRun message without a preceding run',
 		'TypeError: value 2 is string, not a boolean',
 		'TypeError: unknown refusal cause bored',
+		'TypeError: value 7 is string, not a list of numbers',
+		'TypeError: invalid slowdowns -1',
 	]);
 });
--- a/test/support/pooled-cluster.ts
+++ b/test/support/pooled-cluster.ts
@@ -48,6 +48,7 @@
 
 /** Options of a submitted job. */
 type JobOptions = {
+	readonly queue?: string;
 	readonly tasks?: number;
 	/** Run time of each task in milliseconds, or another payload that `InMemoryTargets` knows. */
 	readonly payload?: string;
@@ -145,9 +146,9 @@
 	}
 
 	submit(entry: string, id: string, options: JobOptions = {}): Submission {
-		const {tasks = 1, payload = '100', declaredMilliseconds = 100, timeoutMilliseconds = 1500, attempts = 3, placement = {}} = options;
+		const {queue = 'queue', tasks = 1, payload = '100', declaredMilliseconds = 100, timeoutMilliseconds = 1500, attempts = 3, placement = {}} = options;
 		const route: QueueRoute = {
-			queue: 'queue' as ProfileName, host: 'host', pathPrefix: '/', service, priority: 0, attempts, stretch: 1.6, slackMilliseconds: 60,
+			queue: queue as ProfileName, host: 'host', pathPrefix: '/', service, priority: 0, attempts, stretch: 1.6, slackMilliseconds: 60,
 		};
 		const caller = new CancellationSource();
 		const submitted: Submission = {
