--- a/src/features/execution/target-speeds.ts
+++ b/src/features/execution/target-speeds.ts
@@ -13,7 +13,7 @@
 /** The prior counts as much as this number of samples of the target. */
 const priorSamples = 4;
 /** Estimates from fewer samples than this may be off by a quarter, which is what an event reports. */
-const minimumEventSamples = 20;
+const minimumEventSamples = samplesPerTarget;
 /** A target that is within this distance of its labels, as a logarithm, has their slowdown, which is based on more samples. */
 const equalLogarithm = 0.15;
 /** An event is recorded when the slowdown has changed by more than this factor. */
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -152,7 +152,10 @@
 		}
 	};
 
-	assert.deepEqual([undefined, 'text', [1], [[99]], [[3, 'task', 1, []]], [[0, 'yes']], [[4, 'task', 1, 'refused', 'bored']], [[0, true, 1, [], [], true, ['fast']]], [[0, true, 1, [], [], true, [-1]]]].map(body => detailOf(body)), [
+	const malformed = [
+		undefined, 'text', [1], [[99]], [[3, 'task', 1, []]], [[0, 'yes']], [[4, 'task', 1, 'refused', 'bored']], [[0, true, 1, [], [], true, ['fast']]], [[0, true, 1, [], [], true, [-1]]],
+	];
+	assert.deepEqual(malformed.map(body => detailOf(body)), [
 		'TypeError: value 1 is undefined, not a list',
 		'TypeError: value 1 is string, not a list',
 		'TypeError: value 1 is number, not a list of lists',
