A waiting task takes a free target before its job would be refused; tests of slow, restarted and handed-over targets

Cause: a task that waited for a faster target could pass its latest start and be refused while a target was free, if that target was only a little slower. Speeds of released targets were kept until the next assignment.

Change: the wait ends 20 ms before the latest start; the owner forgets released targets; the target of this entry is chosen once per placement (Executor.offer) instead of twice.

--- a/src/features/dispatch/speed-placement.ts
+++ b/src/features/dispatch/speed-placement.ts
@@ -2,8 +2,11 @@
 import type {AvailabilityZone} from '../../base/availability-zone.js';
 import type {Random} from '../../base/random.js';
 import type {Executor} from '../execution/executor.js';
+import type {FreeCapacity} from '../execution/free-capacity.js';
 import type {RunRequest} from '../execution/run-request.js';
+import type {TargetOffer} from '../execution/target-offer.js';
 import {TargetPreference} from '../execution/target-preference.js';
+import type {TargetSpeed} from '../execution/target-speed.js';
 import type {Pool} from '../pool/pool.js';
 import {canRun} from './can-run.js';
 import {chooseRemoteTarget} from './choose-remote-target.js';
@@ -22,6 +25,14 @@
 	| {readonly kind: 'later'; readonly milliseconds: number}
 	| {readonly kind: 'noRoom'};
 
+/** The best target of this entry, and the best of others. */
+type LateOptions = {
+	readonly local: TargetOffer | undefined;
+	readonly choice: RemoteTarget | undefined;
+	readonly preference: TargetPreference;
+	readonly waitedMilliseconds: number;
+};
+
 /** Dependencies of `SpeedPlacement`. */
 type SpeedPlacementDependencies = {
 	readonly zone: AvailabilityZone;
@@ -44,41 +55,48 @@
 	/** Starts the task on a target of this entry, or returns what to do with it. */
 	place(request: RunRequest, available: readonly RemoteTarget[], waitedMilliseconds: number): Placement {
 		const {zone, executor, pool, random} = this.dependencies;
-		if (executor.start(request, pool.self, 'inTime') !== undefined) {
+		const local = executor.offer(request, pool.self);
+		if (local?.isInTime) {
+			local.accept();
 			return {kind: 'started'};
 		}
 
 		const preference = new TargetPreference(request, request.millisecondsToObjective ?? 0);
-		const remote = preference.select(available.filter(({target}) => canRun(target, request)), ({target}) => ({slowdown: target.slowdown ?? 1, labels: target.labels}));
+		const remote = preference.select(available.filter(({target}) => canRun(target, request)), ({target}) => speedOf(target));
 		const choice = chooseRemoteTarget(remote.targets, request, zone, random);
 		if (choice !== undefined && remote.isInTime) {
 			return {kind: 'remote', choice, request};
 		}
 
-		return this.#placeLate(request, choice, preference, waitedMilliseconds);
+		return this.#placeLate(request, {
+			local, choice, preference, waitedMilliseconds,
+		});
 	}
 
 	/** Places a task that is in time on no target with free capacity. */
-	#placeLate(request: RunRequest, choice: RemoteTarget | undefined, preference: TargetPreference, waitedMilliseconds: number): Placement {
-		const {executor, pool} = this.dependencies;
-		const local = executor.findFree(request, pool.self);
-		const remote = choice === undefined ? undefined : {slowdown: choice.target.slowdown ?? 1, labels: choice.target.labels};
-		const isLocal = local !== undefined && (remote === undefined || !preference.isFaster(remote, local));
-		const best = isLocal ? local : remote;
+	#placeLate(request: RunRequest, {local, choice, preference, waitedMilliseconds}: LateOptions): Placement {
+		const remote = choice === undefined ? undefined : speedOf(choice.target);
+		const isRemote = remote !== undefined && (local === undefined || preference.isFaster(remote, local));
+		const best = isRemote ? remote : local;
 		if (best === undefined) {
 			return {kind: 'noRoom'};
 		}
 
 		const fastest = this.#fastest.search(request);
-		const milliseconds = fastest === undefined ? 0 : preference.waitMilliseconds({slowdown: fastest.slowdown ?? 1, labels: fastest.labels}, best, waitedMilliseconds);
+		const milliseconds = fastest === undefined ? 0 : preference.waitMilliseconds(speedOf(fastest), best, waitedMilliseconds);
 		if (milliseconds > 0) {
 			return {kind: 'later', milliseconds};
 		}
 
-		if (isLocal) {
-			return executor.start(request, pool.self) === undefined ? {kind: 'noRoom'} : {kind: 'started'};
+		if (isRemote) {
+			return {kind: 'remote', choice: choice!, request: {...request, millisecondsToObjective: 0}};
 		}
 
-		return choice === undefined ? {kind: 'noRoom'} : {kind: 'remote', choice, request: {...request, millisecondsToObjective: 0}};
+		local!.accept();
+		return {kind: 'started'};
 	}
 }
+
+function speedOf({slowdown = 1, labels}: FreeCapacity): TargetSpeed {
+	return {slowdown, labels};
+}
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -41,8 +41,9 @@
 export class TaskPlacer implements Disposable {
 	/** Defined during a pass, if targets are chosen by their speeds. */
 	#speedPlacement: SpeedPlacement | undefined;
-	/** Jobs of the current pass that wait for faster targets, and the time at which the first of them stops to. */
-	#laterJobs = 0;
+	/** Whether the job that is being placed waits for a faster target. */
+	#isLater = false;
+	/** Milliseconds until the first job of the current pass stops to wait for a faster target. */
 	#laterUntil = Number.POSITIVE_INFINITY;
 	#laterPass: {readonly at: number; readonly timer: Disposable} | undefined;
 
@@ -63,15 +64,19 @@
 		ranked.sort((left, right) => left.rank - right.rank);
 		this.#beginPass();
 		let misses = 0;
+		let laterJobs = 0;
 		for (const {job} of ranked) {
-			misses += this.#placeTasks(job, available) ? 0 : 1;
-			if (misses - this.#laterJobs >= maximumMisses || this.#laterJobs >= maximumLaterJobs) {
+			this.#isLater = false;
+			const isPlaced = this.#placeTasks(job, available);
+			misses += isPlaced || this.#isLater ? 0 : 1;
+			laterJobs += isPlaced || !this.#isLater ? 0 : 1;
+			if (misses >= maximumMisses || laterJobs >= maximumLaterJobs) {
 				break;
 			}
 		}
 
 		this.#scheduleLaterPass(now);
-		return misses === 0;
+		return misses + laterJobs === 0;
 	}
 
 	dispose(): void {
@@ -81,7 +86,6 @@
 	#beginPass(): void {
 		const {scheduling} = this.dependencies;
 		this.#speedPlacement = scheduling.targetSpeeds.enabled ? new SpeedPlacement(this.dependencies) : undefined;
-		this.#laterJobs = 0;
 		this.#laterUntil = Number.POSITIVE_INFINITY;
 	}
 
@@ -159,7 +163,7 @@
 		}
 
 		if (placed.kind === 'later') {
-			this.#laterJobs += 1;
+			this.#isLater = true;
 			this.#laterUntil = Math.min(this.#laterUntil, placed.milliseconds);
 		}
 
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -21,9 +21,9 @@
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
 import {slowdownOf} from './slowdown-of.js';
+import type {TargetOffer} from './target-offer.js';
 import type {TargetSession} from './target-session.js';
 import {TargetSessions} from './target-sessions.js';
-import type {TargetSpeed} from './target-speed.js';
 import type {TargetSpeeds} from './target-speeds.js';
 
 /** How long a release waits for unanswered starts. */
@@ -120,7 +120,7 @@
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
 		this.#sessions.assign(owned);
 		this.parts.health.retain(new Set(owned.keys()));
-		this.parts.speeds?.retain([...owned.values()].map(({target}) => target));
+		this.#retainSpeeds();
 		this.#changed.fire();
 	}
 
@@ -131,7 +131,9 @@
 			await wait(this.parts.clock, pendingStartGraceMilliseconds);
 		}
 
-		return leaving.map(session => this.#sessions.release(session));
+		const handovers = leaving.map(session => this.#sessions.release(session));
+		this.#retainSpeeds();
+		return handovers;
 	}
 
 	/** Adopts the runs of a handover, now or once the target is owned. */
@@ -150,43 +152,23 @@
 		return false;
 	}
 
-	/** The speed of the target on which a run would be started; undefined if no target is eligible. */
-	findFree(request: RunRequest, requester: MemberId): TargetSpeed | undefined {
-		const session = this.#choose(request, requester)?.session;
-		return session === undefined ? undefined : {slowdown: this.parts.speeds?.slowdown(session.target.id) ?? 1, labels: session.target.labels};
-	}
-
-	/** Starts a run and returns its target; undefined if no target is eligible, or if the task has to be in time and isn't on any. */
-	start(request: RunRequest, requester: MemberId, requirement: 'any' | 'inTime' = 'any'): InstanceId | undefined {
-		const choice = this.#choose(request, requester);
-		if (choice === undefined || (requirement === 'inTime' && !choice.isInTime)) {
+	/** Finds the target on which a run would be started; undefined if none is eligible. */
+	offer(request: RunRequest, requester: MemberId): TargetOffer | undefined {
+		const choice = chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
+		if (choice === undefined) {
 			return undefined;
 		}
 
-		const {session} = choice;
-
-		const {clock, health, journal} = this.parts;
-		const {target} = session;
-		if (health.condition(target.id, clock.now()) === 'probe') {
-			health.beginProbe(target.id);
-		}
+		const {session, isInTime} = choice;
+		const {id, labels} = session.target;
+		return {
+			slowdown: this.parts.speeds?.slowdown(id) ?? 1, labels, isInTime, accept: () => this.#startOn(session, request, requester),
+		};
+	}
 
-		journal.record('runStarted', {
-			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.freeCapacity.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
-		});
-		session.start({
-			request,
-			requester,
-			slowdown: slowdownOf(request.place, target.labels),
-			state: 'starting',
-			startedAt: clock.now(),
-			confirmedAtStep: undefined,
-			stopConfirmedAtStep: undefined,
-			stopCause: undefined,
-			abandonedAt: undefined,
-			stopRequestedAt: undefined,
-		});
-		return target.id;
+	/** Starts a run and returns its target; undefined if no target is eligible. */
+	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
+		return this.offer(request, requester)?.accept();
 	}
 
 	/** Requests a report with runs and clock from all targets. */
@@ -218,8 +200,33 @@
 		this.#sessions.dispose();
 	}
 
-	#choose(request: RunRequest, requester: MemberId) {
-		return chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
+	#startOn(session: TargetSession, request: RunRequest, requester: MemberId): InstanceId {
+		const {clock, health, journal} = this.parts;
+		const {target} = session;
+		if (health.condition(target.id, clock.now()) === 'probe') {
+			health.beginProbe(target.id);
+		}
+
+		journal.record('runStarted', {
+			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.freeCapacity.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
+		});
+		session.start({
+			request,
+			requester,
+			slowdown: slowdownOf(request.place, target.labels),
+			state: 'starting',
+			startedAt: clock.now(),
+			confirmedAtStep: undefined,
+			stopConfirmedAtStep: undefined,
+			stopCause: undefined,
+			abandonedAt: undefined,
+			stopRequestedAt: undefined,
+		});
+		return target.id;
+	}
+
+	#retainSpeeds(): void {
+		this.parts.speeds?.retain([...this.#sessions].map(({target}) => target));
 	}
 
 	#freeCapacityOf({target: {id, service, labels}, freeCapacity: room}: TargetSession): FreeCapacity {
--- a/src/features/execution/target-preference.ts
+++ b/src/features/execution/target-preference.ts
@@ -14,6 +14,8 @@
 const equalFactor = 1.1;
 /** Part of the time that a task can spare for which it waits for a faster target when it would be late on all others anyway. */
 const waitShare = 0.5;
+/** How long before its refusal a job stops to wait; covers a late timer. */
+const latestWaitMilliseconds = 20;
 
 /** Best targets of a list, and whether the task is in time on them. */
 type Selection<Target> = {readonly targets: readonly Target[]; readonly isInTime: boolean};
@@ -62,6 +64,12 @@
 	 * the best free one, or, if it never had, for part of the time that it can spare. 0 if it should be started now.
 	 */
 	waitMilliseconds(fastestKnown: TargetSpeed, bestFree: TargetSpeed, waitedMilliseconds: number): number {
+		// A job that has not begun is refused once only its expected time is left. It has to take a free target before.
+		const limit = this.millisecondsToObjective - this.request.expectedMilliseconds - latestWaitMilliseconds;
+		return Math.max(0, Math.min(limit, this.#usefulWait(fastestKnown, bestFree, waitedMilliseconds)));
+	}
+
+	#usefulWait(fastestKnown: TargetSpeed, bestFree: TargetSpeed, waitedMilliseconds: number): number {
 		const known = this.#slowdownOn(fastestKnown);
 		const free = this.#slowdownOn(bestFree);
 		if (known > this.#inTimeSlowdown || known * equalFactor >= free) {
@@ -75,7 +83,7 @@
 
 		const spareAtFirst = this.millisecondsToObjective + waitedMilliseconds - (expectedMilliseconds * known * spreadFactor);
 		const hadChance = expectedMilliseconds * free * likelyFactor <= this.millisecondsToObjective + waitedMilliseconds;
-		return hadChance ? 0 : Math.max(0, (waitShare * spareAtFirst) - waitedMilliseconds);
+		return hadChance ? 0 : (waitShare * spareAtFirst) - waitedMilliseconds;
 	}
 
 	#slowdownOn({slowdown, labels}: TargetSpeed): number {
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -158,14 +158,18 @@
 			requester: from, requestedAt: this.clock.now(), lastMessage: undefined, endedAt: undefined, isAdoptionAcknowledged: true,
 		});
 		// A requester whose view of the free capacity is outdated would rather wait for a faster target than be late on a slow one.
-		const requirement = (request.millisecondsToObjective ?? 0) > 0 ? 'inTime' : 'any';
-		if (this.executor.start(request, from, requirement) === undefined) {
+		const hasToBeInTime = (request.millisecondsToObjective ?? 0) > 0;
+		const offer = this.executor.offer(request, from);
+		if (offer === undefined || (hasToBeInTime && !offer.isInTime)) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
 			});
 			this.#sendFreeCapacity(from);
+			return;
 		}
+
+		offer.accept();
 	}
 
 	/**
--- a/test/entries/edge/target-speeds.test.ts
+++ b/test/entries/edge/target-speeds.test.ts
@@ -103,3 +103,59 @@
 		assert.equal(cluster.orders.peakConcurrentRuns, 1);
 	});
 }
+
+// With the part disabled, or between entries of different settings, nothing may depend on speeds.
+test('with the part disabled, no speeds are published and the time left is not sent', async () => {
+	const cluster = await startFleet(false);
+	await play(cluster, [long, short], 2000);
+	for (const entry of cluster.entries.values()) {
+		assert.equal(entry.targetSpeeds, undefined);
+		assert.ok(entry.executor.freeCapacity.every(capacity => !('slowdown' in capacity)));
+	}
+
+	assert.deepEqual(cluster.journal.named('targetSpeedChanged'), []);
+});
+
+test('on a fleet of equal targets, jobs are in time as without speeds', async () => {
+	const totals = [];
+	for (const isEnabled of [false, true]) {
+		const cluster = await startFleet(isEnabled, () => 1);
+		const jobs = await play(cluster, [long, {...short, jobsPerSecond: 150}], 8000);
+		totals.push({inTime: count(jobs, long).inTime, sent: cluster.journal.named('taskSent').length, frames: cluster.network.framesSent});
+		assert.equal(count(jobs, long).inTime, count(jobs, long).all);
+		assert.deepEqual(cluster.journal.named('targetSpeedChanged'), []);
+	}
+
+	assert.ok(totals[1]!.frames <= 1.05 * totals[0]!.frames, JSON.stringify(totals));
+});
+
+// The new owner knows nothing of a target that is handed over, and a wrong guess sends long tasks to slow targets.
+test('the new owner of a target starts from the slowdown of the labels, and learns the target\'s own', async () => {
+	const cluster = await startFleet(true);
+	await play(cluster, [long, short], 5000);
+	const [leaving, staying] = [cluster.entries.get('a-1')!, cluster.entries.get('a-2')!];
+	const before = staying.targetSpeeds!.slowdowns.length;
+	await leaving.leave();
+	await advanceClock(cluster.clock, 500);
+	assert.equal(leaving.targetSpeeds!.slowdowns.length, 0);
+	assert.equal(staying.targetSpeeds!.slowdowns.length, targetsInZone);
+	assert.ok(before < targetsInZone);
+	await play(cluster, [long, short], 5000, 2);
+	const fastTargets = Array.from({length: targetsInZone}, (_, index) => staying.targetSpeeds!.slowdown(`a-target-${index}` as InstanceId)).filter(slowdown => slowdown < 0.8);
+	assert.equal(fastTargets.length, targetsInZone / 3);
+});
+
+// What was learned of the former incarnation is void: the target may come back on another machine.
+test('the speed of a target that restarts is learned again', async () => {
+	const cluster = await startFleet(true);
+	await play(cluster, [long, short], 5000);
+	const target = 'a-target-0' as InstanceId;
+	const owner = [...cluster.entries.values()].find(({executor, targetSpeeds}) => executor.ownedTargets > 0 && targetSpeeds!.slowdown(target) < 0.8)!;
+	cluster.orders.slowdown.set(target, slow);
+	cluster.orders.restart(target);
+	await advanceClock(cluster.clock, 500);
+	assert.ok(owner.targetSpeeds!.slowdown(target) > 0.8, `${owner.targetSpeeds!.slowdown(target)}`);
+	await play(cluster, [long, short], 5000, 2);
+	assert.ok(owner.targetSpeeds!.slowdown(target) > 1.15, `${owner.targetSpeeds!.slowdown(target)}`);
+	assert.equal(cluster.orders.peakConcurrentRuns, 1);
+});
--- a/test/features/execution/target-preference.test.ts
+++ b/test/features/execution/target-preference.test.ts
@@ -65,3 +65,17 @@
 	assert.equal(waits(300), Math.round((spare / 2) - 300));
 	assert.equal(waits(400), 0);
 });
+
+// A job that has not begun is refused at its latest start. It must not be refused while a target is free, only because a faster one
+// is known.
+test('a task takes a free target before its job would be refused', () => {
+	const [fast, faster, normal] = speeds(0.2, 0.5, 1) as [{slowdown: number; labels: never[]}, {slowdown: number; labels: never[]}, {slowdown: number; labels: never[]}];
+	for (let passed = 0; passed < 530; passed += 10) {
+		for (const free of [faster, normal]) {
+			const wait = preferenceOf(800, passed).waitMilliseconds(fast, free, passed);
+			assert.ok(passed + wait <= (0.6 * 800) + 60 - 10, `${passed} + ${wait}`);
+		}
+	}
+
+	assert.equal(preferenceOf(800, 541).waitMilliseconds(fast, faster, 541), 0);
+});
--- a/test/support/create-executor-fixture.ts
+++ b/test/support/create-executor-fixture.ts
@@ -4,6 +4,7 @@
 import {Executor} from '../../src/features/execution/executor.js';
 import type {ExecutionReport} from '../../src/features/execution/execution-report.js';
 import {LossHistory} from '../../src/features/execution/loss-history.js';
+import {TargetSpeeds} from '../../src/features/execution/target-speeds.js';
 import {TargetHealth} from '../../src/features/placement/target-health.js';
 import type {TargetRecord} from '../../src/features/targets/target-record.js';
 import {FakeClock} from './fake-clock.js';
@@ -15,9 +16,16 @@
 	const clock = new FakeClock();
 	const orders = new InMemoryTargets(clock);
 	const journal = new RecordingJournal();
-	const createExecutor = (lastContact: (requester: MemberId) => number = () => clock.now()) => {
+	const createExecutor = (lastContact: (requester: MemberId) => number = () => clock.now(), learnsSpeeds = false) => {
 		const executor = new Executor({
-			leaseMilliseconds: 1000, lastContact, orders, health: new TargetHealth(journal), losses: new LossHistory(clock, journal), clock, journal,
+			leaseMilliseconds: 1000,
+			lastContact,
+			orders,
+			health: new TargetHealth(journal),
+			speeds: learnsSpeeds ? new TargetSpeeds(journal) : undefined,
+			losses: new LossHistory(clock, journal),
+			clock,
+			journal,
 		});
 		const reports: ExecutionReport[] = [];
 		executor.onDidReport(report => {
