--- a/src/features/execution/recent-samples.ts
+++ b/src/features/execution/recent-samples.ts
@@ -1,22 +1,36 @@
 /** The latest samples of a noisy quantity. */
 
-type Sample = {readonly value: number; readonly weight: number};
+/** Both are 0 without samples. */
+type Summary = {readonly centre: number; readonly spread: number};
+
+/** Part of the samples that has to be replaced before the centre is computed again, which bounds the cost of a large window. */
+const replacedShare = 0.1;
 
 /**
  * Keeps a bounded number of weighted samples. Their centre is the mean of the middle half, which ignores outliers like a median,
  * but is more accurate for few samples of uniformly distributed errors.
  */
 export class RecentSamples {
-	readonly #samples: Sample[] = [];
+	/** Values and weights in order of arrival; the oldest are at the index of the next. */
+	readonly #values: Float64Array;
+	readonly #weights: Float64Array;
+	/** The same in order of value. */
+	readonly #sortedValues: Float64Array;
+	readonly #sortedWeights: Float64Array;
+	#count = 0;
 	#next = 0;
-	#summary: {readonly centre: number; readonly spread: number} | undefined;
+	#summary: Summary | undefined;
 	#addedSince = 0;
 
-	/** The centre is computed again after `samplesPerUpdate` samples, which bounds the cost of a shared window. */
-	constructor(private readonly capacity: number, private readonly samplesPerUpdate = 1) {}
+	constructor(private readonly capacity: number) {
+		this.#values = new Float64Array(capacity);
+		this.#weights = new Float64Array(capacity);
+		this.#sortedValues = new Float64Array(capacity);
+		this.#sortedWeights = new Float64Array(capacity);
+	}
 
 	get count(): number {
-		return this.#samples.length;
+		return this.#count;
 	}
 
 	get centre(): number {
@@ -29,48 +43,84 @@
 	}
 
 	add(value: number, weight = 1): void {
-		this.#samples[this.#next] = {value, weight};
+		if (this.#count === this.capacity) {
+			this.#remove(this.#values[this.#next]!, this.#weights[this.#next]!);
+		}
+
+		this.#insert(value, weight);
+		this.#values[this.#next] = value;
+		this.#weights[this.#next] = weight;
 		this.#next = (this.#next + 1) % this.capacity;
 		this.#addedSince += 1;
-		if (this.#addedSince >= this.samplesPerUpdate) {
+		if (this.#addedSince >= replacedShare * this.#count) {
 			this.#summary = undefined;
 		}
 	}
 
-	#summarize() {
+	#insert(value: number, weight: number): void {
+		const index = this.#indexOf(value);
+		this.#sortedValues.copyWithin(index + 1, index, this.#count);
+		this.#sortedWeights.copyWithin(index + 1, index, this.#count);
+		this.#sortedValues[index] = value;
+		this.#sortedWeights[index] = weight;
+		this.#count += 1;
+	}
+
+	#remove(value: number, weight: number): void {
+		let index = this.#indexOf(value);
+		while (this.#sortedWeights[index] !== weight) {
+			index += 1;
+		}
+
+		this.#sortedValues.copyWithin(index, index + 1, this.#count);
+		this.#sortedWeights.copyWithin(index, index + 1, this.#count);
+		this.#count -= 1;
+	}
+
+	/** The index of the first sample that isn't below the value. */
+	#indexOf(value: number): number {
+		let [low, high] = [0, this.#count];
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.#sortedValues[middle]! < value) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		return low;
+	}
+
+	#summarize(): Summary {
 		if (this.#summary === undefined) {
-			const sorted = this.#samples.toSorted((left, right) => left.value - right.value);
-			this.#summary = {centre: midmeanOf(sorted), spread: quantileOf(sorted, 0.75) - quantileOf(sorted, 0.25)};
+			this.#summary = this.#computeSummary();
 			this.#addedSince = 0;
 		}
 
 		return this.#summary;
 	}
-}
-
-/** The mean of the samples between the quartiles; 0 without samples. */
-function midmeanOf(sorted: readonly Sample[]): number {
-	const total = sorted.reduce((sum, {weight}) => sum + weight, 0);
-	const [from, to] = [0.25 * total, 0.75 * total];
-	let passed = 0;
-	let sum = 0;
-	for (const {value, weight} of sorted) {
-		sum += value * Math.max(0, Math.min(to, passed + weight) - Math.max(from, passed));
-		passed += weight;
-	}
 
-	return total === 0 ? 0 : sum / (to - from);
-}
+	#computeSummary(): Summary {
+		let total = 0;
+		for (let index = 0; index < this.#count; index += 1) {
+			total += this.#sortedWeights[index]!;
+		}
 
-/** The first value at which the share of the total weight is reached; 0 without samples. */
-function quantileOf(sorted: readonly Sample[], share: number): number {
-	let rest = share * sorted.reduce((sum, {weight}) => sum + weight, 0);
-	for (const {value, weight} of sorted) {
-		rest -= weight;
-		if (rest <= 0) {
-			return value;
+		const [from, to] = [0.25 * total, 0.75 * total];
+		let passed = 0;
+		let sum = 0;
+		let lower = 0;
+		let upper = 0;
+		for (let index = 0; index < this.#count; index += 1) {
+			const value = this.#sortedValues[index]!;
+			const end = passed + this.#sortedWeights[index]!;
+			sum += value * Math.max(0, Math.min(to, end) - Math.max(from, passed));
+			lower = passed <= from ? value : lower;
+			upper = passed < to ? value : upper;
+			passed = end;
 		}
-	}
 
-	return sorted.at(-1)?.value ?? 0;
+		return {centre: total === 0 ? 0 : sum / (to - from), spread: upper - lower};
+	}
 }
--- a/src/features/execution/target-speeds.ts
+++ b/src/features/execution/target-speeds.ts
@@ -7,7 +7,6 @@
 /** At about ten ends per second and target, a changed speed is known after two or three seconds. */
 const samplesPerTarget = 31;
 const samplesPerLabel = 200;
-const labelSamplesPerUpdate = 16;
 /** Labels with fewer samples aren't used as a prior. */
 const minimumLabelSamples = 8;
 /** The prior counts as much as this number of samples of the target. */
@@ -90,7 +89,7 @@
 		const weight = expectedMilliseconds / (expectedMilliseconds + halfWeightMilliseconds);
 		state.samples.add(logarithm, weight);
 		for (const label of state.labels) {
-			const samples = this.#labels.get(label) ?? new RecentSamples(samplesPerLabel, labelSamplesPerUpdate);
+			const samples = this.#labels.get(label) ?? new RecentSamples(samplesPerLabel);
 			this.#labels.set(label, samples);
 			samples.add(logarithm, weight);
 		}
--- a/src/features/placement/normal-run-times.ts
+++ b/src/features/placement/normal-run-times.ts
@@ -4,7 +4,6 @@
 import {MeanRunTimes} from './mean-run-times.js';
 
 const declaredSamples = 200;
-const declaredSamplesPerUpdate = 8;
 /** Until there are this many declared times, each job is expected to take its own. */
 const minimumDeclaredSamples = 4;
 /** A declared time that is this much longer than usual describes a longer job, and is not just inaccurate. */
@@ -32,7 +31,7 @@
 
 	/** Returns the centre of the profile's declared times. */
 	#recordDeclared(profile: ProfileName, logarithm: number): number {
-		const samples = this.#declared.get(profile) ?? new RecentSamples(declaredSamples, declaredSamplesPerUpdate);
+		const samples = this.#declared.get(profile) ?? new RecentSamples(declaredSamples);
 		this.#declared.set(profile, samples);
 		samples.add(logarithm);
 		return Math.exp(samples.count < minimumDeclaredSamples ? logarithm : samples.centre);
--- a/src/runtime/journal/events/ownership-events.ts
+++ b/src/runtime/journal/events/ownership-events.ts
@@ -70,7 +70,7 @@
 		fields: ['target', 'runs', 'ranMilliseconds', 'expectedMilliseconds'],
 	},
 	runRefused: {
-		number: 725, level: 'detail', meaning: 'A run requested by another entry was refused because no target here has capacity', fields: ['task', 'attempt', 'requester'],
+		number: 725, level: 'detail', meaning: 'A run requested by another entry was refused because no target here has capacity, or none on which it would be in time', fields: ['task', 'attempt', 'requester'],
 	},
 	requestOutdated: {
 		number: 729,
