--- a/src/features/dispatch/can-run.ts
+++ b/src/features/dispatch/can-run.ts
@@ -5,7 +5,7 @@
 
 /** Whether the target satisfies the constraints of the request and has enough free capacity. */
 export function canRun(target: RemoteTarget['target'], request: RunRequest): boolean {
-	return target.service === request.service
-		&& satisfiesConstraints(request, target.labels)
-		&& request.need.fitsInto(target.room);
+	return request.need.fitsInto(target.room)
+		&& target.service === request.service
+		&& satisfiesConstraints(request, target.labels);
 }
--- a/src/features/execution/choose-target.ts
+++ b/src/features/execution/choose-target.ts
@@ -1,7 +1,6 @@
 /** Choice among the targets that an entry owns. */
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
-import type {Resources} from '../../base/resources.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {LossHistory} from './loss-history.js';
 import type {RunRequest} from './run-request.js';
@@ -31,15 +30,23 @@
  * eligible.
  */
 export function chooseTarget(sessions: Iterable<TargetSession>, request: RunRequest, context: SelectionContext): TargetChoice | undefined {
+	const {millisecondsToObjective} = request;
+	if (context.speeds === undefined || millisecondsToObjective === undefined) {
+		const session = chooseBestFit(sessions, request, context);
+		return session === undefined ? undefined : {session, isInTime: true};
+	}
+
+	const {speeds} = context;
 	const eligible: TargetSession[] = [];
 	for (const session of sessions) {
-		if (isEligible(session, request, session.freeCapacity, context)) {
+		if (request.need.fitsInto(session.freeCapacity) && isEligible(session, request, context)) {
 			eligible.push(session);
 		}
 	}
 
-	const {targets, isInTime} = selectBySpeed(selectApart(eligible, request, context.losses), request, context.speeds);
-	const session = selectBestFit(targets);
+	const preference = new TargetPreference(request, millisecondsToObjective);
+	const {targets, isInTime} = preference.select(selectApart(eligible, request, context.losses), ({target}) => ({slowdown: speeds.slowdown(target.id), labels: target.labels}));
+	const session = chooseBestFit(targets, request, context);
 	return session === undefined ? undefined : {session, isInTime};
 }
 
@@ -54,36 +61,41 @@
 	return sessions.filter((_, index) => counts[index] === least);
 }
 
-function selectBySpeed(sessions: readonly TargetSession[], request: RunRequest, speeds: TargetSpeeds | undefined) {
-	const {millisecondsToObjective} = request;
-	if (speeds === undefined || millisecondsToObjective === undefined) {
-		return {targets: sessions, isInTime: true};
-	}
-
-	return new TargetPreference(request, millisecondsToObjective).select(sessions, ({target}) => ({slowdown: speeds.slowdown(target.id), labels: target.labels}));
-}
-
-/** The need is the same on all targets, so the least free CPU leaves the least remaining CPU. */
-function selectBestFit(sessions: readonly TargetSession[]): TargetSession | undefined {
+/** The eligible target with the fewest runs from which the task has to be kept apart, and among these the best fit. */
+function chooseBestFit(sessions: Iterable<TargetSession>, request: RunRequest, context: SelectionContext): TargetSession | undefined {
 	let best: TargetSession | undefined;
+	let [fewestCoLocatedRuns, leastRemainingCpuMillis] = [0, 0];
+	// Most targets are full under load, and an eligible one is rarely better than the best so far. The checks that take long come last.
 	for (const session of sessions) {
-		if (best === undefined || session.freeCapacity.cpuMillis < best.freeCapacity.cpuMillis) {
+		const {freeCapacity} = session;
+		if (!request.need.fitsInto(freeCapacity)) {
+			continue;
+		}
+
+		const coLocatedRuns = countCoLocatedRuns(session, request, context.losses);
+		const remainingCpuMillis = freeCapacity.cpuMillis - request.need.cpuMillis;
+		const isBetter = best === undefined || coLocatedRuns < fewestCoLocatedRuns || (coLocatedRuns === fewestCoLocatedRuns && remainingCpuMillis < leastRemainingCpuMillis);
+		if (isBetter && isEligible(session, request, context)) {
 			best = session;
+			fewestCoLocatedRuns = coLocatedRuns;
+			leastRemainingCpuMillis = remainingCpuMillis;
 		}
 	}
 
 	return best;
 }
 
-function isEligible(session: TargetSession, request: RunRequest, freeCapacity: Resources, {requester, health, now}: SelectionContext): boolean {
+/** Whether a target whose free capacity suffices may run the task. */
+function isEligible(session: TargetSession, request: RunRequest, {requester, health, now}: SelectionContext): boolean {
 	const {target} = session;
 	const isMatching = target.service === request.service && satisfiesConstraints(request, target.labels);
-	if (!isMatching || !session.isOpenFor(requester) || !request.need.fitsInto(freeCapacity) || request.excludedTargets.includes(target.id) || session.hasReachedJobLimit(request)) {
+	if (!isMatching || request.excludedTargets.includes(target.id)) {
 		return false;
 	}
 
 	const condition = health.condition(target.id, now);
-	return condition === 'probe' ? request.jobTaskCount <= maxProbeJobTasks : condition !== 'out';
+	const isFit = condition === 'probe' ? request.jobTaskCount <= maxProbeJobTasks : condition !== 'out';
+	return isFit && !session.hasReachedJobLimit(request) && session.isOpenFor(requester);
 }
 
 /** Counts the runs of other jobs on the target for a task that was lost before; for a sound one, only those that were lost before. */
