--- a/test/entries/edge/target-speeds.test.ts
+++ b/test/entries/edge/target-speeds.test.ts
@@ -5,6 +5,7 @@
 import {Random} from '../../../src/base/random.js';
 import {schedulingSettingsSchema} from '../../../src/features/dispatch/scheduling-settings-schema.js';
 import {advanceClock} from '../../support/advance-clock.js';
+import {createRunRequest} from '../../support/create-run-request.js';
 import {PooledCluster} from '../../support/pooled-cluster.js';
 
 /** Speeds of 1.7 and 0.7 as factors of the run time. */
@@ -159,3 +160,27 @@
 	assert.ok(owner.targetSpeeds!.slowdown(target) > 1.15, `${owner.targetSpeeds!.slowdown(target)}`);
 	assert.equal(cluster.orders.peakConcurrentRuns, 1);
 });
+
+// A requester with an outdated view asks for a fast target that is no longer free. On a slow one, its task would be late although it
+// could have waited. One that knows of no better target must still get the slow one, and so must one that doesn't state its time.
+test('an owner without a target on which the task is in time refuses it only if it has to be in time', async () => {
+	const scheduling = schedulingSettingsSchema.parse({targetSpeeds: {enabled: true}});
+	const cluster = new PooledCluster(['a-1', 'b-1'], 0, (_, dependencies) => ({...dependencies, scheduling}));
+	cluster.addTarget('b-target', 'b');
+	cluster.orders.slowdown.set('b-target' as InstanceId, slow);
+	await cluster.start();
+	await play(cluster, [{...short, jobsPerSecond: 5}], 4000);
+	const [requester, owner] = [cluster.entries.get('a-1')!, cluster.entries.get('b-1')!];
+	const request = (task: string, millisecondsToObjective?: number) => ({...createRunRequest(`${task}.0.0.0`, '800'), ...(millisecondsToObjective !== undefined && {millisecondsToObjective})});
+	const outcomeOf = async (task: string, millisecondsToObjective?: number) => {
+		requester.pool.send(owner.pool.self, {kind: 'run', request: request(task, millisecondsToObjective)});
+		await advanceClock(cluster.clock, 50);
+		return cluster.journal.named('runRefused').some(fields => fields.task === `${task}.0.0.0`) ? 'refused' : cluster.runningTasks().find(running => running === `${task}.0.0.0`);
+	};
+
+	assert.equal(await outcomeOf('first', 1340), 'refused');
+	assert.equal(await outcomeOf('second', 0), 'second.0.0.0');
+	assert.equal(await outcomeOf('third'), 'third.0.0.0');
+	await advanceClock(cluster.clock, 2000);
+	assert.equal(await outcomeOf('fourth', 2000), 'fourth.0.0.0');
+});
