--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -21,8 +21,10 @@
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
 import {slowdownOf} from './slowdown-of.js';
+import type {TargetOffer} from './target-offer.js';
 import type {TargetSession} from './target-session.js';
 import {TargetSessions} from './target-sessions.js';
+import type {TargetSpeeds} from './target-speeds.js';
 
 /** How long a release waits for unanswered starts. */
 const pendingStartGraceMilliseconds = 60;
@@ -34,6 +36,8 @@
 	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
+	/** Undefined if speeds aren't learned; all targets then count as equally fast. */
+	readonly speeds?: TargetSpeeds | undefined;
 	readonly losses: LossHistory;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -103,7 +107,7 @@
 			const {target} = session;
 			const condition = this.parts.health.condition(target.id, now);
 			if ((condition === 'fit' || condition === 'slow') && session.isOpen) {
-				free.push({service: target.service, labels: target.labels, room: session.freeCapacity});
+				free.push(this.#freeCapacityOf(session));
 			}
 		}
 
@@ -133,6 +137,7 @@
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
 		this.#sessions.assign(owned);
 		this.parts.health.retain(new Set(owned.keys()));
+		this.#retainSpeeds();
 		this.#changed.fire();
 	}
 
@@ -143,7 +148,9 @@
 			await wait(this.parts.clock, pendingStartGraceMilliseconds);
 		}
 
-		return leaving.map(session => this.#sessions.release(session));
+		const handovers = leaving.map(session => this.#sessions.release(session));
+		this.#retainSpeeds();
+		return handovers;
 	}
 
 	/** Adopts the runs of a handover, now or once the target is owned. */
@@ -156,35 +163,23 @@
 		return this.#sessions.isRunning(task);
 	}
 
-	/** Starts a run and returns its target; undefined if no target is eligible. */
-	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
-		const session = chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
-		if (session === undefined) {
+	/** Finds the target on which a run would be started; undefined if none is eligible. */
+	offer(request: RunRequest, requester: MemberId): TargetOffer | undefined {
+		const choice = chooseTarget(this.#sessions, request, {...this.parts, requester, now: this.parts.clock.now()});
+		if (choice === undefined) {
 			return undefined;
 		}
 
-		const {clock, health, journal} = this.parts;
-		const {target} = session;
-		if (health.condition(target.id, clock.now()) === 'probe') {
-			health.beginProbe(target.id);
-		}
+		const {session, isInTime} = choice;
+		const {id, labels} = session.target;
+		return {
+			slowdown: this.parts.speeds?.slowdown(id) ?? 1, labels, isInTime, accept: () => this.#startOn(session, request, requester),
+		};
+	}
 
-		journal.record('runStarted', {
-			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.freeCapacity.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
-		});
-		session.start({
-			request,
-			requester,
-			slowdown: slowdownOf(request.place, target.labels),
-			state: 'starting',
-			startedAt: clock.now(),
-			confirmedAtStep: undefined,
-			stopConfirmedAtStep: undefined,
-			stopCause: undefined,
-			abandonedAt: undefined,
-			stopRequestedAt: undefined,
-		});
-		return target.id;
+	/** Starts a run and returns its target; undefined if no target is eligible. */
+	start(request: RunRequest, requester: MemberId): InstanceId | undefined {
+		return this.offer(request, requester)?.accept();
 	}
 
 	/** Requests a report with runs and clock from all targets. */
@@ -216,9 +211,45 @@
 		this.#sessions.dispose();
 	}
 
+	#startOn(session: TargetSession, request: RunRequest, requester: MemberId): InstanceId {
+		const {clock, health, journal} = this.parts;
+		const {target} = session;
+		if (health.condition(target.id, clock.now()) === 'probe') {
+			health.beginProbe(target.id);
+		}
+
+		journal.record('runStarted', {
+			task: request.task, attempt: request.attempt, target: target.id, fence: session.fence, roomCpuMillis: session.freeCapacity.cpuMillis, cpuMillis: request.need.cpuMillis, requester,
+		});
+		session.start({
+			request,
+			requester,
+			slowdown: slowdownOf(request.place, target.labels),
+			state: 'starting',
+			startedAt: clock.now(),
+			confirmedAtStep: undefined,
+			stopConfirmedAtStep: undefined,
+			stopCause: undefined,
+			abandonedAt: undefined,
+			stopRequestedAt: undefined,
+		});
+		return target.id;
+	}
+
+	#retainSpeeds(): void {
+		this.parts.speeds?.retain([...this.#sessions].map(({target}) => target));
+	}
+
+	#freeCapacityOf({target: {id, service, labels}, freeCapacity: room}: TargetSession): FreeCapacity {
+		const slowdown = this.parts.speeds?.slowdown(id) ?? 1;
+		return {
+			service, labels, room, ...(slowdown !== 1 && {slowdown}),
+		};
+	}
+
 	/** Stops the overdue runs of a slow or stuck target, so that their tasks can start elsewhere. */
 	#stopOverdue(session: TargetSession): void {
-		const [first, ...others] = session.findOverdue();
+		const [first, ...others] = session.findOverdue(this.parts.speeds?.allowance(session.target.id) ?? 1);
 		if (first === undefined) {
 			return;
 		}
@@ -253,19 +284,23 @@
 
 	/** Reports the end to the target's health; returns the outcome, with `isTargetSuspect` set for a failure on an ejected target. */
 	#reportHealth(session: TargetSession, run: Run, outcome: RunOutcome): RunOutcome {
-		const {health, clock} = this.parts;
+		const {health, speeds, clock} = this.parts;
 		const {id} = session.target;
 		const now = clock.now();
+		const expectedMilliseconds = run.slowdown * run.request.expectedMilliseconds;
 		const end = {
 			target: id,
 			profile: run.request.queue,
 			runMilliseconds: now - run.startedAt,
-			expectedMilliseconds: run.slowdown * run.request.expectedMilliseconds,
+			expectedMilliseconds: expectedMilliseconds * (speeds?.allowance(id) ?? 1),
 			job: jobOfTask(run.request.task),
 			hasFailedElsewhere: run.request.excludedTargets.length > 0,
 		};
 		if (outcome.kind === 'done') {
 			health.report({...end, outcome: 'result'}, now);
+			if (run.isAdopted === undefined) {
+				speeds?.record(id, {runMilliseconds: now - run.startedAt, expectedMilliseconds});
+			}
 		} else if (outcome.kind === 'failed') {
 			health.report({...end, outcome: 'failure'}, now);
 			return {...outcome, isTargetSuspect: health.condition(id, now) === 'out'};
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -21,6 +21,7 @@
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import {TargetSession} from './target-session.js';
+import type {TargetSpeeds} from './target-speeds.js';
 
 /** How long an unused handover is kept; longer than the lease of the runs in it. */
 const handoverRetentionMilliseconds = 1500;
@@ -34,6 +35,7 @@
 	readonly lastContact: (requester: MemberId) => number;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
+	readonly speeds?: TargetSpeeds | undefined;
 	readonly losses: LossHistory;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -207,6 +209,7 @@
 				},
 				onDidRestart: () => {
 					this.parts.health.forget(id);
+					this.parts.speeds?.forget(id);
 				},
 				onDidCompareClocks: gap => {
 					this.parts.listener.onDidCompareClocks(gap);
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -27,7 +27,7 @@
 		const {request} = message;
 		const isSameJob = previous !== undefined && belongToSameJob(previous, request);
 		previous = request;
-		return isSameJob ? [messageCode.nextRun, request.task, request.attempt, request.excludedTargets] : [messageCode.run, ...encodeRequest(request)];
+		return isSameJob ? [messageCode.nextRun, request.task, request.attempt, request.excludedTargets] : [messageCode.run, ...encodeRequest(request), ...encodeTimeLeft(request)];
 	});
 }
 
@@ -35,7 +35,7 @@
 function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
 	switch (message.kind) {
 		case 'state': {
-			return [messageCode.state, ...encodeState(message.state), message.isForMonitor];
+			return [messageCode.state, ...encodeState(message.state), message.isForMonitor, ...encodeSlowdowns(message.state)];
 		}
 
 		case 'lost': {
@@ -115,6 +115,17 @@
 	return encoded;
 }
 
+/** Nothing if the choice of the target doesn't depend on the time that is left. */
+function encodeTimeLeft({millisecondsToObjective}: RunRequest): Encoded {
+	return millisecondsToObjective === undefined ? [] : [millisecondsToObjective];
+}
+
+/** The slowdowns of all targets in the order of the free capacity; nothing if all are 1. */
+function encodeSlowdowns({freeCapacity}: EntryState): Encoded {
+	const slowdowns = freeCapacity.map(({slowdown}) => slowdown ?? 1);
+	return slowdowns.some(slowdown => slowdown !== 1) ? [slowdowns] : [];
+}
+
 function encodeRequest(request: RunRequest): Encoded {
 	return [
 		request.task,
@@ -167,5 +178,6 @@
 		&& left.place === right.place
 		&& left.requiresNearData === right.requiresNearData
 		&& left.jobTaskCount === right.jobTaskCount
-		&& left.expectedMilliseconds === right.expectedMilliseconds;
+		&& left.expectedMilliseconds === right.expectedMilliseconds
+		&& left.millisecondsToObjective === right.millisecondsToObjective;
 }
--- a/src/runtime/journal/events/ownership-events.ts
+++ b/src/runtime/journal/events/ownership-events.ts
@@ -70,7 +70,7 @@
 		fields: ['target', 'runs', 'ranMilliseconds', 'expectedMilliseconds'],
 	},
 	runRefused: {
-		number: 725, level: 'detail', meaning: 'A run requested by another entry was refused because no target here has capacity', fields: ['task', 'attempt', 'requester'],
+		number: 725, level: 'detail', meaning: 'A run requested by another entry was refused because no target here has capacity, or none on which it would be in time', fields: ['task', 'attempt', 'requester'],
 	},
 	requestOutdated: {
 		number: 729,
@@ -84,6 +84,12 @@
 	formerLifeEnded: {
 		number: 727, level: 'notice', meaning: 'This entry removed its own previous incarnation from a group', fields: ['group', 'holder'],
 	},
+	targetSpeedChanged: {
+		number: 730,
+		level: 'notice',
+		meaning: 'The slowdown of a target, its run times relative to the expected ones, changed by more than a quarter',
+		fields: ['target', 'slowdown', 'formerSlowdown', 'samples'],
+	},
 	runFound: {
 		number: 728, level: 'detail', meaning: 'A start without a response turned out to have succeeded; the run continues', fields: ['target', 'task', 'attempt'],
 	},
