Backlog of the fleet: sums of waiting work and their exchange in states

Cause: no entry knows the work that waits at other entries, so that none can tell at arrival whether a job can start in time. Nothing creates an exchange yet.

--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -14,6 +14,7 @@
 import type {RunRequest} from '../execution/run-request.js';
 import type {EntryState} from './entry-state.js';
 import {EncodedValues} from './encoded-values.js';
+import {decodeBacklog} from './decode-backlog.js';
 import {messageCode} from './message-code.js';
 import {absentNumber} from './absent-number.js';
 import type {PoolMessage} from './pool-message.js';
@@ -54,7 +55,14 @@
 	const code = values.number();
 	switch (code) {
 		case messageCode.state: {
-			return {kind: 'state', state: decodeState(values), isForMonitor: values.flag()};
+			const state = decodeState(values);
+			const isForMonitor = values.flag();
+			// The slowdowns of the targets.
+			values.any();
+			const backlog = decodeBacklog(values);
+			return {
+				kind: 'state', state, isForMonitor, ...(backlog !== undefined && {backlog}),
+			};
 		}
 
 		case messageCode.lost: {
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -4,6 +4,7 @@
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {EntryState} from './entry-state.js';
+import {encodeBacklog} from './encode-backlog.js';
 import {messageCode} from './message-code.js';
 import {absentNumber} from './absent-number.js';
 import type {PoolMessage} from './pool-message.js';
@@ -31,7 +32,7 @@
 
 function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
 	return match(message)
-		.with({kind: 'state'}, ({state, isForMonitor}) => [messageCode.state, ...encodeState(state), isForMonitor])
+		.with({kind: 'state'}, ({state, isForMonitor, backlog}) => [messageCode.state, ...encodeState(state), isForMonitor, ...(backlog === undefined ? [] : [undefined, encodeBacklog(backlog)])])
 		.with({kind: 'lost'}, ({member}) => [messageCode.lost, member])
 		.with({kind: 'entries'}, ({entries}) => [messageCode.entries, entries.map(({address, zone}) => [address, zone])])
 		.with({kind: 'report'}, ({task, attempt, outcome}) => [messageCode.report, task, attempt, ...encodeOutcome(outcome)])
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -1,6 +1,7 @@
 /** Messages between the entries of a pool. */
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
+import type {BacklogReport} from '../backlog/backlog-report.js';
 import type {Handover} from '../execution/handover.js';
 import type {TargetLoss} from '../execution/target-loss.js';
 import type {RunOutcome} from '../execution/run-outcome.js';
@@ -14,8 +15,8 @@
 
 /** `state` is the periodic heartbeat. `handover` and `loss` are broadcast; all other kinds go to one peer. */
 export type PoolMessage =
-	/** `isForMonitor`: the receiver monitors the sender and has to report its loss to the zone. */
-	| {readonly kind: 'state'; readonly state: EntryState; readonly isForMonitor: boolean}
+	/** `isForMonitor`: the receiver monitors the sender and has to report its loss to the zone. `backlog` is absent from most states. */
+	| {readonly kind: 'state'; readonly state: EntryState; readonly isForMonitor: boolean; readonly backlog?: BacklogReport | undefined}
 	/** A peer that the sender monitors has timed out. */
 	| {readonly kind: 'lost'; readonly member: MemberId}
 	| {readonly kind: 'entries'; readonly entries: readonly PeerEndpoint[]}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -51,14 +51,14 @@
 	readonly #connections: PoolConnections;
 
 	constructor(private readonly parts: PoolParts) {
-		const {network, ownState, peersInUse, clock} = parts;
+		const {network, ownState, backlogFor, peersInUse, clock} = parts;
 		const members = () => this.#members.values();
 		this.#contacts = new PeerContacts(clock);
 		this.#outbox = new Outbox({
 			network, channel, epochs: this.#epochs, contacts: this.#contacts, clock,
 		});
 		this.#broadcaster = this.#store.add(new StateBroadcaster({
-			members, ownState, outbox: this.#outbox, clock,
+			members, ownState, backlogFor, outbox: this.#outbox, clock,
 		}));
 		this.#connections = new PoolConnections({
 			network,
--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -1,6 +1,8 @@
 /** Decides when this entry sends its state, and to which peers. */
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
+import type {BacklogReport} from '../backlog/backlog-report.js';
+import type {Member} from '../../runtime/peers/member.js';
 import type {EntryState} from './entry-state.js';
 import {heartbeats} from './heartbeats.js';
 import type {Outbox} from './outbox.js';
@@ -40,6 +42,8 @@
 type StateBroadcasterParts = {
 	readonly members: () => Iterable<PoolMember>;
 	readonly ownState: () => EntryState;
+	/** The backlog to send to a peer along with a state; undefined if none is due. */
+	readonly backlogFor?: ((member: Member) => BacklogReport | undefined) | undefined;
 	readonly outbox: Outbox;
 	readonly clock: Clock;
 };
@@ -134,11 +138,13 @@
 			return;
 		}
 
-		const {ownState, outbox, clock} = this.parts;
+		const {ownState, backlogFor, outbox, clock} = this.parts;
 		const state = ownState();
 		for (const known of receivers) {
 			this.#sentAt.set(known, clock.now());
-			outbox.put(known.member, {kind: 'state', state, isForMonitor: known.isMonitor});
+			outbox.put(known.member, {
+				kind: 'state', state, isForMonitor: known.isMonitor, backlog: backlogFor?.(known.member),
+			});
 		}
 	}
 
