Refusal of jobs at arrival by a forecast of their start

Cause: an entry holds a job until its latest start has passed, then refuses it; it can't tell at arrival whether there will be capacity. Change: FleetForecast estimates when the last task of a job could start, from the work that ranks before it in the fleet or in the entry's zone, the capacity and the recent ends of runs. A job that can't be in time is refused as not run, with a random Retry-After, unless a known free target could run it, no capacity was known, it was submitted before, or it needs particular targets. Refused jobs are observed until their latest start, jobs held in vain are counted, and both correct the estimate. Behind refusalForecast.enabled; without it no backlog is kept or sent.

--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -180,11 +180,16 @@
 
 	#updateGauges(): void {
 		const {metrics} = this.parts;
-		const {dispatcher, executor, pauses} = this.#entry;
+		const {dispatcher, executor, forecast, pauses} = this.#entry;
 		metrics.gauge('event_loop_delay_milliseconds', Math.round(pauses.takeLongestDelay()));
 		metrics.gauge('jobs_in_flight', dispatcher.inFlight);
 		metrics.gauge('tasks_waiting', dispatcher.jobs.waitingTasks);
 		metrics.gauge('targets_owned', executor.ownedTargets);
 		metrics.gauge('routing_version', this.#routing.version);
+		if (forecast !== undefined) {
+			metrics.gauge('forecast_refusals_refuted_total', forecast.calibration.refutedRefusals);
+			metrics.gauge('forecast_jobs_unserved_total', forecast.calibration.unservedJobs);
+			metrics.gauge('forecast_scale', Math.round(forecast.calibration.scale * 100) / 100);
+		}
 	}
 }
--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -6,8 +6,14 @@
 import {hashText} from '../../base/hash-text.js';
 import {Random} from '../../base/random.js';
 import {repeat} from '../../base/repeat.js';
+import {BacklogExchange} from '../../features/backlog/backlog-exchange.js';
+import {ownBacklog} from '../../features/backlog/own-backlog.js';
+import {WaitingWork} from '../../features/backlog/waiting-work.js';
 import {Dispatcher} from '../../features/dispatch/dispatcher.js';
 import {CallerTimeouts} from '../../features/dispatch/caller-timeouts.js';
+import {DisabledForecast} from '../../features/dispatch/disabled-forecast.js';
+import {FleetForecast} from '../../features/dispatch/fleet-forecast.js';
+import {FreePlaces} from '../../features/dispatch/free-places.js';
 import {LeastLaxity} from '../../features/dispatch/least-laxity.js';
 import type {SchedulingSettings} from '../../features/dispatch/scheduling-settings.js';
 import {Executor} from '../../features/execution/executor.js';
@@ -60,14 +66,19 @@
 	readonly ownership: Ownership;
 	readonly pool: Pool;
 	readonly dispatcher: Dispatcher;
+	/** Absent if jobs aren't refused by the forecast. */
+	readonly forecast: FleetForecast | undefined;
 	readonly callerTimeouts = new CallerTimeouts();
 	readonly pauses: PauseDetector;
 	readonly #disposables = new DisposableStore();
 	readonly #lossHistory: LossHistory;
+	readonly #waitingWork = new WaitingWork();
+	/** Absent if no backlog is published. */
+	readonly #backlog: BacklogExchange | undefined;
 	#isLeaving = false;
 
 	constructor(private readonly parts: PooledEntryParts) {
-		const {zone, member, leaseMilliseconds, network, group, catalogue, evacuations, orders, clock, journal} = parts;
+		const {zone, member, leaseMilliseconds, network, group, catalogue, evacuations, orders, scheduling, clock, journal} = parts;
 		const disposables = this.#disposables;
 		this.#lossHistory = new LossHistory(clock, journal);
 		this.pauses = disposables.add(new PauseDetector(clock));
@@ -80,9 +91,11 @@
 			clock,
 			journal,
 		}));
+		this.#backlog = scheduling.refusalForecast.enabled ? this.#createBacklog() : undefined;
 		this.pool = disposables.add(new Pool({
 			network,
 			ownState: () => this.#nodeState(),
+			backlogFor: peer => this.#backlog?.reportFor(peer, clock.now()),
 			peersInUse: () => new Set([...this.executor.requesters(), ...this.dispatcher.jobs.owners()]),
 			pauses: this.pauses,
 			clock,
@@ -92,11 +105,13 @@
 		this.ownership = disposables.add(new Ownership({
 			zone, member, store: group, catalogue, evacuations, executor: this.executor, orders, clock, journal,
 		}));
+		this.forecast = this.#backlog && this.#createForecast(this.#backlog);
 		this.dispatcher = disposables.add(new Dispatcher({
 			zone,
 			executor: this.executor,
 			pool: this.pool,
 			order: new LeastLaxity(),
+			forecast: this.forecast ?? new DisabledForecast(),
 			leaseMilliseconds,
 			runTimes: new MeanRunTimes(),
 			timeouts: this.callerTimeouts,
@@ -107,6 +122,9 @@
 			journal,
 		}));
 		this.#subscribe();
+		if (this.#backlog !== undefined) {
+			this.#subscribeBacklog(this.#backlog);
+		}
 	}
 
 	/** Joins the pool and the group of the entry's zone. */
@@ -177,6 +195,49 @@
 		}));
 	}
 
+	#createBacklog(): BacklogExchange {
+		return new BacklogExchange({
+			zone: this.parts.zone,
+			own: now => ownBacklog(this.executor.serviceCapacities, this.#waitingWork, now),
+			isFresh: id => this.pool.isFreshMember(id),
+		});
+	}
+
+	#createForecast(backlog: BacklogExchange): FleetForecast {
+		const freePlaces = new FreePlaces(this.executor, this.pool);
+		return new FleetForecast({
+			view: now => backlog.view(now),
+			freePlaces: job => freePlaces.count(job),
+			waiting: this.#waitingWork,
+			random: new Random(hashText(`${this.parts.member} forecast`)),
+			journal: this.parts.journal,
+		});
+	}
+
+	#subscribeBacklog(backlog: BacklogExchange): void {
+		const {clock} = this.parts;
+		const disposables = this.#disposables;
+		disposables.add(this.pool.onDidReceive(({from, message, isCurrent}) => {
+			if (message.kind === 'state' && message.backlog !== undefined && isCurrent) {
+				backlog.receive(from, message.backlog, Math.min(clock.now(), this.pool.lastContact(from.id)));
+			}
+		}));
+		disposables.add(this.pool.onDidLoseMember(member => {
+			backlog.forget(member);
+		}));
+		for (const pause of [this.pauses.onDidPause, this.pauses.onDidConfirmPause, this.pauses.onDidFindHiddenSuspension]) {
+			disposables.add(pause(() => {
+				backlog.clear();
+			}));
+		}
+
+		for (const change of [this.executor.onDidChangeFreeCapacity, this.pool.onDidChangeCapacity]) {
+			disposables.add(change(() => {
+				this.forecast?.recordFreeCapacity(clock.now());
+			}));
+		}
+	}
+
 	/** Lets the targets' clocks show whether the system was suspended or its clock set. Without targets, assumes a suspension. */
 	#explainSkippedTime(milliseconds: number): void {
 		if (this.executor.ownedTargets > 0) {
--- a/src/features/backlog/ended-tasks.ts
+++ b/src/features/backlog/ended-tasks.ts
@@ -17,9 +17,15 @@
 		counts.ended[counts.index % intervals]! += 1;
 	}
 
-	/** How many runs ended in the last second, to a quarter of a second. */
-	count(service: ServiceName, now: number): number {
-		return this.#services.has(service) ? this.#advance(service, now).ended.reduce((sum, ended) => sum + ended, 0) : 0;
+	/** How many runs ended in a second, by those of the last 0.75 to 1 s. */
+	perSecond(service: ServiceName, now: number): number {
+		if (!this.#services.has(service)) {
+			return 0;
+		}
+
+		const ended = this.#advance(service, now).ended.reduce((sum, count) => sum + count, 0);
+		const milliseconds = ((intervals - 1) * intervalMilliseconds) + (now % intervalMilliseconds);
+		return Math.round(ended * 1000 / milliseconds);
 	}
 
 	#advance(service: ServiceName, now: number): Counts {
--- a/src/features/backlog/service-capacity.ts
+++ b/src/features/backlog/service-capacity.ts
@@ -8,6 +8,6 @@
 	readonly freeCpuMillis: number;
 	/** The most that a single target has free. The sum of all says little: it may consist of parts too small for any task. */
 	readonly largestFreeCpuMillis: number;
-	/** Runs that ended in the last second. */
+	/** Runs that end in a second, by those of the last second. */
 	readonly endedTasks: number;
 };
--- a/src/features/backlog/waiting-work.ts
+++ b/src/features/backlog/waiting-work.ts
@@ -1,4 +1,5 @@
 /** The work that waits at this entry. */
+import type {JobId} from '../../base/job-id.js';
 import type {ProfileName} from '../../base/profile-name.js';
 import type {ServiceName} from '../../base/service-name.js';
 import type {QueueBacklog} from './queue-backlog.js';
@@ -7,7 +8,7 @@
 type Sums = {tasks: number; cpuMillis: number; coreMilliseconds: number};
 
 /** `jobs` is in the order in which the jobs began to wait. */
-type Queue = Sums & {readonly queue: ProfileName; readonly service: ServiceName; readonly jobs: Map<Record<string, unknown>, WaitingJob>};
+type Queue = Sums & {readonly queue: ProfileName; readonly service: ServiceName; readonly jobs: Map<JobId, WaitingJob>};
 
 /**
  * Keeps sums by queue, which change with each job, since they are read for each report. Only late jobs, which don't count, are
@@ -16,18 +17,18 @@
 export class WaitingWork {
 	readonly #queues = new Map<ProfileName, Queue>();
 
-	/** Sets how many tasks of a job wait; `key` identifies the job. */
-	set(key: Record<string, unknown>, job: WaitingJob): void {
+	/** Sets how many tasks of a job wait. */
+	set(id: JobId, job: WaitingJob): void {
 		const queue = this.#queueOf(job);
-		const known = queue.jobs.get(key);
+		const known = queue.jobs.get(id);
 		if (known !== undefined) {
 			add(queue, known, -1);
 		}
 
 		if (job.waitingTasks === 0) {
-			queue.jobs.delete(key);
+			queue.jobs.delete(id);
 		} else {
-			queue.jobs.set(key, job);
+			queue.jobs.set(id, job);
 			add(queue, job, 1);
 		}
 
@@ -56,7 +57,7 @@
 
 	#queueOf({queue, service}: WaitingJob): Queue {
 		const known = this.#queues.get(queue) ?? {
-			queue, service, tasks: 0, cpuMillis: 0, coreMilliseconds: 0, jobs: new Map<Record<string, unknown>, WaitingJob>(),
+			queue, service, tasks: 0, cpuMillis: 0, coreMilliseconds: 0, jobs: new Map<JobId, WaitingJob>(),
 		};
 		this.#queues.set(queue, known);
 		return known;
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -16,6 +16,7 @@
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
+import type {AdmissionForecast} from './admission-forecast.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import type {CallerTimeouts} from './caller-timeouts.js';
 import {ExpiryTimer} from './expiry-timer.js';
@@ -36,6 +37,7 @@
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
+	readonly forecast: AdmissionForecast;
 	/** The longest lease that a target grants, in milliseconds. */
 	readonly leaseMilliseconds: number;
 	readonly runTimes: MeanRunTimes;
@@ -145,7 +147,8 @@
 				onDidFinish: (job, answer) => {
 					this.#completion.end(job, {kind: 'answered', answer});
 				},
-				onDidRequeue: () => {
+				onDidRequeue: job => {
+					dependencies.forecast.recordWaiting(job);
 					this.#schedulePlacement();
 				},
 				onDidLoseRun: (job, state) => {
--- a/src/features/dispatch/job-admission.ts
+++ b/src/features/dispatch/job-admission.ts
@@ -5,6 +5,7 @@
 import type {LossHistory} from '../execution/loss-history.js';
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
+import type {AdmissionForecast} from './admission-forecast.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import type {JobCompletion} from './job-completion.js';
 import type {JobTable} from './job-table.js';
@@ -21,6 +22,7 @@
 	readonly pool: Pool;
 	readonly runTimes: MeanRunTimes;
 	readonly losses: LossHistory;
+	readonly forecast: AdmissionForecast;
 	readonly journal: Journal;
 	/** Schedules a placement pass for waiting tasks. */
 	readonly schedulePlacement: () => void;
@@ -74,9 +76,19 @@
 
 		// Refuses a job that can't meet its objective before it takes capacity.
 		this.dependencies.completion.endIfExpired(running, submission.receivedAt);
+		this.#refuseByForecast(running);
+		this.dependencies.forecast.recordWaiting(running);
 		this.dependencies.schedulePlacement();
 	}
 
+	#refuseByForecast(running: RunningJob): void {
+		const {completion, forecast} = this.dependencies;
+		const refusal = running.isEnded ? undefined : forecast.refusalOf(running, running.receivedAt);
+		if (refusal !== undefined) {
+			completion.end(running, refusal);
+		}
+	}
+
 	/** Keeps the current runs: restarting them would run each task twice at once. */
 	#rejoin(running: RunningJob, submission: Submission, token: CancellationToken): void {
 		running.submission.settle(uncertainVerdict('stopped', 'submitted again'));
--- a/src/features/dispatch/job-completion.ts
+++ b/src/features/dispatch/job-completion.ts
@@ -4,6 +4,7 @@
 import type {Verdict} from '../../base/verdict.js';
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {LossHistory} from '../execution/loss-history.js';
+import type {AdmissionForecast} from './admission-forecast.js';
 import type {JobOutcome} from './job-outcome.js';
 import type {JobTable} from './job-table.js';
 import type {OwnerCommands} from './owner-commands.js';
@@ -16,6 +17,7 @@
 	readonly jobs: JobTable;
 	readonly ownerCommands: OwnerCommands;
 	readonly losses: LossHistory;
+	readonly forecast: AdmissionForecast;
 	readonly clock: Clock;
 	readonly journal: Journal;
 	/** Schedules a placement pass for waiting tasks. */
@@ -34,6 +36,7 @@
 
 		job.isEnded = true;
 		this.dependencies.jobs.remove(job, this.dependencies.clock.now());
+		this.dependencies.forecast.recordEnd(job, verdict);
 		for (const state of job.tasks) {
 			if (state.owner !== undefined) {
 				this.dependencies.ownerCommands.stop({task: state.id, attempt: state.attempt, owner: state.owner}, 'its job is over');
--- a/src/features/dispatch/least-laxity.ts
+++ b/src/features/dispatch/least-laxity.ts
@@ -1,9 +1,8 @@
 /** Least-laxity-first queue order. */
 import {QueueOrder} from './queue-order.js';
 import type {RunningJob} from './running-job.js';
+import {weightedStartOf} from './weighted-start-of.js';
 
-/** Delay per priority level: urgent queues go first among jobs of similar age without starving the others. */
-const priorityStepMilliseconds = 150;
 /** Separates the classes of the order; larger than any objective. */
 const classOffsetMilliseconds = 1_000_000;
 /** A late job is still worth its capacity if at most this share of its tasks is waiting. */
@@ -17,7 +16,7 @@
 	override rank(job: RunningJob, now: number): number {
 		const latestStart = job.objectiveAt - job.expectedMilliseconds;
 		if (latestStart >= now) {
-			const weightedStart = latestStart + (job.job.route.priority * priorityStepMilliseconds);
+			const weightedStart = weightedStartOf(job);
 			return job.mayHaveRun ? weightedStart - classOffsetMilliseconds : weightedStart;
 		}
 
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -32,7 +32,7 @@
 		/** A run was lost, possibly with its target. */
 		readonly onDidLoseRun: (job: RunningJob, state: TaskState) => void;
 		/** A task is waiting again. */
-		readonly onDidRequeue: () => void;
+		readonly onDidRequeue: (job: RunningJob) => void;
 		/** A run was adopted that belongs to no current attempt. */
 		readonly onDidFindOrphan: (task: TaskId, attempt: number, owner: MemberId) => void;
 	};
@@ -98,7 +98,7 @@
 			}
 		}
 
-		this.dependencies.listener.onDidRequeue();
+		this.dependencies.listener.onDidRequeue(job);
 	}
 
 	/** Assigns a run to its new owner; returns false, and reports an orphan, if the attempt is not the current one. */
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -7,6 +7,7 @@
 import type {Executor} from '../execution/executor.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {Pool} from '../pool/pool.js';
+import type {AdmissionForecast} from './admission-forecast.js';
 import {availableRemoteTargets} from './available-remote-targets.js';
 import {chooseRemoteTarget} from './choose-remote-target.js';
 import type {QueueOrder} from './queue-order.js';
@@ -24,6 +25,7 @@
 	readonly executor: Executor;
 	readonly pool: Pool;
 	readonly order: QueueOrder;
+	readonly forecast: AdmissionForecast;
 	readonly random: Random;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -80,7 +82,7 @@
 	#start(job: RunningJob, state: TaskState, request: RunRequest, available: readonly RemoteTarget[]): boolean {
 		const {zone, executor, pool, random} = this.dependencies;
 		if (executor.start(request, pool.self) !== undefined) {
-			recordStart(job, state, pool.self);
+			this.#recordStart(job, state, pool.self);
 			return true;
 		}
 
@@ -90,10 +92,16 @@
 		}
 
 		this.#send(request, choice);
-		recordStart(job, state, choice.member.member.id);
+		this.#recordStart(job, state, choice.member.member.id);
 		return true;
 	}
 
+	#recordStart(job: RunningJob, state: TaskState, owner: MemberId): void {
+		job.possibleStarts += 1;
+		state.owner = owner;
+		this.dependencies.forecast.recordStart(job, this.dependencies.clock.now());
+	}
+
 	#send(request: RunRequest, {member, target}: RemoteTarget): void {
 		const {pool, clock, journal} = this.dependencies;
 		target.room = target.room.minus(request.need);
@@ -103,8 +111,3 @@
 		});
 	}
 }
-
-function recordStart(job: RunningJob, state: TaskState, owner: MemberId): void {
-	job.possibleStarts += 1;
-	state.owner = owner;
-}
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -11,6 +11,8 @@
 import type {Journal} from '../../runtime/journal/journal.js';
 import type {TargetHealth} from '../placement/target-health.js';
 import type {TargetOrders} from '../targets/target-orders.js';
+import {EndedTasks} from '../backlog/ended-tasks.js';
+import type {ServiceCapacity} from '../backlog/service-capacity.js';
 import {chooseTarget} from './choose-target.js';
 import type {ExecutionReport} from './execution-report.js';
 import type {FreeCapacity} from './free-capacity.js';
@@ -20,6 +22,7 @@
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
+import {serviceCapacities} from './service-capacities.js';
 import {slowdownOf} from './slowdown-of.js';
 import type {TargetSession} from './target-session.js';
 import {TargetSessions} from './target-sessions.js';
@@ -45,6 +48,7 @@
 	readonly #reported = new Emitter<ExecutionReport>();
 	readonly #changed = new Emitter<void>();
 	readonly #clocksCompared = new Emitter<ClockGap>();
+	readonly #endedTasks = new EndedTasks();
 
 	constructor(private readonly parts: ExecutorParts) {
 		this.#sessions = new TargetSessions({
@@ -103,6 +107,13 @@
 			.map(session => ({service: session.target.service, labels: session.target.labels, room: session.freeCapacity}));
 	}
 
+	/** What the healthy targets of each service can do. */
+	get serviceCapacities(): readonly ServiceCapacity[] {
+		const {health, clock} = this.parts;
+		const now = clock.now();
+		return serviceCapacities(this.#sessions, health, now).map(capacity => ({...capacity, endedTasks: this.#endedTasks.perSecond(capacity.service, now)}));
+	}
+
 	/** The entries that requested the current runs, once for each run. */
 	* requesters(): Iterable<MemberId> {
 		for (const session of this.#sessions.withClosing()) {
@@ -227,6 +238,10 @@
 		const {request, requester} = run;
 		const now = this.parts.clock.now();
 		const reportedOutcome = this.#reportHealth(session, run, outcome);
+		if (outcome.kind === 'done' || outcome.kind === 'failed') {
+			this.#endedTasks.record(session.target.service, now);
+		}
+
 		this.parts.journal.record('runEnded', {
 			task: request.task,
 			attempt: request.attempt,
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -145,6 +145,12 @@
 		return this.parts.clock.now() - heardAt <= expectedTiming.staleAfterMilliseconds;
 	}
 
+	/** The same by id; false for an entry that isn't a live peer. */
+	isFreshMember(id: MemberId): boolean {
+		const known = this.#members.get(id);
+		return known !== undefined && this.isFresh(known);
+	}
+
 	/** Whether the last message from a peer is recent by the timing of active heartbeats. */
 	isResponsive(id: MemberId): boolean {
 		const known = this.#members.get(id);
--- a/src/runtime/journal/events/pooled-job-events.ts
+++ b/src/runtime/journal/events/pooled-job-events.ts
@@ -27,4 +27,28 @@
 	jobRejoined: {
 		number: 806, level: 'detail', meaning: 'A job was resubmitted while it is running here; the latest caller gets the answer', fields: ['job', 'startedTasks'],
 	},
+	jobForecastLate: {
+		number: 807,
+		level: 'detail',
+		meaning: 'A job was refused at its arrival: by the backlog of the fleet, its last task would start too late',
+		fields: [
+			'job',
+			'queue',
+			'tasks',
+			'cpuMillis',
+			'leftMilliseconds',
+			'waitMilliseconds',
+			'scale',
+			'tasksBefore',
+			'coreMillisecondsBefore',
+			'totalCpuMillis',
+			'endedTasks',
+			'zones',
+			'oldestFigureMilliseconds',
+			'retryAfterMilliseconds',
+		],
+	},
+	forecastRefuted: {
+		number: 808, level: 'notice', meaning: 'There was capacity in time for a job that was refused at its arrival; the forecast is corrected', fields: ['job', 'queue', 'scale'],
+	},
 } as const satisfies Readonly<Record<string, EventDescription>>;
--- a/test/features/backlog/waiting-work.test.ts
+++ b/test/features/backlog/waiting-work.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
+import type {JobId} from '../../../src/base/job-id.js';
 import type {ProfileName} from '../../../src/base/profile-name.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
 import type {WaitingJob} from '../../../src/features/backlog/waiting-job.js';
@@ -14,10 +15,10 @@
 
 test('the waiting work is summed by queue', () => {
 	const work = new WaitingWork();
-	work.set({}, job);
-	work.set({}, {...job, receivedAt: 1020, waitingTasks: 2});
-	work.set({}, {...job, queue: 'other' as ProfileName, waitingTasks: 1});
-	work.set({}, {...job, queue: 'elsewhere' as ProfileName, service: 'other' as ServiceName});
+	work.set('job-0' as JobId, job);
+	work.set('job-1' as JobId, {...job, receivedAt: 1020, waitingTasks: 2});
+	work.set('job-2' as JobId, {...job, queue: 'other' as ProfileName, waitingTasks: 1});
+	work.set('job-3' as JobId, {...job, queue: 'elsewhere' as ProfileName, service: 'other' as ServiceName});
 	assert.deepEqual(work.queuesOf(service, 1050), [
 		{
 			queue: 'queue', tasks: 6, cpuMillis: 48_000, coreMilliseconds: 4800, oldestMilliseconds: 50, laxityMilliseconds: 220,
@@ -31,8 +32,8 @@
 // Guards against jobs that rank behind all others, since they are late, being counted as work before them.
 test('late jobs are left out', () => {
 	const work = new WaitingWork();
-	work.set({}, job);
-	work.set({}, {
+	work.set('job-4' as JobId, job);
+	work.set('job-5' as JobId, {
 		...job, receivedAt: 1100, latestStart: 1220, weightedStart: 1370, waitingTasks: 1,
 	});
 	assert.deepEqual(work.queuesOf(service, 1150).map(({tasks, oldestMilliseconds}) => ({tasks, oldestMilliseconds})), [{tasks: 1, oldestMilliseconds: 50}]);
@@ -43,11 +44,10 @@
 test('the sums equal those over all jobs, after any changes', () => {
 	fc.assert(fc.property(fc.array(fc.record({key: fc.nat(5), waitingTasks: fc.nat(8), cpuMillis: fc.integer({min: 1, max: 12_000})})), changes => {
 		const work = new WaitingWork();
-		const keys = Array.from({length: 6}, () => ({}));
 		const current = new Map<number, WaitingJob>();
 		for (const {key, ...changed} of changes) {
 			const next = {...job, ...changed};
-			work.set(keys[key]!, next);
+			work.set(`job-${key}` as JobId, next);
 			current.set(key, next);
 		}
 
