--- a/src/features/backlog/backlog-exchange.ts
+++ b/src/features/backlog/backlog-exchange.ts
@@ -10,9 +10,19 @@
 
 /** Shortest interval between two reports to a peer while work waits. The waiting time of a short job is of this order. */
 const busyIntervalMilliseconds = 200;
-/** The same while no known work waits; three reports can be lost before the figures expire. */
+/** The same while no known work waits; two reports can be lost before the figures expire. */
 const idleIntervalMilliseconds = 900;
-/** Sums of other zones in a report to a peer in this zone. They are sent in rotation, since that peer hears most zones itself. */
+/**
+ * Both intervals grow with the number of peers that get reports, to about 33 reports of 70 bytes per second. Reports are sent along with
+ * heartbeats, so that an interval just above their period of 1 s would double; 40 ms per peer did that with 26 peers.
+ */
+const millisecondsPerPeer = 30;
+/** Just below the period of two heartbeats, so that figures don't expire when one is late. */
+const longestIntervalMilliseconds = 1900;
+/**
+ * Sums of other zones in a report to a peer in this zone, while work waits. They are sent in rotation: unless some connections between
+ * zones are cut, that peer hears each zone itself.
+ */
 const relayedZones = 1;
 /** How long own figures and sums are reused: under load many reports are sent and received within a few milliseconds. */
 const cacheMilliseconds = 20;
@@ -49,7 +59,7 @@
 	/** The figures to send to a peer now; undefined if it has got some lately. */
 	reportFor({id, zone}: Peer, now: number): BacklogReport | undefined {
 		const {own, zone: sum, isBusy} = this.#currentFigures(now);
-		const interval = isBusy ? busyIntervalMilliseconds : idleIntervalMilliseconds;
+		const interval = Math.max(isBusy ? busyIntervalMilliseconds : idleIntervalMilliseconds, Math.min(longestIntervalMilliseconds, this.#sentAt.size * millisecondsPerPeer));
 		const sentAt = this.#sentAt.get(id) ?? Number.NEGATIVE_INFINITY;
 		// Of two states that are sent at the same time, only the second one reaches the peer.
 		if (now > sentAt && now - sentAt < interval) {
@@ -60,7 +70,7 @@
 		this.#sentAt.set(id, now);
 		this.#evictSendTimes(now);
 		return zone === this.parts.zone
-			? {own: limitBacklog(own), zones: this.#relayed(now)}
+			? {own: limitBacklog(own), zones: isBusy ? this.#relayed(now) : []}
 			: {own: undefined, zones: [{zone: this.parts.zone, ageMilliseconds: 0, services: limitBacklog(sum)}]};
 	}
 
@@ -148,7 +158,7 @@
 	/** The map is in the order of the times. */
 	#evictSendTimes(now: number): void {
 		for (const [id, sentAt] of this.#sentAt) {
-			if (now - sentAt <= idleIntervalMilliseconds) {
+			if (now - sentAt <= backlogLimits.ageMilliseconds) {
 				return;
 			}
 
--- a/test/features/backlog/backlog-exchange.test.ts
+++ b/test/features/backlog/backlog-exchange.test.ts
@@ -155,3 +155,17 @@
 	sender.sendTo(receiver, 1900);
 	assert.deepEqual(receiver.view(1900), {a: 0, b: 4, c: 5});
 });
+
+// Guards against traffic that grows with the number of peers.
+test('an entry with 50 peers sends about 33 reports per second', () => {
+	const sender = entryWith('a-1', zoneA, 1);
+	const receivers = Array.from({length: 50}, (_, index) => entryWith(`a-${index + 2}`, zoneA, 0));
+	let reports = 0;
+	for (let passed = 0; passed < 10_000; passed += 100) {
+		for (const receiver of receivers) {
+			reports += sender.sendTo(receiver, 1000 + passed) ? 1 : 0;
+		}
+	}
+
+	assert.equal(reports, 7 * 50);
+});
