--- a/src/entries/command/losses/attribute-loss.ts
+++ b/src/entries/command/losses/attribute-loss.ts
@@ -12,6 +12,8 @@
 const unansweredCause = 'start without an answer';
 const overdueCause = 'overdue';
 const unadoptedCause = 'handed over to nobody';
+/** The end of the verdict's detail. */
+const forecastDetail = 'by the forecast';
 /** Assumed for tasks whose demand was not logged; fits on every target with free capacity. */
 const unknownCpuMillis = 1;
 
@@ -20,6 +22,10 @@
  * which is the time until its last task ended, less the expected run time of that task.
  */
 export function attributeLoss(job: JobTrace, fleet: FleetState): ReadonlyMap<LossReason, number> {
+	if (job.end?.detail.endsWith(forecastDetail) === true) {
+		return new Map([['refusedByForecast', 1]]);
+	}
+
 	const sums = new Map<LossReason, number>();
 	for (const {reason, milliseconds} of delaysOf(job, fleet)) {
 		if (milliseconds > 0) {
--- a/src/entries/command/losses/loss-reasons.ts
+++ b/src/entries/command/losses/loss-reasons.ts
@@ -6,6 +6,8 @@
 	'waitedBesideIdleRoom',
 	/** Its task waited while no suitable target had free capacity. */
 	'waitedForRoom',
+	/** It was refused at its arrival, since by the forecast no target would have had capacity in time. */
+	'refusedByForecast',
 	/** Its task was in transit to the owner of a target, or its answer was in transit. */
 	'onTheWay',
 	/** An owner refused its task, which was sent elsewhere. */
--- a/test/entries/command/losses/loss-analysis.test.ts
+++ b/test/entries/command/losses/loss-analysis.test.ts
@@ -79,6 +79,7 @@
 	targetLost: [accepted(10), started(10), ended(900, 'gone', {cause: 'lease passed on a target that does not answer'}), started(900, {attempt: 2}), ended(960, 'done', {attempt: 2}), answered(960)],
 	ownerLost: [accepted(10), line(10, 'taskSent', {task, attempt: 1, owner: 'e-2'}), started(10), answered(830, 'mayHaveRun', 'executorLost: e-2 is lost')],
 	resubmitted: [accepted(10), accepted(1310), started(1310), ended(1370, 'done'), answered(1370)],
+	refusedByForecast: [accepted(10), answered(10, 'notRun', 'deadlineUnreachable: no capacity in time by the forecast')],
 	unexplained: [accepted(10), answered(10, 'mayHaveRun', 'stopped: the entry ends')],
 };
 
@@ -89,7 +90,7 @@
 
 	test(`without the line that shows ${reason} the attribution differs`, () => {
 		const decisive: Readonly<Record<string, number>> = {
-			waitedForRoom: 2, waitedBesideIdleRoom: 0, onTheWay: 1, refusedByOwner: 2, orderUnanswered: 2, slowTarget: 2, longRun: 2, runFailed: 2, targetLost: 2, ownerLost: 3, resubmitted: 0, unexplained: 1,
+			waitedForRoom: 2, waitedBesideIdleRoom: 0, onTheWay: 1, refusedByOwner: 2, orderUnanswered: 2, slowTarget: 2, longRun: 2, runFailed: 2, targetLost: 2, ownerLost: 3, resubmitted: 0, refusedByForecast: 1, unexplained: 1,
 		};
 		// The cause of a stop is repeated in the line of the run's end.
 		const remaining = lines.filter((one, index) => index !== decisive[reason] && (one.event !== 'runEnded' || one.fields.cause !== lines[decisive[reason]!]!.fields.cause || one.fields.cause === undefined));
