--- a/src/features/dispatch/fleet-forecast.ts
+++ b/src/features/dispatch/fleet-forecast.ts
@@ -66,7 +66,7 @@
 
 	override recordWaiting(running: RunningJob): void {
 		if (!running.isEnded) {
-			this.#setWaiting(running, running.waiting.length);
+			this.#setWaiting(running, running.waitingCount);
 		}
 	}
 
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -57,7 +57,7 @@
 		case messageCode.state: {
 			const state = decodeState(values);
 			const isForMonitor = values.flag();
-			// The slowdowns of the targets.
+			// Reserved for the slowdowns of the targets.
 			values.any();
 			const backlog = decodeBacklog(values);
 			return {
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -298,7 +298,7 @@
 
 		const now = this.parts.clock.now();
 		this.#members.get(from.id)!.heardAt = now;
-		this.#contacts.record(from.id, frame.sentAt ?? now);
+		this.#contacts.record(from.id, frame.sentAt ?? now, frame.skippedMilliseconds);
 		// Must precede the messages: they may report runs that were stopped because of the loss, which this entry would restart.
 		if (this.#epochs.observe(from.id, frame)) {
 			this.#detectEviction.fire();
@@ -354,6 +354,7 @@
 		const hasNewDemand = known.demand.length === 0 && state.demand.length > 0;
 		// A request for capacity that was published in a previous epoch would be refused.
 		Object.assign(known, state, {isMonitored: isForMonitor, capacityUpdates: 0, freeCapacity: isCurrent ? state.freeCapacity : []});
+		this.#broadcaster.recordReceived(known);
 		this.#changeCapacity.fire();
 		if (hasNewDemand) {
 			// The peer may not know of capacity that became free after the last heartbeat.
