--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -180,7 +180,7 @@
 
 	#updateGauges(): void {
 		const {metrics} = this.parts;
-		const {dispatcher, executor, pauses, targetSpeeds} = this.#entry;
+		const {dispatcher, executor, forecast, pauses, targetSpeeds} = this.#entry;
 		metrics.gauge('event_loop_delay_milliseconds', Math.round(pauses.takeLongestDelay()));
 		metrics.gauge('jobs_in_flight', dispatcher.inFlight);
 		metrics.gauge('tasks_waiting', dispatcher.jobs.waitingTasks);
@@ -192,5 +192,10 @@
 		}
 
 		metrics.gauge('routing_version', this.#routing.version);
+		if (forecast !== undefined) {
+			metrics.gauge('forecast_refusals_refuted_total', forecast.calibration.refutedRefusals);
+			metrics.gauge('forecast_jobs_unserved_total', forecast.calibration.unservedJobs);
+			metrics.gauge('forecast_scale', Math.round(forecast.calibration.scale * 100) / 100);
+		}
 	}
 }
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -16,6 +16,7 @@
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
+import type {AdmissionForecast} from './admission-forecast.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import type {CallerTimeouts} from './caller-timeouts.js';
 import {ExpiryTimer} from './expiry-timer.js';
@@ -38,6 +39,7 @@
 	readonly pool: Pool;
 	readonly order: QueueOrder;
 	readonly scheduling: SchedulingSettings;
+	readonly forecast: AdmissionForecast;
 	/** The longest lease that a target grants, in milliseconds. */
 	readonly leaseMilliseconds: number;
 	readonly runTimes: MeanRunTimes;
@@ -147,7 +149,8 @@
 				onDidFinish: (job, answer) => {
 					this.#completion.end(job, {kind: 'answered', answer});
 				},
-				onDidRequeue: () => {
+				onDidRequeue: job => {
+					dependencies.forecast.recordWaiting(job);
 					this.#schedulePlacement();
 				},
 				onDidLoseRun: (job, state) => {
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -8,6 +8,7 @@
 import type {Executor} from '../execution/executor.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {Pool} from '../pool/pool.js';
+import type {AdmissionForecast} from './admission-forecast.js';
 import {availableRemoteTargets} from './available-remote-targets.js';
 import {chooseRemoteTarget} from './choose-remote-target.js';
 import type {QueueOrder} from './queue-order.js';
@@ -30,6 +31,7 @@
 	readonly pool: Pool;
 	readonly order: QueueOrder;
 	readonly scheduling: SchedulingSettings;
+	readonly forecast: AdmissionForecast;
 	readonly random: Random;
 	readonly clock: Clock;
 	readonly journal: Journal;
@@ -144,7 +146,7 @@
 
 		const {zone, executor, pool, random} = this.dependencies;
 		if (executor.start(request, pool.self) !== undefined) {
-			recordStart(job, state, pool.self);
+			this.#recordStart(job, state, pool.self);
 			return true;
 		}
 
@@ -154,7 +156,7 @@
 		}
 
 		this.#send(request, choice);
-		recordStart(job, state, choice.member.member.id);
+		this.#recordStart(job, state, choice.member.member.id);
 		return true;
 	}
 
@@ -164,13 +166,13 @@
 		const timed = {...request, millisecondsToObjective: Math.round(job.objectiveAt - now)};
 		const placed = placement.place(timed, available, now - job.receivedAt);
 		if (placed.kind === 'started') {
-			recordStart(job, state, pool.self);
+			this.#recordStart(job, state, pool.self);
 			return true;
 		}
 
 		if (placed.kind === 'remote') {
 			this.#send(placed.request, placed.choice);
-			recordStart(job, state, placed.choice.member.member.id);
+			this.#recordStart(job, state, placed.choice.member.member.id);
 			return true;
 		}
 
@@ -182,6 +184,12 @@
 		return false;
 	}
 
+	#recordStart(job: RunningJob, state: TaskState, owner: MemberId): void {
+		job.possibleStarts += 1;
+		state.owner = owner;
+		this.dependencies.forecast.recordStart(job, this.dependencies.clock.now());
+	}
+
 	#send(request: RunRequest, {member, target}: RemoteTarget): void {
 		const {pool, clock, journal} = this.dependencies;
 		target.room = target.room.minus(request.need);
@@ -191,8 +199,3 @@
 		});
 	}
 }
-
-function recordStart(job: RunningJob, state: TaskState, owner: MemberId): void {
-	job.possibleStarts += 1;
-	state.owner = owner;
-}
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -14,6 +14,7 @@
 import type {RunRequest} from '../execution/run-request.js';
 import type {EntryState} from './entry-state.js';
 import {EncodedValues} from './encoded-values.js';
+import {decodeBacklog} from './decode-backlog.js';
 import {messageCode} from './message-code.js';
 import {absentNumber} from './absent-number.js';
 import type {PoolMessage} from './pool-message.js';
@@ -56,7 +57,11 @@
 		case messageCode.state: {
 			const state = decodeState(values);
 			const isForMonitor = values.flag();
-			return {kind: 'state', state: addSlowdowns(state, values.optionalNumbers()), isForMonitor};
+			const slowdowns = values.optionalNumbers();
+			const backlog = decodeBacklog(values);
+			return {
+				kind: 'state', state: addSlowdowns(state, slowdowns), isForMonitor, ...(backlog !== undefined && {backlog}),
+			};
 		}
 
 		case messageCode.lost: {
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -3,6 +3,7 @@
 import type {RunOutcome} from '../execution/run-outcome.js';
 import type {RunRequest} from '../execution/run-request.js';
 import type {EntryState} from './entry-state.js';
+import {encodeBacklog} from './encode-backlog.js';
 import {messageCode} from './message-code.js';
 import {absentNumber} from './absent-number.js';
 import type {PoolMessage} from './pool-message.js';
@@ -35,7 +36,15 @@
 function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
 	switch (message.kind) {
 		case 'state': {
-			return [messageCode.state, ...encodeState(message.state), message.isForMonitor, ...encodeSlowdowns(message.state)];
+			const {state, isForMonitor, backlog} = message;
+			const slowdowns = encodeSlowdowns(state);
+			const encoded = [messageCode.state, ...encodeState(state), isForMonitor, ...slowdowns];
+			if (backlog === undefined) {
+				return encoded;
+			}
+
+			// An empty list in the place of the slowdowns means that there are none.
+			return [...encoded, ...(slowdowns.length === 0 ? [[]] : []), encodeBacklog(backlog)];
 		}
 
 		case 'lost': {
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -53,7 +53,7 @@
 	readonly #connections: PoolConnections;
 
 	constructor(private readonly parts: PoolParts) {
-		const {network, ownState, largestFreeCpuMillis, peersInUse, clock} = parts;
+		const {network, ownState, largestFreeCpuMillis, backlogFor, peersInUse, clock} = parts;
 		const members = () => this.#members.values();
 		this.#readingDelay = this.#store.add(new ReadingDelay(clock));
 		this.#contacts = new PeerContacts(clock, this.#readingDelay);
@@ -61,7 +61,7 @@
 			network, channel, epochs: this.#epochs, contacts: this.#contacts, clock,
 		});
 		this.#broadcaster = this.#store.add(new StateBroadcaster({
-			members, ownState, largestFreeCpuMillis, outbox: this.#outbox, clock,
+			members, ownState, largestFreeCpuMillis, backlogFor, outbox: this.#outbox, clock,
 		}));
 		this.#connections = new PoolConnections({
 			network,
@@ -148,6 +148,12 @@
 		return this.parts.clock.now() - heardAt <= expectedTiming.staleAfterMilliseconds;
 	}
 
+	/** The same by id; false for an entry that isn't a live peer. */
+	isFreshMember(id: MemberId): boolean {
+		const known = this.#members.get(id);
+		return known !== undefined && this.isFresh(known);
+	}
+
 	/** Whether the last message from a peer is recent by the timing of active heartbeats. */
 	isResponsive(id: MemberId): boolean {
 		const known = this.#members.get(id);
