--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -10,7 +10,7 @@
 /** An encoded message: a list whose first element is the message code. */
 type Encoded = readonly unknown[];
 
-/** States are immutable. */
+/** A state is sent to several peers at the same time, and is encoded once. */
 const encodedStates = new WeakMap<EntryState, Encoded>();
 
 /**
@@ -98,7 +98,6 @@
 	];
 }
 
-/** Encoded once for all receivers. */
 function encodeState(state: EntryState): Encoded {
 	const known = encodedStates.get(state);
 	if (known !== undefined) {
