The soak runs entries with a scheduling file; settings of the parts that exist

Cause: the soak started entries without the deployment's scheduling file, so that it never played the parts that are enabled there. A key for ranked capacity was accepted although nothing implements it.

--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -25,6 +25,8 @@
 	readonly profileFolder: string | undefined;
 	/** Bundle of the edge daemon. */
 	readonly bundle: string;
+	/** Scheduling file of the entry; empty for none. */
+	readonly scheduling: string;
 	/** Called for each unexpected exit (`exits`) and each unhandled error (`defects`). */
 	readonly onDefect: (kind: 'exits' | 'defects', detail: string) => void;
 };
@@ -85,7 +87,7 @@
 
 	/** Starts a new process. `seeds` are the peer addresses that it joins through. */
 	async start(seeds: readonly string[]): Promise<void> {
-		const {instance, zone, address, folder, profileFolder, bundle} = this.options;
+		const {instance, zone, address, folder, profileFolder, bundle, scheduling} = this.options;
 		const settings = formatEdgeSettings({
 			instance, zone, address, storeAddress: await this.store.listen(), seeds,
 		});
@@ -102,7 +104,8 @@
 		const environment = Object.fromEntries([...Object.entries(process.env), ['SAVORYLOCK_SETTINGS', file]]);
 		const profiling = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
 		const edgeArguments = [resolve(bundle), this.#suspensionFile, '9464', '--advertised-peers', this.#advertisedPeerAddress];
-		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, ...profiling, main, ...edgeArguments], {
+		const schedulingArguments = scheduling === '' ? [] : ['--scheduling', resolve(scheduling)];
+		const child = spawn(process.execPath, [`--max-old-space-size=${heapMegabytes}`, ...profiling, main, ...edgeArguments, ...schedulingArguments], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: environment,
 		});
 		this.#child = child;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -33,6 +33,7 @@
 	.option('timed', {type: 'boolean', default: true, describe: 'check the invariants with time limits, which an overloaded machine can violate'})
 	.option('profile', {type: 'string', describe: 'folder for V8 CPU profiles of the entries, which are then stopped gracefully'})
 	.option('bundle', {type: 'string', default: 'target/savorylock-edge.js', describe: 'bundle of the edge daemon, which may be that of another commit'})
+	.option('scheduling', {type: 'string', default: 'deploy/scheduling.toml', describe: 'scheduling file of the entries; empty for none, as for a bundle of a commit without that option'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'folder for the logs of the entries'})
 	.version(version)
 	.strict()
@@ -64,6 +65,7 @@
 		longestSuspensionMilliseconds: options.suspensions * 1000,
 		profileFolder: options.profile,
 		bundle: options.bundle,
+		scheduling: options.scheduling,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
--- a/soak/soak-environment.ts
+++ b/soak/soak-environment.ts
@@ -137,6 +137,7 @@
 		folder,
 		profileFolder: plan.profileFolder,
 		bundle: plan.bundle,
+		scheduling: plan.scheduling,
 		onDefect(kind, detail) {
 			record[kind].push(detail);
 		},
--- a/soak/soak-plan.ts
+++ b/soak/soak-plan.ts
@@ -19,4 +19,6 @@
 	readonly profileFolder: string | undefined;
 	/** Bundle of the edge daemon that the entries run. */
 	readonly bundle: string;
+	/** Scheduling file of the entries; empty for none. */
+	readonly scheduling: string;
 };
--- a/src/features/dispatch/scheduling-settings-schema.ts
+++ b/src/features/dispatch/scheduling-settings-schema.ts
@@ -7,5 +7,4 @@
 export const schedulingSettingsSchema = z.strictObject({
 	targetSpeeds: part,
 	refusalForecast: part,
-	rankedCapacity: part,
 });
