Delays of reading count only as far as a slow owner still renews in time

Cause: since contacts count as earlier by the delay that the requester states. At an owner that is slow itself, this delay, the age of the requester's latest heartbeat and the owner's own delays add up to more than the 1200 ms of a limited lease: renewals stop, the run ends by its lease and every later start is refused. Change: the owner takes at most what 850 ms leave after the interval between the requester's latest two messages and twice the owner's own delay. An interval after which a peer in use is lost lies between idle heartbeats and doesn't count. The comment on Pool.lastContact says how far the delay counts.

--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -1,6 +1,7 @@
 /** When peers were last known to be alive. */
 import type {Clock} from '../../base/clock.js';
 import type {MemberId} from '../../base/member-id.js';
+import {heartbeats} from './heartbeats.js';
 import type {ReadingDelay} from './reading-delay.js';
 
 /**
@@ -28,10 +29,10 @@
 const heartbeatMilliseconds = 150;
 
 /**
- * `smallestDifference` and its predecessor cover one window each; both are in milliseconds. `skippedMilliseconds` is the latest that
- * the peer stated.
+ * `aliveAt` is when the latest message was sent, and `lastAt` the same less the reading delay. `smallestDifference` and its predecessor
+ * cover one window each; both are in milliseconds. `skippedMilliseconds` is the latest that the peer stated.
  */
-type Contact = {lastAt: number; windowEndsAt: number; smallestDifference: number; previousDifference: number; skippedMilliseconds: number};
+type Contact = {aliveAt: number; lastAt: number; windowEndsAt: number; smallestDifference: number; previousDifference: number; skippedMilliseconds: number};
 
 /**
  * Estimates when each peer sent its latest message, by this entry's monotonic clock. The time at which a message is read proves
@@ -75,7 +76,8 @@
 		const now = this.clock.now();
 		const difference = now - sentAt;
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
-			lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference, skippedMilliseconds,
+			aliveAt: Number.NEGATIVE_INFINITY, lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference,
+			skippedMilliseconds,
 		});
 		const added = Math.max(0, skippedMilliseconds - contact.skippedMilliseconds);
 		const estimate = sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
@@ -91,19 +93,27 @@
 		}
 
 		const sentAtHere = isWrong ? estimate - added : sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
-		contact.lastAt = Math.max(contact.lastAt, Math.min(sentAtHere, now) - readingDelayMilliseconds);
+		const aliveAt = Math.min(sentAtHere, now);
+		contact.lastAt = Math.max(contact.lastAt, aliveAt - Math.min(readingDelayMilliseconds, this.#longestReadingDelay(contact, now)));
+		contact.aliveAt = Math.max(contact.aliveAt, aliveAt);
 	}
 
-	/** The time of the latest message from a peer; undefined if there was none. */
+	/** The time of the latest message from a peer, less the delay with which the peer reads; undefined if there was none. */
 	lastContact(member: MemberId): number | undefined {
 		return this.#contacts.get(member)?.lastAt;
 	}
 
+	/** The time of the latest message from a peer; undefined if there was none. */
+	lastAlive(member: MemberId): number | undefined {
+		return this.#contacts.get(member)?.aliveAt;
+	}
+
 	/** Records time that only this entry's wall clock counted: if it was suspended, all contacts are older by that time. */
 	recordSkippedTime(milliseconds: number): void {
 		this.#unexplainedMilliseconds += milliseconds;
 		for (const contact of this.#contacts.values()) {
 			contact.lastAt -= milliseconds;
+			contact.aliveAt -= milliseconds;
 		}
 	}
 
@@ -117,6 +127,18 @@
 		}
 	}
 
+	/**
+	 * By how much the contact with a peer may count as earlier without ending the peer's runs here: the next message takes about as long
+	 * as this one did after the previous, and this entry's renewals are late by its own delays of reading it and the target's answer.
+	 */
+	#longestReadingDelay({aliveAt}: Contact, now: number): number {
+		const ownDelays = 2 * this.readingDelay.milliseconds;
+		const age = now - aliveAt;
+		// A peer with runs here is lost after such an interval, and its runs are stopped: this one lies between idle heartbeats.
+		const isIdle = age > heartbeats.active.timeoutMilliseconds + ownDelays;
+		return Math.max(0, longestContactAgeMilliseconds - ownDelays - (isIdle ? heartbeatMilliseconds : age));
+	}
+
 	#add(member: MemberId, contact: Contact): Contact {
 		this.#contacts.set(member, contact);
 		const [oldest] = this.#contacts.keys();
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -161,8 +161,9 @@
 	}
 
 	/**
-	 * The latest time, by this entry's monotonic clock, at which an entry is known to have been alive and to have had no unread input:
-	 * before it sent its latest message, or when another entry last heard it.
+	 * The latest time, by this entry's monotonic clock, from which an entry is taken to have read all input: before it sent its latest
+	 * message, by the delay that it stated, or when another entry last heard it. The entry may have read less, because the delay counts
+	 * only as far as the runs of a live requester go on: in full up to about 230 ms, and less if this entry is slow as well.
 	 */
 	lastContact(id: MemberId): number {
 		if (id === this.self) {
--- a/test/features/pool/reading-delay.test.ts
+++ b/test/features/pool/reading-delay.test.ts
@@ -61,3 +61,19 @@
 	contacts.record(peer, clock.now(), 0, 0);
 	assert.equal(contacts.lastContact(peer), clock.now());
 });
+
+// Guards against ending the runs of a live requester at an owner that is slow itself: the delays of both and the interval between the
+// requester's messages add up to more than the limit of a lease.
+test('a contact counts as earlier by less if the next one will be read late', () => {
+	const peer = 'peer#1' as MemberId;
+	const delayOf = (interval: number, ownDelay: number) => {
+		const clock = new FakeClock();
+		const contacts = new PeerContacts(clock, {milliseconds: ownDelay});
+		contacts.record(peer, clock.now());
+		clock.advance(interval);
+		contacts.record(peer, clock.now(), 0, 190);
+		return clock.now() - contacts.lastContact(peer)!;
+	};
+
+	assert.deepEqual([[200, 0], [600, 0], [750, 0], [500, 100], [600, 150], [1000, 0], [1000, 50]].map(([interval, own]) => delayOf(interval!, own!)), [190, 190, 100, 150, 0, 190, 190]);
+});
