The silence in descriptors doesn't contain the requester's delay of reading

Cause: since describePeers states the time since a contact that is earlier by the requester's delay of reading. The new owner subtracts this silence from the time that the requester has to acknowledge it, while the requester reads the adoption as late: a run whose requester is 230 ms late ended 3 of 4 times when the owner left, without an answer.

--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -207,8 +207,9 @@
 		const {network, clock} = this.parts;
 		return [...ids].flatMap(id => {
 			const member = id === this.self ? network.self : this.#discovered.get(id);
-			// Not the time of reading: a message may have waited, and the new owner would keep the runs of a dead requester.
-			const silentMilliseconds = Math.round(Math.min(clock.now() - this.lastContact(id), longestSilenceMilliseconds));
+			// Not the time of reading: a message may have waited, and the new owner would keep the runs of a dead requester. Without the
+			// requester's delay of reading: the silence limits the time to acknowledge the new owner, in which a slow requester is late.
+			const silentMilliseconds = Math.round(Math.min(clock.now() - this.#lastAlive(id), longestSilenceMilliseconds));
 			return member === undefined ? [] : [{member, silentMilliseconds}];
 		});
 	}
@@ -265,6 +266,11 @@
 		this.#store.dispose();
 	}
 
+	/** The same as the last contact, but without the delay of reading. */
+	#lastAlive(id: MemberId): number {
+		return id === this.self ? this.parts.clock.now() : Math.max(this.#contacts.lastAlive(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
+	}
+
 	#addMember(member: Member): void {
 		const {clock, journal} = this.parts;
 		const now = clock.now();
