A suspension overstated by a clock correction isn't taken for a wrong one

Cause: a message whose stated suspension puts it more than 50 ms into the future counted as one of a peer that wasn't suspended. A wall clock that is corrected by 60 ms during a real suspension has the same effect, and the peer's contacts counted as 600 ms too old. Change: the message must lie in the future by more than half of the added time as well.

--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -81,8 +81,9 @@
 		});
 		const added = Math.max(0, skippedMilliseconds - contact.skippedMilliseconds);
 		const estimate = sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
-		// A message from the future: the peer wasn't suspended, and this message may be as late as the former ones.
-		const isWrong = added > 0 && estimate > now + clockAdjustmentMilliseconds;
+		// A message from the future: the peer wasn't suspended, and this message may be as late as the former ones. One from the near
+		// future comes from a peer that was suspended while its wall clock was corrected.
+		const isWrong = added > 0 && estimate > now + Math.max(clockAdjustmentMilliseconds, added / 2);
 		if (this.#unexplainedMilliseconds === 0) {
 			contact.skippedMilliseconds += added;
 			if (isWrong) {
--- a/test/features/pool/peer-contacts.test.ts
+++ b/test/features/pool/peer-contacts.test.ts
@@ -138,6 +138,21 @@
 	assert.deepEqual(ages, [0, 40, 0, 390]);
 });
 
+// Guards against taking a real suspension for a wrong one, and its sender's contacts for far older, because the wall clock was corrected
+// at the same time.
+test('messages after a suspension whose length is overstated by a clock correction count from about when they were sent', () => {
+	for (const correction of [60, 90, -60]) {
+		const {clock, contacts} = createContacts();
+		clock.advance(600);
+		const ages = [0, 0, 0].map(() => {
+			clock.advance(200);
+			contacts.record(peer, clock.now() + offset - 1 + correction, 600 + correction);
+			return clock.now() - contacts.lastContact(peer)!;
+		});
+		assert.deepEqual(ages.map(age => age <= Math.max(1, -correction)), [true, true, true], `${correction} ms: ${ages.join(', ')}`);
+	}
+});
+
 // Guards against a message whose time of sending lies ahead, which counts as long as this entry may have been suspended itself.
 test('no contact is later than now, also while skipped time is not explained', () => {
 	const {clock, contacts, recordLate} = createMisdatedContacts();
