Times in frames of peers must be finite, and the delay of reading at most 1000 ms

Cause: the decoder accepts any number. NaN as skipped time, delay of reading or time of sending makes the last contact with its sender NaN for good, and a delay below 0 puts the contact after the message. Change: frames with such times are unreadable; the delay is clamped to 0 to 1000 ms. Result: the new test of messages fails before and passes now.

--- a/src/features/pool/decode-frame.ts
+++ b/src/features/pool/decode-frame.ts
@@ -4,6 +4,9 @@
 import type {Epoch} from './epoch.js';
 import type {PoolFrame} from './pool-frame.js';
 
+/** Entries state less; more would put contacts before the start of the runs that depend on them. */
+const maximumReadingDelayMilliseconds = 1000;
+
 /** Throws a `TypeError` that names the malformed value. */
 export function decodeFrame(body: unknown): PoolFrame {
 	const values = new EncodedValues(Array.isArray(body) ? body : []);
@@ -11,9 +14,9 @@
 		epoch: decodeEpoch(values),
 		acknowledgedEpoch: decodeEpoch(values),
 		messages: decodeMessages(values.list()),
-		sentAt: values.optionalNumber(),
-		skippedMilliseconds: values.optionalNumber() ?? 0,
-		readingDelayMilliseconds: values.optionalNumber() ?? 0,
+		sentAt: values.optionalFiniteNumber(),
+		skippedMilliseconds: values.optionalFiniteNumber() ?? 0,
+		readingDelayMilliseconds: Math.max(0, Math.min(values.optionalFiniteNumber() ?? 0, maximumReadingDelayMilliseconds)),
 	};
 }
 
--- a/src/features/pool/encoded-values.ts
+++ b/src/features/pool/encoded-values.ts
@@ -29,6 +29,12 @@
 		return value === undefined || typeof value === 'number' ? value : this.#fail('a number or undefined', value);
 	}
 
+	/** Reads a number that is neither infinite nor `NaN`, or undefined. */
+	optionalFiniteNumber(): number | undefined {
+		const value = this.optionalNumber();
+		return value === undefined || Number.isFinite(value) ? value : this.#fail('a finite number or undefined', value);
+	}
+
 	flag(): boolean {
 		const value = this.#take();
 		return typeof value === 'boolean' ? value : this.#fail('a boolean', value);
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -135,6 +135,19 @@
 	assert.deepEqual(decodeMessages([[...run, 9, 'a later value']]), [{kind: 'run', request: {...request, millisecondsToObjective: 9}}]);
 });
 
+// Guards against a value that makes the last contact with its sender not a number for good, or puts it long before or after the message.
+test('times in a frame are finite, and the delay of reading lies between 0 and 1000 ms', () => {
+	const bodyOf = (sentAt: unknown, skipped: unknown, delay: unknown) => [0, 0, 0, 0, [], sentAt, skipped, delay];
+	for (const value of [Number.NaN, Number.POSITIVE_INFINITY, Number.NEGATIVE_INFINITY]) {
+		for (const body of [bodyOf(value, 0, 0), bodyOf(4711, value, 0), bodyOf(4711, 0, value)]) {
+			assert.throws(() => decodeFrame(body), TypeError);
+		}
+	}
+
+	const delays = [-50, 0, 230, 1000, 60_000].map(delay => decodeFrame(bodyOf(4711, 0, delay)).readingDelayMilliseconds);
+	assert.deepEqual(delays, [0, 0, 230, 1000, 1000]);
+});
+
 // Guards against bytes in every frame for a time that hardly any entry has to state, and against rejecting entries that don't state it.
 test('a frame without skipped time leaves it out', () => {
 	const frame = {
