--- a/src/features/pool/announced-demand.ts
+++ b/src/features/pool/announced-demand.ts
@@ -2,32 +2,26 @@
 import type {CapacityDemand} from '../execution/capacity-demand.js';
 import type {PoolMember} from './pool-member.js';
 
-/** The demand of the latest state that a peer was sent, and how many states it has sent since. */
-type Announcement = {readonly demand: readonly CapacityDemand[]; statesReceived: number};
-
-/** Remembers the demand that each peer was sent, so that it isn't announced again while the peer would offer capacity for it anyway. */
+/**
+ * Remembers the demand of the latest state that each peer was sent, so that it isn't announced again while the peer would offer
+ * capacity for it anyway. Any state of the peer may have been an offer, and it makes few of them for one announcement.
+ */
 export class AnnouncedDemand {
-	readonly #announcements = new WeakMap<PoolMember, Announcement>();
-
-	/** `answersPerDemand` is how many states a peer with free capacity sends for one announcement. */
-	constructor(private readonly answersPerDemand: number) {}
+	readonly #announcements = new WeakMap<PoolMember, readonly CapacityDemand[]>();
 
 	recordSent(receiver: PoolMember, demand: readonly CapacityDemand[]): void {
-		this.#announcements.set(receiver, {demand, statesReceived: 0});
+		this.#announcements.set(receiver, demand);
 	}
 
-	/** Records a state from a peer, each of which may have been an offer. */
+	/** Records a state from a peer. */
 	recordReceived(sender: PoolMember): void {
-		const known = this.#announcements.get(sender);
-		if (known !== undefined) {
-			known.statesReceived += 1;
-		}
+		this.#announcements.delete(sender);
 	}
 
 	/** Whether a peer still waits for capacity for all of this demand, as far as this entry knows. */
 	isKnownTo(peer: PoolMember, demand: readonly CapacityDemand[]): boolean {
-		const known = this.#announcements.get(peer);
-		return known !== undefined && known.statesReceived < this.answersPerDemand && demand.every(waiting => isCovered(waiting, known.demand));
+		const announced = this.#announcements.get(peer);
+		return announced !== undefined && demand.every(waiting => isCovered(waiting, announced));
 	}
 }
 
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -345,7 +345,7 @@
 			return;
 		}
 
-		const hasNewDemand = !this.#broadcaster.isWaiting(known) && state.demand.length > 0;
+		const hasNewDemand = known.demand.length === 0 && state.demand.length > 0;
 		// A request for capacity that was published in a previous epoch would be refused.
 		Object.assign(known, state, {isMonitored: isForMonitor, capacityUpdates: 0, freeCapacity: isCurrent ? state.freeCapacity : []});
 		this.#broadcaster.recordReceived(known);
--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -51,7 +51,7 @@
 export class StateBroadcaster implements Disposable {
 	/** When the state was last sent to each peer. */
 	readonly #sentAt = new WeakMap<PoolMember, number>();
-	readonly #announcedDemand = new AnnouncedDemand(announcementsPerDemand);
+	readonly #announcedDemand = new AnnouncedDemand();
 	#demandAnnouncedAt = Number.NEGATIVE_INFINITY;
 	#capacityAnnouncedAt = Number.NEGATIVE_INFINITY;
 	#rotation = 0;
@@ -93,11 +93,6 @@
 		});
 	}
 
-	/** Whether a peer with waiting tasks may still be sent offers of capacity. */
-	isWaiting(member: PoolMember): boolean {
-		return isWaiting(member);
-	}
-
 	/** Records that a peer has sent its state. */
 	recordReceived(member: PoolMember): void {
 		this.#announcedDemand.recordReceived(member);
--- a/test/features/pool/announced-demand.test.ts
+++ b/test/features/pool/announced-demand.test.ts
@@ -13,12 +13,11 @@
 	return [{service: name, need: new Resources(cpuMillis, 64, 0)}];
 }
 
-// Guards against waiting tasks that no peer offers capacity for, because it was never told of them or has made all its offers.
+// Guards against waiting tasks that no peer offers capacity for, because it was never told of them or may have made its offers.
 test('a peer without an announcement, or one that has answered it, does not know of the demand', () => {
-	const announced = new AnnouncedDemand(2);
+	const announced = new AnnouncedDemand();
 	assert.equal(announced.isKnownTo(peer, demandOf(8000)), false);
 	announced.recordSent(peer, demandOf(8000));
-	announced.recordReceived(peer);
 	assert.equal(announced.isKnownTo(peer, demandOf(8000)), true);
 	announced.recordReceived(peer);
 	assert.equal(announced.isKnownTo(peer, demandOf(8000)), false);
@@ -26,7 +25,7 @@
 
 // Guards against smaller tasks, and those of another service, that a peer doesn't look for.
 test('demand is known if each service was announced with as small a need', () => {
-	const announced = new AnnouncedDemand(2);
+	const announced = new AnnouncedDemand();
 	announced.recordSent(peer, demandOf(8000));
 	assert.deepEqual({
 		larger: announced.isKnownTo(peer, demandOf(9000)),
@@ -37,7 +36,7 @@
 
 // Guards against a peer that was told meanwhile that no task waits.
 test('a later state without demand ends the announcement', () => {
-	const announced = new AnnouncedDemand(2);
+	const announced = new AnnouncedDemand();
 	announced.recordSent(peer, demandOf(8000));
 	announced.recordSent(peer, []);
 	assert.equal(announced.isKnownTo(peer, demandOf(8000)), false);
