A late answer confirms a suspension whose length the wall clock shows

Cause: the gap that a target's clock shows is too short by the time for which the answer waited. Change: if the gap confirms that skipped time was a suspension (more than half of it, as for sent times), the wall clock tells its length, up to the gap plus the answer's round trip. Suspensions below 1200 ms, and steps of the clock beside short ones, confirm nothing, as before.

--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -155,7 +155,8 @@
 	 * spans a confirmed pause says nothing of what followed.
 	 */
 	reportClockGap(gap: ClockGap): void {
-		const isLong = gap.milliseconds > confirmedPauseThresholdMilliseconds;
+		const length = this.#lengthOf(gap);
+		const isLong = length > confirmedPauseThresholdMilliseconds;
 		if (isLong && gap.since < this.#pauseConfirmedAt) {
 			return;
 		}
@@ -167,7 +168,7 @@
 
 		if (isLong) {
 			this.#reportHiddenSuspension(gap);
-			this.#confirmPause(gap.milliseconds);
+			this.#confirmPause(length);
 		}
 	}
 
@@ -219,10 +220,24 @@
 		}
 	}
 
+	/**
+	 * The length of the suspension that a gap shows. An answer that is read late shows less than that, at most by its round trip; the
+	 * wall clock then tells the length if the gap confirms that the time it skipped was a suspension.
+	 */
+	#lengthOf(gap: ClockGap): number {
+		const skipped = this.#skippedTime;
+		if (skipped === undefined || !isAnswerTo(skipped, gap) || !isSuspension(skipped, gap)) {
+			return gap.milliseconds;
+		}
+
+		const longest = gap.milliseconds + this.clock.now() - gap.requestedAt;
+		return Math.max(gap.milliseconds, Math.min(skipped.milliseconds, longest));
+	}
+
 	#explainSkippedTime(gap: ClockGap): void {
 		if (this.#skippedTime !== undefined && isAnswerTo(this.#skippedTime, gap)) {
 			const {milliseconds} = this.#skippedTime;
-			this.#resolveSkippedTime(2 * gap.milliseconds > milliseconds ? milliseconds : 0);
+			this.#resolveSkippedTime(isSuspension(this.#skippedTime, gap) ? milliseconds : 0);
 		}
 	}
 
@@ -253,3 +268,8 @@
 function isAnswerTo({since}: {readonly since: number}, {comparedSince, requestedAt}: ClockGap): boolean {
 	return requestedAt >= since && comparedSince < since;
 }
+
+/** Whether a gap shows that skipped time was a suspension, of which a late answer shows only a part. */
+function isSuspension({milliseconds}: SkippedTime, gap: ClockGap): boolean {
+	return 2 * gap.milliseconds > milliseconds;
+}
--- a/test/runtime/pause-detector.test.ts
+++ b/test/runtime/pause-detector.test.ts
@@ -170,6 +170,31 @@
 	assert.deepEqual([confirmedPauses, detector.isResuming], [[], false]);
 });
 
+// Guards against a slow entry that keeps its jobs after a long suspension, because it reads the answer that shows the suspension late.
+test('an answer that is read late confirms a suspension whose length the wall clock shows', () => {
+	const confirmedAfter = (skippedMilliseconds: number, gapMilliseconds: number, roundTripMilliseconds: number) => {
+		const clock = new FakeClock();
+		const detector = new PauseDetector(clock);
+		const confirmedPauses = confirmedPausesOf(detector);
+		const before = clock.now();
+		clock.advance(50);
+		clock.advanceWallTime(skippedMilliseconds);
+		detector.check();
+		const requestedAt = clock.now();
+		clock.advance(roundTripMilliseconds);
+		detector.reportClockGap({
+			milliseconds: gapMilliseconds, since: before, comparedSince: before, requestedAt,
+		});
+		return confirmedPauses;
+	};
+
+	assert.deepEqual(confirmedAfter(1450, 1020, 430), [1450]);
+	// The wall clock was also set, and the suspension was too short for others to have taken over.
+	assert.deepEqual(confirmedAfter(1450, 1020, 100), []);
+	assert.deepEqual(confirmedAfter(1450, 3, 430), []);
+	assert.deepEqual(confirmedAfter(1100, 1020, 430), []);
+});
+
 // Guards against an entry whose sent times stay behind, so that its peers take it for silent, after a suspension that its wall clock hides.
 test('a suspension that the wall clock does not show is reported once a target shows it', () => {
 	const clock = new FakeClock();
