An owner refuses a late task only if its published capacity shows why

A task that has to avoid the owner's fast target (it failed there, or its job may not share a target) was refused for lateness, while the state that followed still showed the fast target as free, so the requester repeated the request at once. The owner now refuses a late task only if no target with published free capacity is in time, and after two refusals a task may run on any target.

--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -159,6 +159,7 @@
 		}
 
 		state.attempt += 1;
+		state.capacityRefusals += cause === 'noRoom' ? 1 : 0;
 		// An outdated attempt may have run in an earlier epoch.
 		job.possibleStarts -= cause === 'outdated' ? 0 : 1;
 	}
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -24,6 +24,13 @@
 /** Jobs that wait for faster targets don't keep others from those that are free; this bounds the cost of a pass. */
 const maximumLaterJobs = 32;
 
+/**
+ * After as many refusals by owners, a task may run on any target, in time or not. Further ones would only delay it, and use up the
+ * attempts that `attemptStep` in run-results.ts covers. With 1, one refusal by an outdated view makes a long task late on a fleet
+ * at half load.
+ */
+const maximumCapacityRefusals = 2;
+
 /** Dependencies of `TaskPlacer`. */
 type TaskPlacerDependencies = {
 	readonly zone: AvailabilityZone;
@@ -171,7 +178,7 @@
 		}
 
 		if (placed.kind === 'remote') {
-			this.#send(placed.request, placed.choice);
+			this.#send(state.capacityRefusals >= maximumCapacityRefusals ? {...placed.request, millisecondsToObjective: 0} : placed.request, placed.choice);
 			this.#recordStart(job, state, placed.choice.member.member.id);
 			return true;
 		}
--- a/src/features/dispatch/task-state.ts
+++ b/src/features/dispatch/task-state.ts
@@ -11,6 +11,8 @@
 	/** Monotonic time at which the owner released the run's target; undefined once another entry has adopted the run. */
 	handedOverAt: number | undefined;
 	isDone: boolean;
+	/** Number of attempts that owners refused for lack of capacity, or for lateness. */
+	capacityRefusals: number;
 	/** Targets on which earlier attempts failed or were lost. */
 	readonly excludedTargets: Set<string>;
 };
--- a/src/features/execution/choose-target.ts
+++ b/src/features/execution/choose-target.ts
@@ -5,8 +5,10 @@
 import type {LossHistory} from './loss-history.js';
 import type {RunRequest} from './run-request.js';
 import {satisfiesConstraints} from './satisfies-constraints.js';
+import type {TargetOffer} from './target-offer.js';
 import {TargetPreference} from './target-preference.js';
 import type {TargetSession} from './target-session.js';
+import type {TargetSpeed} from './target-speed.js';
 import type {TargetSpeeds} from './target-speeds.js';
 
 /** Maximum number of tasks of a job that may probe a target; a failed probe delays or fails its whole job. */
@@ -21,8 +23,7 @@
 	readonly now: number;
 };
 
-/** `isInTime` is set if the task is in time on the target, or if speeds aren't taken into account. */
-type TargetChoice = {readonly session: TargetSession; readonly isInTime: boolean};
+type TargetChoice = Pick<TargetOffer, 'isInTime' | 'isInTimeByCapacity'> & {readonly session: TargetSession};
 
 /**
  * Chooses among the eligible targets. Keeps tasks that may have crashed a target apart from other jobs' runs first; then prefers
@@ -33,7 +34,7 @@
 	const {millisecondsToObjective} = request;
 	if (context.speeds === undefined || millisecondsToObjective === undefined) {
 		const session = chooseBestFit(sessions, request, context);
-		return session === undefined ? undefined : {session, isInTime: true};
+		return session === undefined ? undefined : {session, isInTime: true, isInTimeByCapacity: true};
 	}
 
 	const {speeds} = context;
@@ -45,9 +46,24 @@
 	}
 
 	const preference = new TargetPreference(request, millisecondsToObjective);
-	const {targets, isInTime} = preference.select(selectApart(eligible, request, context.losses), ({target}) => ({slowdown: speeds.slowdown(target.id), labels: target.labels}));
+	const speedOf = ({target}: TargetSession): TargetSpeed => ({slowdown: speeds.slowdown(target.id), labels: target.labels});
+	const {targets, isInTime} = preference.select(selectApart(eligible, request, context.losses), speedOf);
 	const session = chooseBestFit(targets, request, context);
-	return session === undefined ? undefined : {session, isInTime};
+	if (session === undefined) {
+		return undefined;
+	}
+
+	const isInTimeByCapacity = isInTime || preference.select(selectPublished(sessions, request, context), speedOf).isInTime;
+	return {session, isInTime, isInTimeByCapacity};
+}
+
+/** The targets that other entries regard as eligible: their free capacity is published, and the task's history is unknown there. */
+function selectPublished(sessions: Iterable<TargetSession>, request: RunRequest, {health, now}: SelectionContext): readonly TargetSession[] {
+	return [...sessions].filter(({target, freeCapacity, isOpen}) => {
+		const isMatching = request.need.fitsInto(freeCapacity) && target.service === request.service && satisfiesConstraints(request, target.labels);
+		const condition = health.condition(target.id, now);
+		return isMatching && isOpen && (condition === 'fit' || condition === 'slow');
+	});
 }
 
 /** Returns the targets with the fewest runs from which the task has to be kept apart. */
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -181,10 +181,10 @@
 			return undefined;
 		}
 
-		const {session, isInTime} = choice;
+		const {session, isInTime, isInTimeByCapacity} = choice;
 		const {id, labels} = session.target;
 		return {
-			slowdown: this.parts.speeds?.slowdown(id) ?? 1, labels, isInTime, accept: () => this.#startOn(session, request, requester),
+			slowdown: this.parts.speeds?.slowdown(id) ?? 1, labels, isInTime, isInTimeByCapacity, accept: () => this.#startOn(session, request, requester),
 		};
 	}
 
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -157,10 +157,11 @@
 		this.#runs.set(key, {
 			requester: from, requestedAt: this.clock.now(), lastMessage: undefined, endedAt: undefined, isAdoptionAcknowledged: true,
 		});
-		// A requester whose view of the free capacity is outdated would rather wait for a faster target than be late on a slow one.
+		// A late task is refused if the requester's view of the free capacity is outdated, so that it can choose a faster target. If the
+		// task has to avoid a target that is free, the published capacity would not show it, and the request would be repeated.
 		const hasToBeInTime = (request.millisecondsToObjective ?? 0) > 0;
 		const offer = this.executor.offer(request, from);
-		if (offer === undefined || (hasToBeInTime && !offer.isInTime)) {
+		if (offer === undefined || (hasToBeInTime && !offer.isInTimeByCapacity)) {
 			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
--- a/test/entries/edge/target-speeds.test.ts
+++ b/test/entries/edge/target-speeds.test.ts
@@ -161,6 +161,42 @@
 	assert.equal(cluster.orders.peakConcurrentRuns, 1);
 });
 
+/**
+ * Runs one job of long tasks from an entry without targets, at an owner with one fast target and three slow ones whose speeds are known.
+ * Returns the number of requests that were sent for it.
+ */
+async function countSends(isEnabled: boolean, options: Parameters<PooledCluster['submit']>[2]) {
+	const scheduling = schedulingSettingsSchema.parse({targetSpeeds: {enabled: isEnabled}});
+	const cluster = new PooledCluster(['a-1', 'b-1'], 0, (_, dependencies) => ({...dependencies, scheduling}));
+	for (let index = 0; index < 4; index += 1) {
+		const id = `b-target-${index}`;
+		cluster.addTarget(id, 'b');
+		cluster.orders.slowdown.set(id as InstanceId, index === 0 ? fast : slow);
+	}
+
+	await cluster.start();
+	await play(cluster, [{...short, jobsPerSecond: 10}, {...long, jobsPerSecond: 2}], 8000);
+	const before = cluster.journal.named('taskSent').length;
+	const submitted = cluster.submit('a-1', 'f'.repeat(16), {
+		queue: 'long', declaredMilliseconds: 800, timeoutMilliseconds: 6700, ...options,
+	});
+	await advanceClock(cluster.clock, 7000);
+	assert.equal(submitted.verdict?.kind, 'answered');
+	assert.equal(cluster.orders.peakConcurrentRuns, 1);
+	return cluster.journal.named('taskSent').length - before;
+}
+
+// The owner's published capacity doesn't show which targets a task has to avoid. A refusal because of them would be repeated in a loop.
+for (const [name, options] of [
+	['may not share a target', {tasks: 2, payload: '800', placement: {maxTasksPerTarget: 1}}],
+	['have failed on the fast target', {tasks: 1, payload: 'fails', attempts: 3}],
+] as const) {
+	test(`tasks that ${name} are sent at most once more than without speeds`, async () => {
+		const [without, sent] = [await countSends(false, options), await countSends(true, options)];
+		assert.ok(sent <= without + 1, `${sent} requests, and ${without} without speeds`);
+	});
+}
+
 // A requester with an outdated view asks for a fast target that is no longer free. On a slow one, its task would be late although it
 // could have waited. One that knows of no better target must still get the slow one, and so must one that doesn't state its time.
 test('an owner without a target on which the task is in time refuses it only if it has to be in time', async () => {
