A job that declined a free target for a faster one is kept past its latest start

After a stall of more than 20 ms at the end of the wait, the expiry check runs before the placement pass and ended the job as not run, although a target was free. Such a job now expires when a late answer is useless, unless a later pass finds no target free for it.

--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -26,6 +26,8 @@
 	isEnded = false;
 	/** Whether the job arrived before any free capacity was known; it is then not refused for missing its objective. */
 	isBeforeCapacityKnown = false;
+	/** Whether the latest placement pass left a target free that the job could have had, for the sake of a faster one. */
+	hasDeclinedTarget = false;
 
 	#submission: Submission;
 	#isLocalityRelaxed: boolean;
@@ -74,8 +76,8 @@
 	/**
 	 * Time after which the job is ended. An unstarted job expires when it can no longer meet its objective, so that late jobs
 	 * don't delay others under overload. A job that has started, arrived late or before any capacity was known, or waited for
-	 * capacity near its data expires when its answer becomes useless. A job without waiting tasks expires with its caller's
-	 * timeout.
+	 * capacity near its data or for a faster target expires when its answer becomes useless. A job without waiting tasks expires
+	 * with its caller's timeout.
 	 */
 	get expiresAt(): number {
 		if (!this.hasWaiting) {
@@ -83,7 +85,7 @@
 		}
 
 		const latestStart = this.objectiveAt - this.expectedMilliseconds;
-		const isLateAnswerUseful = this.mayHaveRun || latestStart < this.receivedAt || this.#hasWaitedForLocality || this.isBeforeCapacityKnown;
+		const isLateAnswerUseful = this.mayHaveRun || latestStart < this.receivedAt || this.#hasWaitedForLocality || this.hasDeclinedTarget || this.isBeforeCapacityKnown;
 		return isLateAnswerUseful ? this.answerExpiresAt - this.expectedMilliseconds : latestStart;
 	}
 
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -172,6 +172,7 @@
 		const now = clock.now();
 		const timed = {...request, millisecondsToObjective: Math.round(job.objectiveAt - now)};
 		const placed = placement.place(timed, available, now - job.receivedAt);
+		job.hasDeclinedTarget = placed.kind === 'later';
 		if (placed.kind === 'started') {
 			this.#recordStart(job, state, pool.self);
 			return true;
--- a/test/entries/edge/target-speeds.test.ts
+++ b/test/entries/edge/target-speeds.test.ts
@@ -220,3 +220,29 @@
 	await advanceClock(cluster.clock, 2000);
 	assert.equal(await outcomeOf('fourth', 2000), 'fourth.0.0.0');
 });
+
+// The expiry check of a stalled process runs before the placement pass that the end of the wait has scheduled.
+test('a job that waits for a faster target is not refused after a stall of 45 ms while another target is free', async () => {
+	const scheduling = schedulingSettingsSchema.parse({targetSpeeds: {enabled: true}});
+	const cluster = new PooledCluster(['a-1'], 2, (_, dependencies) => ({...dependencies, scheduling}));
+	await cluster.start();
+	const speeds = cluster.entries.get('a-1')!.targetSpeeds!;
+	for (let index = 0; index < 40; index += 1) {
+		speeds.record('a-target-0' as InstanceId, {runMilliseconds: 300, expectedMilliseconds: 1000});
+		speeds.record('a-target-1' as InstanceId, {runMilliseconds: 900, expectedMilliseconds: 1000});
+	}
+
+	const others = Array.from({length: 4}, (_, index) => cluster.submit('a-1', `${index}`.repeat(16), {payload: '3000', declaredMilliseconds: 3000, timeoutMilliseconds: 20_000}));
+	await advanceClock(cluster.clock, 50);
+	const [occupant] = cluster.orders.running('a-target-1' as InstanceId);
+	const waiting = cluster.submit('a-1', 'f'.repeat(16), {
+		queue: 'waiting', payload: '800', declaredMilliseconds: 800, timeoutMilliseconds: 6700,
+	});
+	await advanceClock(cluster.clock, 450);
+	others[Number(occupant![0])]!.cancel();
+	await advanceClock(cluster.clock, 65);
+	assert.equal(cluster.runningTasks().length, 3);
+	cluster.clock.sleep(45);
+	await advanceClock(cluster.clock, 2000);
+	assert.deepEqual(waiting.verdict, {kind: 'answered', answer: 'complete'});
+});
