--- a/src/entries/edge/edge-daemon.ts
+++ b/src/entries/edge/edge-daemon.ts
@@ -186,7 +186,7 @@
 		metrics.gauge('tasks_waiting', dispatcher.jobs.waitingTasks);
 		metrics.gauge('targets_owned', executor.ownedTargets);
 		if (targetSpeeds !== undefined && executor.ownedTargets > 0) {
-			const {slowdowns} = targetSpeeds;
+			const slowdowns = targetSpeeds.slowdowns(this.parts.clock.now());
 			metrics.gauge('target_slowdown_least', Math.min(...slowdowns));
 			metrics.gauge('target_slowdown_greatest', Math.max(...slowdowns));
 		}
--- a/src/features/execution/choose-target.ts
+++ b/src/features/execution/choose-target.ts
@@ -46,7 +46,7 @@
 	}
 
 	const preference = new TargetPreference(request, millisecondsToObjective);
-	const speedOf = ({target}: TargetSession): TargetSpeed => ({slowdown: speeds.slowdown(target.id), labels: target.labels});
+	const speedOf = ({target}: TargetSession): TargetSpeed => ({slowdown: speeds.slowdown(target.id, context.now), labels: target.labels});
 	const {targets, isInTime} = preference.select(selectApart(eligible, request, context.losses), speedOf);
 	const session = chooseBestFit(targets, request, context);
 	if (session === undefined) {
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -184,7 +184,7 @@
 		const {session, isInTime, isInTimeByCapacity} = choice;
 		const {id, labels} = session.target;
 		return {
-			slowdown: this.parts.speeds?.slowdown(id) ?? 1, labels, isInTime, isInTimeByCapacity, accept: () => this.#startOn(session, request, requester),
+			slowdown: this.parts.speeds?.slowdown(id, this.parts.clock.now()) ?? 1, labels, isInTime, isInTimeByCapacity, accept: () => this.#startOn(session, request, requester),
 		};
 	}
 
@@ -252,7 +252,7 @@
 	}
 
 	#freeCapacityOf({target: {id, service, labels}, freeCapacity: room}: TargetSession): FreeCapacity {
-		const slowdown = this.parts.speeds?.slowdown(id) ?? 1;
+		const slowdown = this.parts.speeds?.slowdown(id, this.parts.clock.now()) ?? 1;
 		return {
 			service, labels, room, ...(slowdown !== 1 && {slowdown}),
 		};
@@ -260,7 +260,7 @@
 
 	/** Stops the overdue runs of a slow or stuck target, so that their tasks can start elsewhere. */
 	#stopOverdue(session: TargetSession): void {
-		const [first, ...others] = session.findOverdue(this.parts.speeds?.allowance(session.target.id) ?? 1);
+		const [first, ...others] = session.findOverdue(this.parts.speeds?.allowance(session.target.id, this.parts.clock.now()) ?? 1);
 		if (first === undefined) {
 			return;
 		}
@@ -307,14 +307,14 @@
 			target: id,
 			profile: run.request.queue,
 			runMilliseconds: now - run.startedAt,
-			expectedMilliseconds: expectedMilliseconds * (speeds?.allowance(id) ?? 1),
+			expectedMilliseconds: expectedMilliseconds * (speeds?.allowance(id, now) ?? 1),
 			job: jobOfTask(run.request.task),
 			hasFailedElsewhere: run.request.excludedTargets.length > 0,
 		};
 		if (outcome.kind === 'done') {
 			health.report({...end, outcome: 'result'}, now);
 			if (run.isAdopted === undefined) {
-				speeds?.record(id, {runMilliseconds: now - run.startedAt, expectedMilliseconds});
+				speeds?.record(id, {runMilliseconds: now - run.startedAt, expectedMilliseconds}, now);
 			}
 		} else if (outcome.kind === 'failed') {
 			health.report({...end, outcome: 'failure'}, now);
--- a/src/features/execution/recent-samples.ts
+++ b/src/features/execution/recent-samples.ts
@@ -7,13 +7,14 @@
 const replacedShare = 0.1;
 
 /**
- * Keeps a bounded number of weighted samples. Their centre is the mean of the middle half, which ignores outliers like a median,
+ * Keeps a bounded number of weighted samples for a limited time. Their centre is the mean of the middle half, which ignores outliers like a median,
  * but is more accurate for few samples of uniformly distributed errors.
  */
 export class RecentSamples {
 	/** Values and weights in order of arrival; the oldest are at the index of the next. */
 	readonly #values: Float64Array;
 	readonly #weights: Float64Array;
+	readonly #times: Float64Array;
 	/** The same in order of value. */
 	readonly #sortedValues: Float64Array;
 	readonly #sortedWeights: Float64Array;
@@ -22,8 +23,9 @@
 	#summary: Summary | undefined;
 	#addedSince = 0;
 
-	constructor(private readonly capacity: number) {
+	constructor(private readonly capacity: number, private readonly retentionMilliseconds = Number.POSITIVE_INFINITY) {
 		this.#values = new Float64Array(capacity);
+		this.#times = new Float64Array(capacity);
 		this.#weights = new Float64Array(capacity);
 		this.#sortedValues = new Float64Array(capacity);
 		this.#sortedWeights = new Float64Array(capacity);
@@ -42,7 +44,9 @@
 		return this.#summarize().spread;
 	}
 
-	add(value: number, weight = 1): void {
+	/** The monotonic time is needed only if samples expire. */
+	add(value: number, weight = 1, now = 0): void {
+		this.removeExpired(now);
 		if (this.#count === this.capacity) {
 			this.#remove(this.#values[this.#next]!, this.#weights[this.#next]!);
 		}
@@ -50,6 +54,7 @@
 		this.#insert(value, weight);
 		this.#values[this.#next] = value;
 		this.#weights[this.#next] = weight;
+		this.#times[this.#next] = now;
 		this.#next = (this.#next + 1) % this.capacity;
 		this.#addedSince += 1;
 		if (this.#addedSince >= replacedShare * this.#count) {
@@ -57,6 +62,22 @@
 		}
 	}
 
+	/** Removes the samples that are older than the retention period; returns whether there were any. */
+	removeExpired(now: number): boolean {
+		const countBefore = this.#count;
+		while (this.#count > 0) {
+			const oldest = (this.#next - this.#count + this.capacity) % this.capacity;
+			if (now - this.#times[oldest]! <= this.retentionMilliseconds) {
+				break;
+			}
+
+			this.#remove(this.#values[oldest]!, this.#weights[oldest]!);
+			this.#summary = undefined;
+		}
+
+		return this.#count < countBefore;
+	}
+
 	#insert(value: number, weight: number): void {
 		const index = this.#indexOf(value);
 		this.#sortedValues.copyWithin(index + 1, index, this.#count);
--- a/test/features/execution/recent-samples.test.ts
+++ b/test/features/execution/recent-samples.test.ts
@@ -39,3 +39,19 @@
 		assert.equal(actual.spread, expected.spread);
 	}));
 });
+
+// A window that is only bounded by the number of samples keeps them for ever once no more arrive.
+test('samples expire after the retention period', () => {
+	const samples = new RecentSamples(3, 100);
+	for (const [value, now] of [[1, 0], [2, 50], [3, 60], [4, 70]] as const) {
+		samples.add(value, 1, now);
+	}
+
+	assert.equal(samples.removeExpired(150), false);
+	assert.equal(samples.centre, 3);
+	assert.equal(samples.removeExpired(161), true);
+	assert.equal(samples.centre, 4);
+	samples.add(6, 1, 300);
+	assert.equal(samples.count, 1);
+	assert.equal(samples.centre, 6);
+});
