Known targets are listed in one place

Cause: the search for the fastest target and the count of free places had the same loop over own targets and those of fresh peers. Change: both call knownTargets; a comment on decoded backlogs says NaN instead of spoilt sums. Behaviour is as it was.

--- a/src/features/dispatch/fastest-targets.ts
+++ b/src/features/dispatch/fastest-targets.ts
@@ -4,6 +4,7 @@
 import type {RunRequest} from '../execution/run-request.js';
 import {satisfiesConstraints} from '../execution/satisfies-constraints.js';
 import type {Pool} from '../pool/pool.js';
+import {knownTargets} from './known-targets.js';
 
 /** Finds the fastest target for a request; searches all targets once for each kind of constraints. Valid for one placement pass. */
 export class FastestTargets {
@@ -24,7 +25,7 @@
 
 	#searchAll(request: RunRequest): FreeCapacity | undefined {
 		let fastest: FreeCapacity | undefined;
-		for (const target of this.#targets()) {
+		for (const target of knownTargets(this.executor, this.pool)) {
 			const isMatching = target.service === request.service && satisfiesConstraints(request, target.labels);
 			if (isMatching && (fastest === undefined || (target.slowdown ?? 1) < (fastest.slowdown ?? 1))) {
 				fastest = target;
@@ -33,13 +34,4 @@
 
 		return fastest;
 	}
-
-	* #targets(): Iterable<FreeCapacity> {
-		yield * this.executor.freeCapacity;
-		for (const member of this.pool.members) {
-			if (this.pool.isFresh(member)) {
-				yield * member.freeCapacity;
-			}
-		}
-	}
 }
--- a/src/features/dispatch/free-places.ts
+++ b/src/features/dispatch/free-places.ts
@@ -1,9 +1,9 @@
 /** Counts the known free places for a job. */
 import type {Executor} from '../execution/executor.js';
-import type {FreeCapacity} from '../execution/free-capacity.js';
 import {satisfiesConstraints} from '../execution/satisfies-constraints.js';
 import type {Pool} from '../pool/pool.js';
 import type {BestEffortJob} from './best-effort-job.js';
+import {knownTargets} from './known-targets.js';
 
 /** Looks at the targets of this entry and of the peers that can be sent tasks now. */
 export class FreePlaces {
@@ -12,7 +12,7 @@
 	/** How many tasks of a job could start now, up to the number of its tasks. */
 	count(job: BestEffortJob): number {
 		let places = 0;
-		for (const {service, labels, room} of this.#targets()) {
+		for (const {service, labels, room} of knownTargets(this.executor, this.pool)) {
 			if (service !== job.route.service || !satisfiesConstraints({place: job.shape.place, requiresNearData: false}, labels)) {
 				continue;
 			}
@@ -24,13 +24,4 @@
 
 		return places;
 	}
-
-	* #targets(): Iterable<FreeCapacity> {
-		yield * this.executor.freeCapacity;
-		for (const member of this.pool.members) {
-			if (this.pool.isFresh(member)) {
-				yield * member.freeCapacity;
-			}
-		}
-	}
 }
--- a/src/features/pool/decode-backlog.ts
+++ b/src/features/pool/decode-backlog.ts
@@ -11,7 +11,7 @@
 
 /**
  * Decodes the trailing value of a state; undefined if its sender publishes no backlog. Amounts are checked, since one that isn't finite
- * would spoil all sums for as long as the figures count.
+ * would make all sums NaN for as long as the figures count.
  */
 export function decodeBacklog(values: EncodedValues): BacklogReport | undefined {
 	const encoded = values.any();
