Logs tell a repeated request from a late one

Cause: with the logs of all entries, a requester that repeats a run request on a new connection can't be told from a request that waited in a socket, nor from one that met another run of its task: none of these was logged.

--- a/src/features/dispatch/owner-commands.ts
+++ b/src/features/dispatch/owner-commands.ts
@@ -1,6 +1,7 @@
 /** Commands to the owners of targets that run this entry's tasks. */
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
+import type {Journal} from '../../runtime/journal/journal.js';
 import type {Executor} from '../execution/executor.js';
 import type {Pool} from '../pool/pool.js';
 import type {JobTable} from './job-table.js';
@@ -13,6 +14,7 @@
 	readonly jobs: JobTable;
 	readonly executor: Executor;
 	readonly pool: Pool;
+	readonly journal: Journal;
 };
 
 /** Stops runs on local and remote targets, and resends commands after a reconnect. */
@@ -40,10 +42,11 @@
 
 	/** Resends run requests that may have been lost with the previous connection. */
 	resendRequests(member: MemberId): void {
-		const {jobs, pool} = this.dependencies;
+		const {jobs, pool, journal} = this.dependencies;
 		for (const job of jobs) {
 			for (const state of job.tasks) {
 				if (state.owner === member) {
+					journal.record('taskResent', {task: state.id, attempt: state.attempt, owner: member});
 					pool.send(member, {kind: 'run', request: requestOf(job, state)});
 				}
 			}
--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -70,9 +70,9 @@
 
 	/**
 	 * Records a message that a peer sent at a time of its own clock, which includes the skipped time that the peer states. The peer may
-	 * have read its input later than it arrived, by the given delay.
+	 * have read its input later than it arrived, by the given delay. Returns the estimated time of sending by this entry's clock.
 	 */
-	record(member: MemberId, sentAt: number, skippedMilliseconds = 0, readingDelayMilliseconds = 0): void {
+	record(member: MemberId, sentAt: number, skippedMilliseconds = 0, readingDelayMilliseconds = 0): number {
 		const now = this.clock.now();
 		const difference = now - sentAt;
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
@@ -97,6 +97,7 @@
 		const aliveAt = Math.min(sentAtHere, now);
 		contact.lastAt = Math.max(contact.lastAt, aliveAt - Math.min(readingDelayMilliseconds, this.#longestReadingDelay(contact, now)));
 		contact.aliveAt = Math.max(contact.aliveAt, aliveAt);
+		return aliveAt;
 	}
 
 	/** The time of the latest message from a peer, less the delay with which the peer reads; undefined if there was none. */
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -23,8 +23,11 @@
 import {ReadingDelay} from './reading-delay.js';
 import {StateBroadcaster} from './state-broadcaster.js';
 
-/** `isCurrent` is false for a message of a previous epoch: its sender has been lost here since, or this entry has stalled. */
-type ReceivedPoolMessage = {readonly from: Member; readonly message: PoolMessage; readonly isCurrent: boolean};
+/**
+ * `isCurrent` is false for a message of a previous epoch: its sender has been lost here since, or this entry has stalled. `sentAt` is an
+ * estimate by this entry's monotonic clock.
+ */
+type ReceivedPoolMessage = {readonly from: Member; readonly message: PoolMessage; readonly isCurrent: boolean; readonly sentAt: number};
 
 const channel = 'pool';
 /** Interval of the checks for due heartbeats and timed-out peers. */
@@ -309,7 +312,7 @@
 
 		const now = this.parts.clock.now();
 		this.#members.get(from.id)!.heardAt = now;
-		this.#contacts.record(from.id, frame.sentAt ?? now, frame.skippedMilliseconds, frame.readingDelayMilliseconds);
+		const sentAt = this.#contacts.record(from.id, frame.sentAt ?? now, frame.skippedMilliseconds, frame.readingDelayMilliseconds);
 		// Must precede the messages: they may report runs that were stopped because of the loss, which this entry would restart.
 		if (this.#epochs.observe(from.id, frame)) {
 			this.#detectEviction.fire();
@@ -317,7 +320,7 @@
 
 		const isCurrent = this.#epochs.isCurrent(from.id, frame);
 		for (const message of frame.messages) {
-			this.#handle(from, message, isCurrent);
+			this.#handle({from, message, isCurrent, sentAt});
 		}
 	}
 
@@ -330,7 +333,8 @@
 		}
 	}
 
-	#handle(from: Member, message: PoolMessage, isCurrent: boolean): void {
+	#handle(received: ReceivedPoolMessage): void {
+		const {from, message, isCurrent} = received;
 		if (message.kind === 'entries') {
 			this.addPeers(message.entries);
 			return;
@@ -353,7 +357,7 @@
 			this.#handleReportedLoss(message.member);
 		}
 
-		this.#message.fire({from, message, isCurrent});
+		this.#message.fire(received);
 	}
 
 	/** The member is undefined if a listener for an earlier message of the batch has removed it. */
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -29,6 +29,9 @@
 /** A requester whose latest message was sent earlier may get no runs for that reason. */
 const latestContactMilliseconds = 400;
 
+/** A request that was on its way for longer is logged. */
+const usualDelayMilliseconds = 200;
+
 type TrackedRun = {
 	readonly requester: MemberId;
 	readonly requestedAt: number;
@@ -52,7 +55,11 @@
 	readonly #waiting = new Map<TaskId, WaitingRequest[]>();
 
 	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock, private readonly journal: Journal) {
-		this.#store.add(pool.onDidReceive(({from, message, isCurrent}) => {
+		this.#store.add(pool.onDidReceive(({from, message, isCurrent, sentAt}) => {
+			if (message.kind === 'run') {
+				this.#recordDelay(from.id, message.request, sentAt);
+			}
+
 			if (message.kind === 'run' && !isCurrent && !this.#isKnown(from.id, message.request)) {
 				this.#refuseOutdated(from.id, message.request);
 			} else {
@@ -139,16 +146,19 @@
 		const key = runKeyOf(request);
 		const known = this.#runs.get(key);
 		if (known?.requester === from) {
+			this.#recordNotStarted(from, request, 'repeated');
 			this.#resend(known);
 			return;
 		}
 
 		if (this.executor.isRunning(request.task)) {
+			this.#recordNotStarted(from, request, 'waits for the end of another run of its task');
 			this.#queueUntilEnd(from, request);
 			return;
 		}
 
 		if (known !== undefined) {
+			this.#recordNotStarted(from, request, 'ran for another requester');
 			this.#reportSuperseded({from, attempt: request.attempt}, request.task);
 			return;
 		}
@@ -183,6 +193,21 @@
 		}
 	}
 
+	#recordDelay(from: MemberId, {task, attempt}: RunRequest, sentAt: number): void {
+		const milliseconds = Math.round(this.clock.now() - sentAt);
+		if (milliseconds > usualDelayMilliseconds) {
+			this.journal.record('requestDelayed', {
+				task, attempt, requester: from, milliseconds,
+			});
+		}
+	}
+
+	#recordNotStarted(from: MemberId, {task, attempt}: RunRequest, cause: string): void {
+		this.journal.record('runNotStarted', {
+			task, attempt, requester: from, cause,
+		});
+	}
+
 	/** Whether the same peer has already requested this run. */
 	#isKnown(from: MemberId, request: RunRequest): boolean {
 		return this.#runs.get(runKeyOf(request))?.requester === from;
--- a/src/runtime/journal/events/ownership-events.ts
+++ b/src/runtime/journal/events/ownership-events.ts
@@ -78,6 +78,15 @@
 		meaning: 'A run request from a previous epoch was refused: its sender was declared lost since, or this entry was paused',
 		fields: ['task', 'attempt', 'requester'],
 	},
+	runNotStarted: {
+		number: 731,
+		level: 'detail',
+		meaning: 'A run request started nothing: it is a repetition, or the task runs or ran here by another request',
+		fields: ['task', 'attempt', 'requester', 'cause'],
+	},
+	requestDelayed: {
+		number: 732, level: 'detail', meaning: 'A run request was read long after it was sent', fields: ['task', 'attempt', 'requester', 'milliseconds'],
+	},
 	taskBarred: {
 		number: 726, level: 'warning', meaning: 'A task was lost with several targets; it is not started again, or not until their state is known', fields: ['task', 'condition', 'targets'],
 	},
--- a/src/runtime/journal/events/pooled-job-events.ts
+++ b/src/runtime/journal/events/pooled-job-events.ts
@@ -48,6 +48,9 @@
 			'retryAfterMilliseconds',
 		],
 	},
+	taskResent: {
+		number: 809, level: 'detail', meaning: 'The request for a current run is sent again, since its connection was lost', fields: ['task', 'attempt', 'owner'],
+	},
 	forecastRefuted: {
 		number: 808, level: 'notice', meaning: 'There was capacity in time for a job that was refused at its arrival; the forecast is corrected', fields: ['job', 'queue', 'scale'],
 	},
