Contacts of handovers are older after a suspension as well

What callers saw: two runs of a task at the same time. The requester dies, its target is handed over, and the new owner is suspended for less than a confirmed pause: it goes on renewing the run beside the caller's next submission. Cause: time that only the wall clock counted made the contacts that were heard older, but not those that came with a handover. The last contact is the later of both, so the lease was renewed until 1.2 s after it by a clock that had missed the suspension. Change: PeerDescriptors takes skipped time off its times like PeerContacts. The new test gets 2 concurrent runs before the change, and 1 after it.

--- a/src/features/pool/peer-descriptors.ts
+++ b/src/features/pool/peer-descriptors.ts
@@ -26,6 +26,13 @@
 		return this.#descriptors.get(id);
 	}
 
+	/** Records time that only this entry's wall clock counted: if it was suspended, all peers were heard earlier by that time. */
+	recordSkippedTime(milliseconds: number): void {
+		for (const [id, heardAt] of this.#heardAt) {
+			this.#heardAt.set(id, heardAt - milliseconds);
+		}
+	}
+
 	/** When a peer was last heard by one that described it; negative infinity if it never was described. */
 	heardAt(id: MemberId): number {
 		return this.#heardAt.get(id) ?? Number.NEGATIVE_INFINITY;
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -73,13 +73,13 @@
 			clock,
 		});
 		this.#store.add(parts.pauses.onDidSkipTime(milliseconds => {
-			this.#contacts.recordSkippedTime(milliseconds);
+			this.#recordSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidExplainSkippedTime(milliseconds => {
 			this.#contacts.explainSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidFindHiddenSuspension(milliseconds => {
-			this.#contacts.recordSkippedTime(milliseconds);
+			this.#recordSkippedTime(milliseconds);
 			this.#contacts.explainSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidPause(pause => {
@@ -266,6 +266,12 @@
 		this.#store.dispose();
 	}
 
+	/** Makes all contacts older by time that this entry's clock may not have counted. */
+	#recordSkippedTime(milliseconds: number): void {
+		this.#contacts.recordSkippedTime(milliseconds);
+		this.#descriptors.recordSkippedTime(milliseconds);
+	}
+
 	/** The same as the last contact, but without the delay of reading. */
 	#lastAlive(id: MemberId): number {
 		return id === this.self ? this.parts.clock.now() : Math.max(this.#contacts.lastAlive(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
--- a/test/entries/edge/suspended-owners.test.ts
+++ b/test/entries/edge/suspended-owners.test.ts
@@ -50,3 +50,50 @@
 	assert.deepEqual(jobs.map(({submitted}) => submitted?.verdict), Array.from({length: 2}, () => ({kind: 'answered', answer: 'complete'})));
 	assert.equal(cluster.orders.starts.length, 2);
 });
+
+type Suspension = {
+	/** Whether the run is handed over when its requester dies. */
+	readonly isHandedOver?: boolean;
+	/** Time from the death to the suspension. */
+	readonly deadMilliseconds: number;
+	readonly suspendedMilliseconds: number;
+	readonly areStopsLost?: boolean;
+};
+
+/** Suspends the owner of a dead requester's run, and submits the job again elsewhere; returns the highest number of concurrent runs. */
+async function suspendOwner({isHandedOver = false, deadMilliseconds, suspendedMilliseconds, areStopsLost = false}: Suspension): Promise<number> {
+	const world = new PausableCluster(['a-1', 'b-1', 'b-2', 'c-1'], 0);
+	const {cluster} = world;
+	cluster.addTarget('b-target', 'b');
+	await cluster.start();
+	await cluster.advance(2000);
+	world.submit('a-1', id, job);
+	await cluster.advance(1050);
+	cluster.addTarget('c-target', 'c');
+	const [first, second] = cluster.entries.get('b-1')!.executor.ownedTargets > 0 ? ['b-1', 'b-2'] as const : ['b-2', 'b-1'] as const;
+	world.loseStops('b-target', areStopsLost);
+	cluster.network.isolate('a-1', true);
+	cluster.entries.get('a-1')!.dispose();
+	if (isHandedOver) {
+		void cluster.entries.get(first)!.leave();
+	}
+
+	await cluster.advance(deadMilliseconds);
+	const owner = isHandedOver ? second : first;
+	assert.equal(cluster.entries.get(owner)!.executor.ownedTargets, 1);
+	world.pause(owner);
+	await cluster.advance(suspendedMilliseconds);
+	world.resume(owner, {first: 'network', countsPause: false, socketOrder: 0});
+	await cluster.advance(resubmissionMilliseconds - deadMilliseconds - suspendedMilliseconds);
+	world.submit('c-1', id, job);
+	await cluster.advance(1000);
+	assert.equal(cluster.orders.starts.at(-1)?.target, 'c-target');
+	return cluster.orders.peakConcurrentRuns;
+}
+
+// Guards against a new owner that takes the contact in a handover for a recent one after it was suspended, and renews the run.
+test('a new owner that is suspended after a handover ends the run of a dead requester before its caller resubmits', async () => {
+	for (const suspension of [{deadMilliseconds: 150, suspendedMilliseconds: 800}, {deadMilliseconds: 100, suspendedMilliseconds: 300, areStopsLost: true}]) {
+		assert.equal(await suspendOwner({...suspension, isHandedOver: true}), 1, JSON.stringify(suspension));
+	}
+});
