A woken owner looks at its clocks before it renews a lease

What callers saw: two runs of a task at the same time. The requester dies, and the owner of the target is suspended for 200 ms or more. If the owner reads an answer of its target before any timer or message of a peer, it renews the lease at once by the requester's last contact as it was before the suspension, with the time that the target counted meanwhile on top. Cause: the pause detector compared the clocks when its timer fired, when a frame of a peer was read and before a placement. A renewal follows the answer to the former one without any of these. Change: the loop of renewals has the clocks compared before each renewal, so that the contacts that limit the lease are dated right. New starts come with a frame or a placement, which compare them already. Callers come again after 1300 ms.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -90,6 +90,9 @@
 		this.executor = disposables.add(new Executor({
 			leaseMilliseconds,
 			lastContact: requester => this.pool.lastContact(requester),
+			checkPause: () => {
+				this.pauses.check();
+			},
 			orders,
 			health: new TargetHealth(journal),
 			speeds: this.targetSpeeds,
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -37,6 +37,8 @@
 	readonly leaseMilliseconds: number;
 	/** Returns the monotonic time at which a requester was last known to be alive. */
 	readonly lastContact: (requester: MemberId) => number;
+	/** Finds out whether this entry was paused, so that `lastContact` takes it into account. */
+	readonly checkPause: () => void;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
 	/** Undefined if speeds aren't learned; all targets then count as equally fast. */
--- a/src/features/execution/renewals.ts
+++ b/src/features/execution/renewals.ts
@@ -28,6 +28,8 @@
 	readonly clock: Clock;
 	readonly journal: Journal;
 	readonly listener: SessionListener;
+	/** Finds out whether this entry was paused, before the lease is limited by the requesters' last contacts. */
+	readonly checkPause: () => void;
 	/** Called when the target no longer accepts orders with this token or at this address. */
 	readonly onDidFail: (failure: OrderFailure) => void;
 };
@@ -38,8 +40,10 @@
 
 	/** Renews until the token is cancelled. */
 	async run(): Promise<void> {
-		const {orders, plan, reports, steps, clock, onDidFail} = this.parts;
+		const {orders, plan, reports, steps, clock, checkPause, onDidFail} = this.parts;
 		while (!this.token.isCancellationRequested) {
+			// After a suspension the answer to the previous renewal may be read before any timer fires.
+			checkPause();
 			const sentAtStep = steps.next();
 			const requestedAt = clock.now();
 			const reply = await orders.renew(plan.next(requestedAt));
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -33,6 +33,7 @@
 type TargetSessionsParts = {
 	readonly leaseMilliseconds: number;
 	readonly lastContact: (requester: MemberId) => number;
+	readonly checkPause: () => void;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
 	readonly speeds?: TargetSpeeds | undefined;
@@ -187,9 +188,20 @@
 	}
 
 	#createSession(id: InstanceId, target: TargetRecord, fence: FencingToken): TargetSession {
-		const {leaseMilliseconds, lastContact, orders, clock, journal} = this.parts;
+		const {leaseMilliseconds, lastContact, checkPause, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, clockOffsets: this.#clockOffsetsOf(id), lastContact, orders, responseTimes: this.#responseTimes, runCounts: this.#runCounts, clock, journal, listener: {
+			target,
+			fence,
+			leaseMilliseconds,
+			clockOffsets: this.#clockOffsetsOf(id),
+			lastContact,
+			checkPause,
+			orders,
+			responseTimes: this.#responseTimes,
+			runCounts: this.#runCounts,
+			clock,
+			journal,
+			listener: {
 				onDidEndRun: (run, outcome) => {
 					this.parts.listener.onDidEndRun(session, run, outcome);
 					if (this.#closing.has(session) && !session.hasRuns) {
--- a/test/entries/edge/suspended-owners.test.ts
+++ b/test/entries/edge/suspended-owners.test.ts
@@ -97,3 +97,15 @@
 		assert.equal(await suspendOwner({...suspension, isHandedOver: true}), 1, JSON.stringify(suspension));
 	}
 });
+
+// Guards against an owner that wakes up, reads an answer of its target before anything else, and renews the lease by what it knew before.
+test('an owner that reads an answer of its target first after a suspension ends the run of a dead requester before its caller resubmits', async () => {
+	const suspensions = [
+		{deadMilliseconds: 300, suspendedMilliseconds: 700},
+		{deadMilliseconds: 300, suspendedMilliseconds: 300, areStopsLost: true},
+		{isHandedOver: true, deadMilliseconds: 300, suspendedMilliseconds: 800},
+	];
+	for (const suspension of suspensions) {
+		assert.equal(await suspendOwner(suspension), 1, JSON.stringify(suspension));
+	}
+});
--- a/test/support/create-executor-fixture.ts
+++ b/test/support/create-executor-fixture.ts
@@ -20,6 +20,9 @@
 		const executor = new Executor({
 			leaseMilliseconds: 1000,
 			lastContact,
+			checkPause() {
+				// The entry isn't paused.
+			},
 			orders,
 			health: new TargetHealth(journal),
 			speeds: learnsSpeeds ? new TargetSpeeds(journal) : undefined,
