An adopted run counts from its handover until the requester knows its owner

What callers saw: two runs of a task at the same time. The requester reads the caller's disconnect late and sends the stop to the former owner of a target that is being handed over. The run goes on under the new owner, whose stop the target doesn't get either. Cause: the new owner limited the lease by the requester's messages to it. A requester that hasn't heard of the adoption tells the former owner that it gave up the run, so that these messages said nothing of the run, and the lease went on until the adoption was read and answered by a stop, which a slow requester does late as well. Change: until the requester acknowledges the adoption, the lease is limited by its contact at the handover, before which the former owner would have read the stop.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -90,6 +90,7 @@
 		this.executor = disposables.add(new Executor({
 			leaseMilliseconds,
 			lastContact: requester => this.pool.lastContact(requester),
+			contactAtHandover: requester => this.pool.contactAtHandover(requester),
 			checkPause: () => {
 				this.pauses.check();
 			},
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -37,6 +37,8 @@
 	readonly leaseMilliseconds: number;
 	/** Returns the monotonic time at which a requester was last known to be alive. */
 	readonly lastContact: (requester: MemberId) => number;
+	/** Returns the monotonic time at which a requester was last known to be alive when runs of it were handed over to this entry. */
+	readonly contactAtHandover: (requester: MemberId) => number;
 	/** Finds out whether this entry was paused, so that `lastContact` takes it into account. */
 	readonly checkPause: () => void;
 	readonly orders: TargetOrders;
@@ -171,6 +173,13 @@
 		this.#sessions.receiveHandover(handover);
 	}
 
+	/** Records that the requester of an adopted run knows its new owner. */
+	acknowledgeAdoption(task: string, attempt: number): void {
+		for (const session of this.#sessions) {
+			session.acknowledgeAdoption(task, attempt);
+		}
+	}
+
 	/** Whether any attempt of a task may be running. */
 	isRunning(task: TaskId): boolean {
 		return this.#sessions.isRunning(task);
@@ -238,6 +247,7 @@
 			request,
 			requester,
 			slowdown: slowdownOf(request.place, target.labels),
+			isAcknowledged: true,
 			state: 'starting',
 			startedAt: clock.now(),
 			confirmedAtStep: undefined,
--- a/src/features/execution/lease-limit.ts
+++ b/src/features/execution/lease-limit.ts
@@ -1,5 +1,6 @@
 /** The limit on the lease of a target's runs. */
 import type {MemberId} from '../../base/member-id.js';
+import type {Run} from './run.js';
 import type {RunTable} from './run-table.js';
 
 /**
@@ -17,19 +18,31 @@
  * slow, paused or partitioned, or its stop gets no answer.
  */
 export class LeaseLimit {
-	/** `lastContact` returns the monotonic time at which a requester was last known to be alive. */
-	constructor(private readonly runs: RunTable, private readonly lastContact: (requester: MemberId) => number) {}
+	/** Both functions return monotonic times: when a requester was last known to be alive, and the same by the handovers of its runs. */
+	constructor(
+		private readonly runs: RunTable,
+		private readonly lastContact: (requester: MemberId) => number,
+		private readonly contactAtHandover: (requester: MemberId) => number,
+	) {}
 
 	/** The monotonic time beyond which the lease must not be renewed; infinite without runs. */
 	get at(): number {
 		let earliest = Number.POSITIVE_INFINITY;
-		for (const {abandonedAt, requester} of this.runs) {
-			earliest = Math.min(earliest, abandonedAt ?? this.lastContact(requester));
+		for (const run of this.runs) {
+			earliest = Math.min(earliest, this.contactOf(run));
 		}
 
 		return earliest + orphanLimitMilliseconds;
 	}
 
+	/**
+	 * When the requester of a run last was known to want it. A requester that doesn't know the new owner sends stops to the former one,
+	 * so that its messages say nothing of the run.
+	 */
+	contactOf({abandonedAt, isAcknowledged, requester}: Run): number {
+		return abandonedAt ?? (isAcknowledged ? this.lastContact(requester) : this.contactAtHandover(requester));
+	}
+
 	/** Whether a run that is started now goes on until the renewal that is due at a monotonic time, beside the other runs. */
 	allowsStart(now: number, renewalDueAt: number): boolean {
 		return this.at >= earliestLimit(now, renewalDueAt);
--- a/src/features/execution/run.ts
+++ b/src/features/execution/run.ts
@@ -15,6 +15,8 @@
 	readonly slowdown: number;
 	/** Whether the run was adopted from a former owner, so that its run time isn't known. */
 	readonly isAdopted?: true;
+	/** Whether the requester knows which entry runs the task; false for an adopted run until the requester acknowledges its new owner. */
+	isAcknowledged: boolean;
 	state: 'starting' | 'running' | 'stopping';
 	/** Monotonic. */
 	startedAt: number;
--- a/src/features/execution/session-parts.ts
+++ b/src/features/execution/session-parts.ts
@@ -17,6 +17,8 @@
 	readonly clockOffsets: ClockOffsets;
 	/** Returns the monotonic time at which a requester was last known to be alive. */
 	readonly lastContact: (requester: MemberId) => number;
+	/** Returns the monotonic time at which a requester was last known to be alive when runs of it were handed over to this entry. */
+	readonly contactAtHandover: (requester: MemberId) => number;
 	/** Finds out whether this entry was paused, so that `lastContact` takes it into account. */
 	readonly checkPause: () => void;
 	readonly orders: TargetOrders;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -48,13 +48,13 @@
 	#hasOverdue = false;
 
 	constructor(private readonly parts: SessionParts) {
-		const {target, fence, leaseMilliseconds, clockOffsets, lastContact, clock} = parts;
+		const {target, fence, leaseMilliseconds, clockOffsets, lastContact, contactAtHandover, clock} = parts;
 		const {token} = this.#cancellation;
 		this.#orders = new SessionOrders(parts, target, fence);
 		this.#runs = new RunTable(target.capacity, parts.runCounts);
 		this.#unknownRuns = new UnknownRuns(clock.now());
 		this.#lease = new LeaseSchedule(leaseMilliseconds, clockOffsets);
-		this.#limit = new LeaseLimit(this.#runs, lastContact);
+		this.#limit = new LeaseLimit(this.#runs, lastContact, contactAtHandover);
 		this.#plan = new RenewalPlan(this.#lease, this.#limit, this.#runs, this.#unknownRuns);
 		const sharedParts = {
 			...parts, orders: this.#orders, runs: this.#runs, unknownRuns: this.#unknownRuns, lease: this.#lease, limit: this.#limit, plan: this.#plan, steps: this.#steps,
@@ -170,6 +170,7 @@
 				requester,
 				slowdown: slowdownOf(request.place, this.target.labels),
 				isAdopted: true,
+				isAcknowledged: false,
 				state: 'running',
 				startedAt: now,
 				confirmedAtStep: this.#steps.next(),
@@ -183,6 +184,14 @@
 		this.#unknownRuns.removeKnown(this.#runs);
 	}
 
+	/** Records that the requester of an adopted run knows its new owner. */
+	acknowledgeAdoption(task: string, attempt: number): void {
+		const run = this.#runs.get({task, attempt});
+		if (run !== undefined) {
+			run.isAcknowledged = true;
+		}
+	}
+
 	/** Sends a start order; the caller has checked the free capacity. */
 	start(run: Run): void {
 		this.#runControl.start(run);
@@ -200,7 +209,7 @@
 	abandonRun(task: string, attempt: number, cause: string): void {
 		const run = this.#runs.get({task, attempt});
 		if (run !== undefined) {
-			run.abandonedAt ??= this.parts.lastContact(run.requester);
+			run.abandonedAt = this.#limit.contactOf(run);
 			this.#runControl.stop(run, cause);
 		}
 	}
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -33,6 +33,7 @@
 type TargetSessionsParts = {
 	readonly leaseMilliseconds: number;
 	readonly lastContact: (requester: MemberId) => number;
+	readonly contactAtHandover: (requester: MemberId) => number;
 	readonly checkPause: () => void;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
@@ -188,13 +189,14 @@
 	}
 
 	#createSession(id: InstanceId, target: TargetRecord, fence: FencingToken): TargetSession {
-		const {leaseMilliseconds, lastContact, checkPause, orders, clock, journal} = this.parts;
+		const {leaseMilliseconds, lastContact, contactAtHandover, checkPause, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
 			target,
 			fence,
 			leaseMilliseconds,
 			clockOffsets: this.#clockOffsetsOf(id),
 			lastContact,
+			contactAtHandover,
 			checkPause,
 			orders,
 			responseTimes: this.#responseTimes,
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -173,6 +173,14 @@
 		return Math.max(this.#contacts.lastContact(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
 	}
 
+	/**
+	 * The latest time at which an entry was known to be alive, by the entries that handed over its runs. For this entry itself it's the
+	 * last contact, since it learns of an adoption at once.
+	 */
+	contactAtHandover(id: MemberId): number {
+		return id === this.self ? this.lastContact(id) : this.#descriptors.heardAt(id);
+	}
+
 	start(): void {
 		this.#readingDelay.start();
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -139,6 +139,8 @@
 		const key = runKeyOf(request);
 		const known = this.#runs.get(key);
 		if (known?.requester === from) {
+			// A requester that repeats a request here knows of the adoption.
+			this.#recordAcknowledgement(from, request);
 			this.#resend(known);
 			return;
 		}
@@ -194,9 +196,8 @@
 		this.#refusePermanently(from, {task, attempt}, 'outdated');
 	}
 
-	/** Answers a repeated request. A requester that repeats it here knows of the adoption. */
+	/** Answers a repeated request. */
 	#resend(known: TrackedRun): void {
-		known.isAdoptionAcknowledged = true;
 		if (known.lastMessage !== undefined) {
 			this.pool.send(known.requester, known.lastMessage);
 		}
@@ -214,6 +215,7 @@
 		const known = this.#runs.get(runKeyOf(run));
 		if (known?.requester === from) {
 			known.isAdoptionAcknowledged = true;
+			this.executor.acknowledgeAdoption(run.task, run.attempt);
 		}
 	}
 
--- a/test/support/create-executor-fixture.ts
+++ b/test/support/create-executor-fixture.ts
@@ -20,6 +20,7 @@
 		const executor = new Executor({
 			leaseMilliseconds: 1000,
 			lastContact,
+			contactAtHandover: lastContact,
 			checkPause() {
 				// The entry isn't paused.
 			},
