--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -90,6 +90,10 @@
 		this.executor = disposables.add(new Executor({
 			leaseMilliseconds,
 			lastContact: requester => this.pool.lastContact(requester),
+			contactAtHandover: requester => this.pool.contactAtHandover(requester),
+			checkPause: () => {
+				this.pauses.check();
+			},
 			orders,
 			health: new TargetHealth(journal),
 			speeds: this.targetSpeeds,
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -33,6 +33,8 @@
 type TargetSessionsParts = {
 	readonly leaseMilliseconds: number;
 	readonly lastContact: (requester: MemberId) => number;
+	readonly contactAtHandover: (requester: MemberId) => number;
+	readonly checkPause: () => void;
 	readonly orders: TargetOrders;
 	readonly health: TargetHealth;
 	readonly speeds?: TargetSpeeds | undefined;
@@ -187,9 +189,21 @@
 	}
 
 	#createSession(id: InstanceId, target: TargetRecord, fence: FencingToken): TargetSession {
-		const {leaseMilliseconds, lastContact, orders, clock, journal} = this.parts;
+		const {leaseMilliseconds, lastContact, contactAtHandover, checkPause, orders, clock, journal} = this.parts;
 		const session: TargetSession = new TargetSession({
-			target, fence, leaseMilliseconds, clockOffsets: this.#clockOffsetsOf(id), lastContact, orders, responseTimes: this.#responseTimes, runCounts: this.#runCounts, clock, journal, listener: {
+			target,
+			fence,
+			leaseMilliseconds,
+			clockOffsets: this.#clockOffsetsOf(id),
+			lastContact,
+			contactAtHandover,
+			checkPause,
+			orders,
+			responseTimes: this.#responseTimes,
+			runCounts: this.#runCounts,
+			clock,
+			journal,
+			listener: {
 				onDidEndRun: (run, outcome) => {
 					this.parts.listener.onDidEndRun(session, run, outcome);
 					if (this.#closing.has(session) && !session.hasRuns) {
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -76,13 +76,13 @@
 			clock,
 		});
 		this.#store.add(parts.pauses.onDidSkipTime(milliseconds => {
-			this.#contacts.recordSkippedTime(milliseconds);
+			this.#recordSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidExplainSkippedTime(milliseconds => {
 			this.#contacts.explainSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidFindHiddenSuspension(milliseconds => {
-			this.#contacts.recordSkippedTime(milliseconds);
+			this.#recordSkippedTime(milliseconds);
 			this.#contacts.explainSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidPause(pause => {
@@ -176,6 +176,14 @@
 		return Math.max(this.#contacts.lastContact(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
 	}
 
+	/**
+	 * The latest time at which an entry was known to be alive, by the entries that handed over its runs. For this entry itself it's the
+	 * last contact, since it learns of an adoption at once.
+	 */
+	contactAtHandover(id: MemberId): number {
+		return id === this.self ? this.lastContact(id) : this.#descriptors.heardAt(id);
+	}
+
 	start(): void {
 		this.#readingDelay.start();
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
@@ -269,6 +277,12 @@
 		this.#store.dispose();
 	}
 
+	/** Makes all contacts older by time that this entry's clock may not have counted. */
+	#recordSkippedTime(milliseconds: number): void {
+		this.#contacts.recordSkippedTime(milliseconds);
+		this.#descriptors.recordSkippedTime(milliseconds);
+	}
+
 	/** The same as the last contact, but without the delay of reading. */
 	#lastAlive(id: MemberId): number {
 		return id === this.self ? this.parts.clock.now() : Math.max(this.#contacts.lastAlive(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -147,6 +147,8 @@
 		const known = this.#runs.get(key);
 		if (known?.requester === from) {
 			this.#recordNotStarted(from, request, 'repeated');
+			// A requester that repeats a request here knows of the adoption.
+			this.#recordAcknowledgement(from, request);
 			this.#resend(known);
 			return;
 		}
@@ -219,9 +221,8 @@
 		this.#refusePermanently(from, {task, attempt}, 'outdated');
 	}
 
-	/** Answers a repeated request. A requester that repeats it here knows of the adoption. */
+	/** Answers a repeated request. */
 	#resend(known: TrackedRun): void {
-		known.isAdoptionAcknowledged = true;
 		if (known.lastMessage !== undefined) {
 			this.pool.send(known.requester, known.lastMessage);
 		}
@@ -239,6 +240,7 @@
 		const known = this.#runs.get(runKeyOf(run));
 		if (known?.requester === from) {
 			known.isAdoptionAcknowledged = true;
+			this.executor.acknowledgeAdoption(run.task, run.attempt);
 		}
 	}
 
