The silence of a described peer must be finite and not negative

What callers would see: NaN in a handover makes the last contact with the requester NaN for good: targets with its runs get no new tasks and no valid lease. A negative silence puts the contact into the future, and lets a run go on past the limit. Entries of this code send neither. Cause: checked the times of frames, but not this one in a message. Change: the decoder rejects a silence that isn't finite, and takes a negative one for 0. Measured: the new test fails before the change and passes now.

--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -104,7 +104,7 @@
 					member: {
 						id: requester.text<MemberId>(), instance: requester.text<InstanceId>(), zone: requester.text<AvailabilityZone>(), peerAddress: requester.text(),
 					},
-					silentMilliseconds: requester.number(),
+					silentMilliseconds: Math.max(0, requester.finiteNumber()),
 				})),
 			};
 		}
--- a/src/features/pool/encoded-values.ts
+++ b/src/features/pool/encoded-values.ts
@@ -29,7 +29,13 @@
 		return value === undefined || typeof value === 'number' ? value : this.#fail('a number or undefined', value);
 	}
 
-	/** Reads a number that is neither infinite nor `NaN`, or undefined. */
+	/** Reads a number that is neither infinite nor `NaN`. */
+	finiteNumber(): number {
+		const value = this.number();
+		return Number.isFinite(value) ? value : this.#fail('a finite number', value);
+	}
+
+	/** The same, or undefined. */
 	optionalFiniteNumber(): number | undefined {
 		const value = this.optionalNumber();
 		return value === undefined || Number.isFinite(value) ? value : this.#fail('a finite number or undefined', value);
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -16,6 +16,7 @@
 import {decodeMessages} from '../../../src/features/pool/decode-messages.js';
 import {encodeFrame} from '../../../src/features/pool/encode-frame.js';
 import {encodeMessages} from '../../../src/features/pool/encode-messages.js';
+import {messageCode} from '../../../src/features/pool/message-code.js';
 import type {PoolMessage} from '../../../src/features/pool/pool-message.js';
 
 const service = 'service' as ServiceName;
@@ -148,6 +149,17 @@
 	assert.deepEqual(delays, [0, 0, 230, 1000, 1000]);
 });
 
+// Guards against the same by a handover, whose descriptions of peers limit the leases of adopted runs.
+test('the silence of a described peer is finite and not negative', () => {
+	const decode = (silence: unknown) => decodeMessages([[messageCode.handover, [], [['entry#1', 'entry', 'zone', '10.0.0.2:1', silence]]]]);
+	for (const value of [Number.NaN, Number.POSITIVE_INFINITY, undefined]) {
+		assert.throws(() => decode(value), TypeError);
+	}
+
+	const [message] = decode(-50);
+	assert.equal(message?.kind === 'handover' && message.requesters[0]?.silentMilliseconds, 0);
+});
+
 // Guards against bytes in every frame for a time that hardly any entry has to state, and against rejecting entries that don't state it.
 test('a frame without skipped time leaves it out', () => {
 	const frame = {
