A pass without free capacity forgets the targets that jobs have declined

What callers saw, with targetSpeeds on: a job that declined a free target for a faster one waits beyond its latest start for the refusal, although others took that target long before. Cause: the flag that keeps such a job is set where the job is placed. A pass that ends early, because no target has room or six jobs found none, left it as it was, so that the expiry acted on an earlier pass. Change: such a pass clears the flag of the jobs that it doesn't look at. One that ends because many jobs wait for faster targets doesn't, since targets are free.

--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -78,6 +78,7 @@
 		const available = availableRemoteTargets(pool, leastCpuMillis);
 		if (available.length === 0 && executor.largestFreeCpuMillis < leastCpuMillis) {
 			// Most passes of an overloaded fleet end here.
+			this.#forgetDeclinedTargets(waiting);
 			return false;
 		}
 
@@ -86,12 +87,17 @@
 		this.#beginPass();
 		let misses = 0;
 		let laterJobs = 0;
-		for (const {job} of ranked) {
+		for (const [index, {job}] of ranked.entries()) {
 			this.#isLater = false;
 			const isPlaced = this.#placeTasks(job, available);
 			misses += isPlaced || this.#isLater ? 0 : 1;
 			laterJobs += isPlaced || !this.#isLater ? 0 : 1;
-			if (misses >= maximumMisses || laterJobs >= maximumLaterJobs) {
+			if (misses >= maximumMisses) {
+				this.#forgetDeclinedTargets(ranked.slice(index + 1).map(({job: remaining}) => remaining));
+				break;
+			}
+
+			if (laterJobs >= maximumLaterJobs) {
 				break;
 			}
 		}
@@ -110,6 +116,15 @@
 		this.#laterUntil = Number.POSITIVE_INFINITY;
 	}
 
+	/** Records that a pass has left no target free that the jobs could have had. */
+	#forgetDeclinedTargets(jobs: readonly RunningJob[]): void {
+		if (this.dependencies.scheduling.targetSpeeds.enabled) {
+			for (const job of jobs) {
+				job.hasDeclinedTarget = false;
+			}
+		}
+	}
+
 	/** Schedules a pass for the time at which the first job stops to wait for a faster target. */
 	#scheduleLaterPass(now: number): void {
 		const at = now + this.#laterUntil;
--- a/test/entries/edge/target-speeds.test.ts
+++ b/test/entries/edge/target-speeds.test.ts
@@ -222,8 +222,11 @@
 	assert.equal(await outcomeOf('fourth', 2000), 'fourth.0.0.0');
 });
 
-// The expiry check of a stalled process runs before the placement pass that the end of the wait has scheduled.
-test('a job that waits for a faster target is not refused after a stall of 45 ms while another target is free', async () => {
+/**
+ * Creates an entry with two full targets of known speeds, and a job that needs the faster one. A place on the slower one becomes free
+ * 40 ms before the job's latest start, and the job has declined it when this returns, 25 ms before.
+ */
+async function startDecliningJob() {
 	const scheduling = schedulingSettingsSchema.parse({targetSpeeds: {enabled: true}});
 	const cluster = new PooledCluster(['a-1'], 2, (_, dependencies) => ({...dependencies, scheduling}));
 	await cluster.start();
@@ -243,7 +246,24 @@
 	others[Number(occupant![0])]!.cancel();
 	await advanceClock(cluster.clock, 65);
 	assert.equal(cluster.runningTasks().length, 3);
+	return {cluster, waiting};
+}
+
+// The expiry check of a stalled process runs before the placement pass that the end of the wait has scheduled.
+test('a job that waits for a faster target is not refused after a stall of 45 ms while another target is free', async () => {
+	const {cluster, waiting} = await startDecliningJob();
 	cluster.clock.sleep(45);
 	await advanceClock(cluster.clock, 2000);
 	assert.deepEqual(waiting.verdict, {kind: 'answered', answer: 'complete'});
 });
+
+// Guards against a job that is kept because of a target that it left free earlier and that others have taken since.
+test('a job that declined a target is refused at its latest start if no target is free any more', async () => {
+	const {cluster, waiting} = await startDecliningJob();
+	cluster.submit('a-1', 'e'.repeat(16), {
+		queue: 'short', payload: '3000', declaredMilliseconds: 60, timeoutMilliseconds: 6700,
+	});
+	await advanceClock(cluster.clock, 200);
+	assert.equal(cluster.runningTasks().length, 4);
+	assert.equal(waiting.verdict?.kind, 'notRun');
+});
