Entries of a fleet agree on which heartbeats they exchange

What was seen: in fleets of 14 to 24 entries that find each other by a list, all of them alive, entries declare each other lost. Each loss costs a dropped peer, its room until its next message, and two epochs.

Cause: an entry with at most 12 peers sends and expects active heartbeats, one with more sends idle ones. In a partial mesh the numbers of peers differ, so that both kinds are connected.

Change: a state says what its sender's mesh is. It's full only if neither the entry nor any of its peers has more than 12 peers; active heartbeats are expected between two full meshes, and of peers in use. An entry whose mesh is no longer full tells its peers at once. The statement is a trailing value that is left out for a full mesh; entries of the code before ignore it, and get the same heartbeats as before from peers with few peers.

--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -15,11 +15,13 @@
 import type {EntryState} from './entry-state.js';
 import {EncodedValues} from './encoded-values.js';
 import {decodeBacklog} from './decode-backlog.js';
+import type {Mesh} from './mesh.js';
 import {messageCode} from './message-code.js';
 import {absentNumber} from './absent-number.js';
 import type {PoolMessage} from './pool-message.js';
 
 const lossStates = ['silent', 'down', 'unsure', 'back'] as const;
+const meshes: readonly Mesh[] = ['full', 'extended', 'bordering'];
 const refusalCauses = ['noRoom', 'superseded', 'targetRefused', 'outdated'] as const;
 
 /** Validated in full, since the configuration affects all later jobs; it is received too rarely for the cost to matter. */
@@ -59,8 +61,9 @@
 			const isForMonitor = values.flag();
 			const slowdowns = values.optionalNumbers();
 			const backlog = decodeBacklog(values);
+			const mesh = decodeMesh(values.optionalText());
 			return {
-				kind: 'state', state: addSlowdowns(state, slowdowns), isForMonitor, ...(backlog !== undefined && {backlog}),
+				kind: 'state', state: addSlowdowns(state, slowdowns), isForMonitor, mesh, ...(backlog !== undefined && {backlog}),
 			};
 		}
 
@@ -160,6 +163,11 @@
 	};
 }
 
+/** Entries of former versions don't state their mesh; it counts as full, which is how they see it in small fleets. */
+function decodeMesh(text = 'full'): Mesh {
+	return meshes.find(mesh => mesh === text) ?? 'bordering';
+}
+
 /** Targets without a value count as normal. */
 function addSlowdowns(state: EntryState, slowdowns: readonly number[]): EntryState {
 	if (slowdowns.length === 0) {
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -36,15 +36,7 @@
 function encode(message: Exclude<PoolMessage, {readonly kind: 'run'}>): Encoded {
 	switch (message.kind) {
 		case 'state': {
-			const {state, isForMonitor, backlog} = message;
-			const slowdowns = encodeSlowdowns(state);
-			const encoded = [messageCode.state, ...encodeState(state), isForMonitor, ...slowdowns];
-			if (backlog === undefined) {
-				return encoded;
-			}
-
-			// An empty list in the place of the slowdowns means that there are none.
-			return [...encoded, ...(slowdowns.length === 0 ? [[]] : []), encodeBacklog(backlog)];
+			return encodeStateMessage(message);
 		}
 
 		case 'lost': {
@@ -99,6 +91,17 @@
 	}
 }
 
+function encodeStateMessage({state, isForMonitor, mesh, backlog}: Extract<PoolMessage, {readonly kind: 'state'}>): Encoded {
+	const slowdowns = encodeSlowdowns(state);
+	const encoded = [messageCode.state, ...encodeState(state), isForMonitor, ...slowdowns];
+	if (backlog === undefined && mesh === 'full') {
+		return encoded;
+	}
+
+	// An empty list in the place of the slowdowns means that there are none.
+	return [...encoded, ...(slowdowns.length === 0 ? [[]] : []), backlog && encodeBacklog(backlog), ...(mesh === 'full' ? [] : [mesh])];
+}
+
 function encodeHandover({handovers, requesters}: Extract<PoolMessage, {readonly kind: 'handover'}>): Encoded {
 	return [
 		messageCode.handover,
--- a/src/features/pool/pool-connections.ts
+++ b/src/features/pool/pool-connections.ts
@@ -4,6 +4,7 @@
 import {rankByKey} from '../../base/rank-by-key.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
 import {heartbeats} from './heartbeats.js';
+import type {Mesh} from './mesh.js';
 import type {PeerEndpoint} from './peer-endpoint.js';
 import {Neighbours} from './neighbours.js';
 import type {PoolMember} from './pool-member.js';
@@ -30,6 +31,7 @@
 	readonly #neighbours: Neighbours;
 	#watched: ReadonlySet<string> = new Set();
 	#refreshedAt = Number.NEGATIVE_INFINITY;
+	#mesh: Mesh = 'full';
 
 	constructor(private readonly parts: PoolConnectionsParts) {
 		const {network, clock} = parts;
@@ -42,6 +44,11 @@
 		return this.#neighbours.known;
 	}
 
+	/** As of the last update. */
+	get mesh(): Mesh {
+		return this.#mesh;
+	}
+
 	/** Adds peers, and connects to those that become neighbours. */
 	add(endpoints: Iterable<PeerEndpoint>): void {
 		for (const endpoint of endpoints) {
@@ -55,12 +62,17 @@
 	update(): void {
 		const {members, peersInUse, clock} = this.parts;
 		const peers = [...members()];
-		const inUse = peers.length <= fullMeshLimit ? undefined : peersInUse();
+		const hadFullMesh = this.#mesh === 'full';
+		this.#mesh = meshOf(peers);
+		const hasFullMesh = this.#mesh === 'full';
+		const inUse = hasFullMesh && peers.every(({mesh}) => mesh === 'full') ? undefined : peersInUse();
 		let needsRefresh = clock.now() - this.#refreshedAt >= refreshMilliseconds;
 		for (const known of peers) {
-			const isActive = inUse?.has(known.member.id) ?? true;
-			known.sendTiming = timingOf(isActive, known.isMonitor);
-			const timing = timingOf(isActive, known.isMonitored);
+			const isInUse = inUse?.has(known.member.id) ?? true;
+			// A peer of a former version states no other mesh, and expects active heartbeats if it has few peers itself.
+			known.sendTiming = timingOf(isInUse || (this.#mesh !== 'extended' && known.mesh === 'full'), known.isMonitor);
+			// Entries differ in their peers, so that one with another mesh may send fewer heartbeats than this entry.
+			const timing = timingOf(isInUse || (hasFullMesh && known.mesh === 'full'), known.isMonitored);
 			if (timing !== known.expectedTiming) {
 				known.expectedTiming = timing;
 				known.timingChangedAt = clock.now();
@@ -71,6 +83,13 @@
 		if (needsRefresh) {
 			this.#refresh();
 		}
+
+		// The peers have to expect fewer heartbeats from now on.
+		if (hadFullMesh && !hasFullMesh) {
+			for (const known of peers) {
+				this.parts.sendState(known);
+			}
+		}
 	}
 
 	/** Makes the next update refresh the connections, since a lost member may have to be replaced. */
@@ -116,6 +135,14 @@
 	}
 }
 
+function meshOf(peers: readonly PoolMember[]): Mesh {
+	if (peers.length > fullMeshLimit) {
+		return 'extended';
+	}
+
+	return peers.some(({mesh}) => mesh === 'extended') ? 'bordering' : 'full';
+}
+
 function timingOf(isActive: boolean, isMonitor: boolean) {
 	if (isActive) {
 		return heartbeats.active;
--- a/src/features/pool/pool-member.ts
+++ b/src/features/pool/pool-member.ts
@@ -3,6 +3,7 @@
 import type {FreeCapacity} from '../execution/free-capacity.js';
 import type {CapacityDemand} from '../execution/capacity-demand.js';
 import type {HeartbeatTiming} from './heartbeat-timing.js';
+import type {Mesh} from './mesh.js';
 
 /** The free capacity of a peer's target, as known to this entry. */
 type TargetCapacity = Omit<FreeCapacity, 'room'> & {room: FreeCapacity['room']};
@@ -22,6 +23,8 @@
 	isMonitor: boolean;
 	/** Whether this entry monitors the peer. */
 	isMonitored: boolean;
+	/** The peer's mesh; undefined until its first state. */
+	mesh: Mesh | undefined;
 	isLeaving: boolean;
 	routingVersion: number;
 	/** How many capacity announcements the peer has received since it last published its state. */
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -10,13 +10,17 @@
 import type {ListRequest} from '../listing/list-request.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {EntryState} from './entry-state.js';
+import type {Mesh} from './mesh.js';
 import type {PeerDescriptor} from './peer-descriptor.js';
 import type {PeerEndpoint} from './peer-endpoint.js';
 
 /** `state` is the periodic heartbeat. `handover` and `loss` are broadcast; all other kinds go to one peer. */
 export type PoolMessage =
-	/** `isForMonitor`: the receiver monitors the sender and has to report its loss to the zone. `backlog` is absent from most states. */
-	| {readonly kind: 'state'; readonly state: EntryState; readonly isForMonitor: boolean; readonly backlog?: BacklogReport | undefined}
+	/**
+	 * `isForMonitor`: the receiver monitors the sender and has to report its loss to the zone. `mesh`: with a full one, the sender
+	 * sends active heartbeats to all its peers. `backlog` is absent from most states.
+	 */
+	| {readonly kind: 'state'; readonly state: EntryState; readonly isForMonitor: boolean; readonly mesh: Mesh; readonly backlog?: BacklogReport | undefined}
 	/** A peer that the sender monitors has timed out. */
 	| {readonly kind: 'lost'; readonly member: MemberId}
 	| {readonly kind: 'entries'; readonly entries: readonly PeerEndpoint[]}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -61,7 +61,7 @@
 			network, channel, epochs: this.#epochs, contacts: this.#contacts, clock,
 		});
 		this.#broadcaster = this.#store.add(new StateBroadcaster({
-			members, ownState, largestFreeCpuMillis, backlogFor, outbox: this.#outbox, clock,
+			members, ownState, mesh: () => this.#connections.mesh, largestFreeCpuMillis, backlogFor, outbox: this.#outbox, clock,
 		}));
 		this.#connections = new PoolConnections({
 			network,
@@ -282,6 +282,7 @@
 			timingChangedAt: now,
 			isMonitor: false,
 			isMonitored: false,
+			mesh: undefined,
 			capacityUpdates: 0,
 			isLeaving: false,
 			routingVersion: 0,
@@ -357,14 +358,16 @@
 	}
 
 	/** The member is undefined if a listener for an earlier message of the batch has removed it. */
-	#handleState(known: PoolMember | undefined, {state, isForMonitor}: Extract<PoolMessage, {kind: 'state'}>, isCurrent: boolean): void {
+	#handleState(known: PoolMember | undefined, {state, isForMonitor, mesh}: Extract<PoolMessage, {kind: 'state'}>, isCurrent: boolean): void {
 		if (known === undefined) {
 			return;
 		}
 
 		const hasNewDemand = known.demand.length === 0 && state.demand.length > 0;
 		// A request for capacity that was published in a previous epoch would be refused.
-		Object.assign(known, state, {isMonitored: isForMonitor, capacityUpdates: 0, freeCapacity: isCurrent ? state.freeCapacity : []});
+		Object.assign(known, state, {
+			isMonitored: isForMonitor, mesh, capacityUpdates: 0, freeCapacity: isCurrent ? state.freeCapacity : [],
+		});
 		this.#broadcaster.recordReceived(known);
 		this.#changeCapacity.fire();
 		if (hasNewDemand) {
--- a/src/features/pool/state-broadcaster.ts
+++ b/src/features/pool/state-broadcaster.ts
@@ -6,6 +6,7 @@
 import {AnnouncedDemand} from './announced-demand.js';
 import type {EntryState} from './entry-state.js';
 import {heartbeats} from './heartbeats.js';
+import type {Mesh} from './mesh.js';
 import type {Outbox} from './outbox.js';
 import {countEligibleTargets} from './count-eligible-targets.js';
 import type {PoolMember} from './pool-member.js';
@@ -50,6 +51,7 @@
 type StateBroadcasterParts = {
 	readonly members: () => Iterable<PoolMember>;
 	readonly ownState: () => EntryState;
+	readonly mesh: () => Mesh;
 	/** An upper bound of the free CPU of each target in the state, in thousandths of a core. */
 	readonly largestFreeCpuMillis: () => number;
 	/** The backlog to send to a peer along with a state; undefined if none is due. */
@@ -159,12 +161,12 @@
 	}
 
 	#sendState(receivers: readonly PoolMember[], state: EntryState): void {
-		const {backlogFor, outbox, clock} = this.parts;
+		const {mesh, backlogFor, outbox, clock} = this.parts;
 		for (const known of receivers) {
 			this.#sentAt.set(known, clock.now());
 			this.#announcedDemand.recordSent(known, state.demand);
 			outbox.put(known.member, {
-				kind: 'state', state, isForMonitor: known.isMonitor, backlog: backlogFor?.(known.member),
+				kind: 'state', state, isForMonitor: known.isMonitor, mesh: mesh(), backlog: backlogFor?.(known.member),
 			});
 		}
 	}
--- a/test/entries/edge/large-fleets.test.ts
+++ b/test/entries/edge/large-fleets.test.ts
@@ -59,3 +59,41 @@
 	const unanswered = jobs.filter(({id: job}, index) => !sentThere.has(job) && submitted[index]!.verdict?.kind !== 'answered');
 	assert.deepEqual(unanswered.map(({name}) => name), []);
 });
+
+/** Starts one entry after another, and has jobs run meanwhile; returns how many peers were declared lost, and how many jobs given up. */
+async function startOneByOne(count: number, intervalMilliseconds: number): Promise<{readonly losses: number; readonly unanswered: number}> {
+	const names = namesOf(count);
+	const world = new PooledCluster(names, 16);
+	const addresses = [...world.network.endpoints.values()].map(({self}) => ({address: self.peerAddress, zone: self.zone}));
+	const submitted: Array<ReturnType<PooledCluster['submit']>> = [];
+	for (const [index, name] of names.entries()) {
+		const entry = world.entries.get(name)!;
+		entry.start();
+		entry.pool.addPeers(addresses.slice(0, index + 1));
+		await world.advance(intervalMilliseconds);
+	}
+
+	for (let round = 0; round < 3; round += 1) {
+		await world.advance(1000);
+		for (const [index, name] of names.entries()) {
+			const job = (round * 100) + index;
+			submitted.push(world.submit(name, job.toString(16).padStart(16, '0'), {payload: '700', declaredMilliseconds: 700, timeoutMilliseconds: 5000}));
+		}
+	}
+
+	await world.advance(3000);
+	return {
+		losses: world.journal.named('poolMemberLost').length,
+		unanswered: submitted.filter(({verdict}) => verdict?.kind !== 'answered').length,
+	};
+}
+
+// Guards against entries with few peers that expect frequent heartbeats of peers that have more, and declare them lost.
+test('no entry is declared lost in a fleet of any size that starts at once or one entry after another', async () => {
+	// In fleets of these sizes, some entries have at most as many peers as in a full mesh, and others more.
+	for (const count of [14, 16, 20, 24]) {
+		for (const interval of [0, 300]) {
+			assert.deepEqual(await startOneByOne(count, interval), {losses: 0, unanswered: 0}, `${count} entries every ${interval} ms`);
+		}
+	}
+});
--- a/test/features/pool/state-broadcaster.test.ts
+++ b/test/features/pool/state-broadcaster.test.ts
@@ -41,6 +41,7 @@
 		sendTiming: index < activeCount ? heartbeats.active : heartbeats.idle,
 		isMonitor: false,
 		isMonitored: false,
+		mesh: 'full',
 		expectedTiming: index < activeCount ? heartbeats.active : heartbeats.idle,
 		timingChangedAt: startedAt,
 		isLeaving: false,
@@ -57,6 +58,7 @@
 		ownState: () => ({
 			isLeaving: false, routingVersion: 0, demand: [], freeCapacity: Array.from({length: world.targets}, () => ({service, labels: [], room: need})),
 		}),
+		mesh: () => 'full',
 		largestFreeCpuMillis: () => need.cpuMillis,
 		outbox: new Outbox({
 			network: network.join('self', 'z'), channel: 'pool', epochs: new Epochs(), contacts: new PeerContacts(clock, {milliseconds: 0}), clock,
