A late adoption by a former owner doesn't replace the present one's

Cause: a target moved from b-3 to b-4 and back within 250 ms, as a third entry's membership ended and began again. The job's entry was slow and read b-3's second adoption before b-4's, as each came on a connection of its own. It took b-4 for the owner, then read b-4's handover, and waited for an adoption that it had read already. The caller's hang-up was told to b-4 only; without it the entry would have counted the run as ended after 1.32 s and begun it again. b-3 went on: its adoption had been answered.

Change: the message of an adoption states the owner's fencing token, a trailing value. One with a lower token than the known owner's is answered, but changes nothing. Tokens rise with each change of a target's owner, so that the order of messages no longer matters. Without a token (entries of the code before) it's as before.

--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -173,9 +173,9 @@
 		this.#store.add(pool.onDidReceive(({from, message}) => {
 			this.#receive(from.id, message);
 		}));
-		this.#store.add(executor.onDidAdopt(({requester, request}) => {
+		this.#store.add(executor.onDidAdopt(({requester, request, fence}) => {
 			if (requester === pool.self) {
-				this.#results.adopt(request.task, request.attempt, pool.self);
+				this.#results.adopt({...request, fence}, pool.self);
 			}
 		}));
 		this.#store.add(pool.onDidLoseMember(member => {
@@ -262,7 +262,7 @@
 			this.#results.recordHandovers(message.handovers, from);
 		}
 
-		if (message.kind === 'adopted' && this.#results.adopt(message.task, message.attempt, from)) {
+		if (message.kind === 'adopted' && this.#results.adopt(message, from)) {
 			this.dependencies.pool.send(from, {kind: 'adoptionHeard', task: message.task, attempt: message.attempt});
 		}
 	}
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -1,5 +1,6 @@
 /** Results of task runs. */
 import type {Clock} from '../../base/clock.js';
+import type {FencingToken} from '../../base/fencing-token.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Handover} from '../execution/handover.js';
@@ -19,6 +20,9 @@
 /** An outcome reported by another entry. */
 type RunReport = {readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome};
 
+/** The owner's token is absent from entries of former versions. */
+type RunAdoption = {readonly task: TaskId; readonly attempt: number; readonly fence?: FencingToken | undefined};
+
 /** Dependencies of `RunResults`. */
 type RunResultsDependencies = {
 	readonly jobs: JobTable;
@@ -101,12 +105,19 @@
 		this.dependencies.listener.onDidRequeue(job);
 	}
 
-	/** Assigns a run to its new owner; returns false, and reports an orphan, if the attempt is not the current one. */
-	adopt(task: TaskId, attempt: number, owner: MemberId): boolean {
+	/**
+	 * Assigns a run to its new owner; returns false, and reports an orphan, if the attempt is not the current one. Messages of several
+	 * owners may be read in any order: a lower token than that of the known owner belongs to one before it.
+	 */
+	adopt({task, attempt, fence}: RunAdoption, owner: MemberId): boolean {
 		const found = this.dependencies.jobs.findTask(task);
 		if (found?.state.attempt === attempt && found.state.owner !== undefined) {
-			found.state.owner = owner;
-			found.state.handedOverAt = undefined;
+			if (fence === undefined || fence >= (found.state.adoptionFence ?? fence)) {
+				found.state.owner = owner;
+				found.state.handedOverAt = undefined;
+				found.state.adoptionFence = fence;
+			}
+
 			return true;
 		}
 
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -149,6 +149,14 @@
 
 function createTask(job: JobId, index: number): TaskState {
 	return {
-		id: `${job}.0.0.${index}` as TaskId, attempt: 1, failures: 0, owner: undefined, handedOverAt: undefined, isDone: false, capacityRefusals: 0, excludedTargets: new Set<string>(),
+		id: `${job}.0.0.${index}` as TaskId,
+		attempt: 1,
+		failures: 0,
+		owner: undefined,
+		handedOverAt: undefined,
+		adoptionFence: undefined,
+		isDone: false,
+		capacityRefusals: 0,
+		excludedTargets: new Set<string>(),
 	};
 }
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -195,6 +195,7 @@
 	#recordStart(job: RunningJob, state: TaskState, owner: MemberId): void {
 		job.possibleStarts += 1;
 		state.owner = owner;
+		state.adoptionFence = undefined;
 		this.dependencies.forecast.recordStart(job, this.dependencies.clock.now());
 	}
 
--- a/src/features/dispatch/task-state.ts
+++ b/src/features/dispatch/task-state.ts
@@ -1,4 +1,5 @@
 /** State of one task of a running job. */
+import type {FencingToken} from '../../base/fencing-token.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
 
@@ -10,6 +11,8 @@
 	owner: MemberId | undefined;
 	/** Monotonic time at which the owner released the run's target; undefined once another entry has adopted the run. */
 	handedOverAt: number | undefined;
+	/** The fencing token with which the owner adopted the run; undefined if the run was started there. */
+	adoptionFence: FencingToken | undefined;
 	isDone: boolean;
 	/** Number of attempts that owners refused for lack of capacity, or for lateness. */
 	capacityRefusals: number;
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -242,7 +242,9 @@
 	#adoptRuns(session: TargetSession, {handover, at}: ReceivedHandover): void {
 		session.adopt(handover);
 		for (const {request, requester} of handover.runs) {
-			this.#adopted.fire({requester, request, handedOverAt: at});
+			this.#adopted.fire({
+				requester, request, handedOverAt: at, fence: session.fence,
+			});
 		}
 	}
 
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -1,6 +1,7 @@
 /** Decodes messages of the pool. */
 import * as z from 'zod';
 import type {AvailabilityZone} from '../../base/availability-zone.js';
+import type {FencingToken} from '../../base/fencing-token.js';
 import type {Incarnation} from '../../base/incarnation.js';
 import type {InstanceId} from '../../base/instance-id.js';
 import type {MemberId} from '../../base/member-id.js';
@@ -117,7 +118,9 @@
 		}
 
 		case messageCode.adopted: {
-			return {kind: 'adopted', task: values.text<TaskId>(), attempt: values.number()};
+			return {
+				kind: 'adopted', task: values.text<TaskId>(), attempt: values.number(), fence: values.optionalFiniteNumber() as FencingToken | undefined,
+			};
 		}
 
 		case messageCode.adoptionHeard: {
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -60,7 +60,7 @@
 		}
 
 		case 'adopted': {
-			return [messageCode.adopted, message.task, message.attempt];
+			return [messageCode.adopted, message.task, message.attempt, ...(message.fence === undefined ? [] : [message.fence])];
 		}
 
 		case 'adoptionHeard': {
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -1,4 +1,5 @@
 /** Messages between the entries of a pool. */
+import type {FencingToken} from '../../base/fencing-token.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {BacklogReport} from '../backlog/backlog-report.js';
@@ -29,7 +30,8 @@
 	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string}
 	/** `requesters` describes the entries of the runs, which the new owner may never have connected to. */
 	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]; readonly requesters: readonly PeerDescriptor[]}
-	| {readonly kind: 'adopted'; readonly task: TaskId; readonly attempt: number}
+	/** `fence` is the sender's token for the run's target; absent from entries of former versions. */
+	| {readonly kind: 'adopted'; readonly task: TaskId; readonly attempt: number; readonly fence?: FencingToken | undefined}
 	/** Acknowledges `adopted`: the sender is still waiting for that run. */
 	| {readonly kind: 'adoptionHeard'; readonly task: TaskId; readonly attempt: number}
 	/** The state of a target, and the tasks that were lost with it. */
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -111,7 +111,7 @@
 		}
 	}
 
-	#adopt({requester, request, handedOverAt}: Adoption): void {
+	#adopt({requester, request, handedOverAt, fence}: Adoption): void {
 		const {task, attempt} = request;
 		if (!this.pool.ensureMember(requester)) {
 			// The requester can't be notified, and will start the task elsewhere when the lease expires.
@@ -120,7 +120,9 @@
 		}
 
 		const now = this.clock.now();
-		const adopted: PoolMessage = {kind: 'adopted', task, attempt};
+		const adopted: PoolMessage = {
+			kind: 'adopted', task, attempt, fence,
+		};
 		const run: TrackedRun = {
 			requester, requestedAt: now, lastMessage: adopted, endedAt: undefined, isAdoptionAcknowledged: false,
 		};
--- a/test/entries/edge/adopted-runs.test.ts
+++ b/test/entries/edge/adopted-runs.test.ts
@@ -1,6 +1,8 @@
 /** Runs that a new owner adopts while their requester is unreachable. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {OwnershipGroupName} from '../../../src/base/ownership-group-name.js';
+import type {InstanceId} from '../../../src/base/instance-id.js';
 import {PooledCluster} from '../../support/pooled-cluster.js';
 
 const id = '00000000000000aa';
@@ -81,3 +83,30 @@
 	await Promise.all([...owners.slice(0, 2).map(async owner => world.entries.get(owner)!.leave()), world.advance(1300)]);
 	assert.deepEqual([world.runningTasks().length, world.orders.starts.length], [20, 20]);
 });
+
+// Guards against a requester that takes the late adoption by a former owner for the latest one, and no longer knows who runs the task.
+test('a run that returns to its former owner goes on if its requester reads the messages of the owner in between last', async () => {
+	const world = new PooledCluster(['a-1', 'b-1', 'b-2', 'b-3'], 0);
+	for (let index = 0; index < 12; index += 1) {
+		world.addTarget(`b-target-${index}`, 'b');
+	}
+
+	await world.start();
+	const submitted = world.submit('a-1', id, {...job, tasks: 24});
+	await world.advance(200);
+	world.network.linkDelays.set('b-1#1>a-1#1', 500);
+	world.pause('b-3', 'suspended');
+	world.group.expire('targets.b' as OwnershipGroupName, 'b/b-3');
+	await world.advance(200);
+	world.resume('b-3');
+	await world.advance(100);
+	const owned = world.journal.named('targetOwned').filter(({adopted}) => Number(adopted) > 0).map(({target}) => target as InstanceId);
+	const returned = owned.filter((target, index) => owned.indexOf(target) !== index);
+	const tasks = new Set(returned.flatMap(target => world.orders.running(target)));
+	assert.equal(tasks.size, 8);
+	await world.advance(2500);
+	assert.deepEqual(world.orders.starts.filter(({task, attempt}) => tasks.has(task) && attempt > 1), []);
+	submitted.cancel();
+	await world.advance(100);
+	assert.deepEqual(world.runningTasks(), []);
+});
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import {encode as encodeCbor, decode as decodeCbor} from 'cbor-x';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
+import type {FencingToken} from '../../../src/base/fencing-token.js';
 import type {Incarnation} from '../../../src/base/incarnation.js';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {MemberId} from '../../../src/base/member-id.js';
@@ -79,7 +80,12 @@
 			silentMilliseconds: 120,
 		}],
 	},
-	{kind: 'adopted', task, attempt: 1},
+	{
+		kind: 'adopted', task, attempt: 1, fence: 7 as FencingToken,
+	},
+	{
+		kind: 'adopted', task, attempt: 1, fence: undefined,
+	},
 	{kind: 'adoptionHeard', task, attempt: 1},
 	{kind: 'lost', member: 'entry#1' as MemberId},
 	{
