--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import {encode as encodeCbor, decode as decodeCbor} from 'cbor-x';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
+import type {FencingToken} from '../../../src/base/fencing-token.js';
 import type {Incarnation} from '../../../src/base/incarnation.js';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {MemberId} from '../../../src/base/member-id.js';
@@ -28,12 +29,12 @@
 };
 const messages: readonly PoolMessage[] = [
 	{
-		kind: 'state', isForMonitor: true, state: {
+		kind: 'state', isForMonitor: true, mesh: 'full', state: {
 			isLeaving: true, routingVersion: 7, demand: [{service, need}], freeCapacity: [{service, labels: ['a', 'rack-1'], room: need}, {service, labels: [], room: Resources.none}],
 		},
 	},
 	{
-		kind: 'state', isForMonitor: false, state: {
+		kind: 'state', isForMonitor: false, mesh: 'extended', state: {
 			isLeaving: false, routingVersion: 7, demand: [], freeCapacity: [{
 				service, labels: [], room: need, slowdown: 0.59,
 			}, {service, labels: ['a'], room: need}],
@@ -80,7 +81,12 @@
 			silentMilliseconds: 120,
 		}],
 	},
-	{kind: 'adopted', task, attempt: 1},
+	{
+		kind: 'adopted', task, attempt: 1, fence: 7 as FencingToken,
+	},
+	{
+		kind: 'adopted', task, attempt: 1, fence: undefined,
+	},
 	{kind: 'adoptionHeard', task, attempt: 1},
 	{kind: 'lost', member: 'entry#1' as MemberId},
 	{
@@ -125,7 +131,7 @@
 	assert.deepEqual(slowdownsOf(state([0.59], undefined, 'a later value')), [0.59, undefined]);
 	const capacity = {service, labels: ['a'], room: need};
 	const encode = (slowdown?: number) => encodeMessages([{
-		kind: 'state', isForMonitor: true, state: {
+		kind: 'state', isForMonitor: true, mesh: 'full', state: {
 			isLeaving: false, routingVersion: 7, demand: [], freeCapacity: [slowdown === undefined ? capacity : {...capacity, slowdown}],
 		},
 	}])[0]!;
