Resubmitted jobs start after the runs of their former submissions

Cause: the end of a former submission's runs was bound in time only. Change: an entry that has a reason to think that a job was submitted before (it knows its former tasks, or the timeout is 650 ms below the usual) holds it and asks all peers to give it up, as requesters and as owners. It starts the job when all have answered and the runs that they told of have ended; nobody is waited for longer than 100 ms for an answer, or 1.5 s for an end. Of two submissions the later one states the shorter timeout, so that a late or repeated question stops nothing of a later submission. Owners tell the requester of a run before they stop it. In fleets without a full mesh one peer of each other zone asks the rest of its zone. Questions are sent every 20 ms at most, for all jobs in between, on a channel that entries of the code before ignore.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -29,6 +29,7 @@
 import {RemoteRuns} from '../../features/pool/remote-runs.js';
 import {zonesToCover} from '../../features/pool/zone-cover.js';
 import type {RoutingTable} from '../../features/routing/routing-table.js';
+import {Takeovers} from '../../features/takeovers/takeovers.js';
 import type {TargetCatalogue} from '../../features/targets/target-catalogue.js';
 import type {TargetOrders} from '../../features/targets/target-orders.js';
 import type {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
@@ -113,6 +114,17 @@
 			zone, member, store: group, catalogue, evacuations, executor: this.executor, orders, clock, journal,
 		}));
 		this.forecast = this.#backlog && this.#createForecast(this.#backlog);
+		const takeovers = disposables.add(new Takeovers({
+			network,
+			pool: this.pool,
+			executor: this.executor,
+			yieldJob: takeover => {
+				this.dispatcher.yieldJob(takeover);
+			},
+			hasRequestedRuns: job => this.dispatcher.hasRequestedRuns(job),
+			clock,
+			journal,
+		}));
 		this.dispatcher = disposables.add(new Dispatcher({
 			zone,
 			executor: this.executor,
@@ -124,6 +136,7 @@
 			runTimes: scheduling.targetSpeeds.enabled ? new NormalRunTimes() : new MeanRunTimes(),
 			timeouts: this.callerTimeouts,
 			losses: this.#lossHistory,
+			takeovers,
 			pauses: this.pauses,
 			random: new Random(hashText(member)),
 			clock,
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -16,6 +16,9 @@
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
 import type {PoolMessage} from '../pool/pool-message.js';
+import {isLaterSubmission} from '../takeovers/is-later-submission.js';
+import type {JobTakeover} from '../takeovers/job-takeover.js';
+import type {Takeovers} from '../takeovers/takeovers.js';
 import type {AdmissionForecast} from './admission-forecast.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import type {CallerTimeouts} from './caller-timeouts.js';
@@ -45,6 +48,7 @@
 	readonly runTimes: MeanRunTimes;
 	readonly timeouts: CallerTimeouts;
 	readonly losses: LossHistory;
+	readonly takeovers: Takeovers;
 	readonly pauses: PauseDetector;
 	readonly random: Random;
 	readonly clock: Clock;
@@ -123,6 +127,20 @@
 		return true;
 	}
 
+	/** Ends a job whose submission is older than one that another entry takes over. */
+	yieldJob({job, timeoutMilliseconds, claimant}: JobTakeover): void {
+		const running = this.#jobs.get(job);
+		if (running !== undefined && isLaterSubmission(timeoutMilliseconds, running.latestTimeoutMilliseconds)) {
+			this.dependencies.journal.record('jobYielded', {job, claimant});
+			this.#completion.end(running, uncertainVerdict('stopped', 'submitted again through another entry'));
+		}
+	}
+
+	/** Whether runs that were requested for a job may go on. */
+	hasRequestedRuns(id: JobId): boolean {
+		return this.#jobs.hasRuns(id, this.dependencies.clock.now() - this.#results.longestUnadoptedMilliseconds);
+	}
+
 	isRunning(id: JobId): boolean {
 		return this.#jobs.get(id) !== undefined;
 	}
@@ -164,7 +182,7 @@
 	}
 
 	#subscribe(): void {
-		const {executor, pool, losses, journal} = this.dependencies;
+		const {executor, pool, losses, takeovers, journal} = this.dependencies;
 		this.#store.add(executor.onDidReport(({requester, task, attempt, outcome}) => {
 			if (requester === pool.self) {
 				this.#results.recordOutcome(task, attempt, outcome);
@@ -185,6 +203,17 @@
 			journal.record('touchLost', {cause, jobs: this.#jobs.size});
 			this.#completion.endAll('notReady', `the entry was out of touch: ${cause}`);
 		}));
+		this.#store.add(takeovers.onDidFinish(({job, mayHaveRun, waitedMilliseconds, unansweredPeers}) => {
+			const running = this.#jobs.get(job);
+			if (running?.isHeld) {
+				running.isHeld = false;
+				journal.record('jobReleased', {
+					job, mayHaveRun, waitedMilliseconds: Math.round(waitedMilliseconds), unansweredPeers,
+				});
+				running.possibleStarts = Math.max(running.possibleStarts, mayHaveRun ? 1 : 0);
+				this.#schedulePlacement();
+			}
+		}));
 		this.#store.add(losses.onDidBlockTask(task => {
 			const found = this.#jobs.findTask(task);
 			if (found !== undefined) {
--- a/src/features/dispatch/ended-jobs.ts
+++ b/src/features/dispatch/ended-jobs.ts
@@ -42,6 +42,11 @@
 		return [...this.#jobs.values()].flatMap(({tasks}) => tasks.filter(state => state.owner === owner));
 	}
 
+	/** Whether runs of an ended job may go on that nobody has reported the end of; those were released after the given time, or go on. */
+	hasRuns(id: JobId, releasedAfter: number): boolean {
+		return this.#jobs.get(id)?.tasks.some(({owner, handedOverAt}) => owner !== undefined && (handedOverAt ?? Number.POSITIVE_INFINITY) >= releasedAfter) ?? false;
+	}
+
 	find(id: JobId, task: string): TaskState | undefined {
 		return this.#jobs.get(id)?.tasks.find(state => state.id === task);
 	}
--- a/src/features/dispatch/job-admission.ts
+++ b/src/features/dispatch/job-admission.ts
@@ -5,6 +5,7 @@
 import type {LossHistory} from '../execution/loss-history.js';
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
+import type {Takeovers} from '../takeovers/takeovers.js';
 import type {AdmissionForecast} from './admission-forecast.js';
 import type {BestEffortJob} from './best-effort-job.js';
 import type {JobCompletion} from './job-completion.js';
@@ -12,6 +13,9 @@
 import {RunningJob} from './running-job.js';
 import {uncertainVerdict} from './uncertain-verdict.js';
 
+/** Half of the time after which callers resubmit a job; the typical timeout is known to a few hundredths. */
+const resubmittedAgeMilliseconds = 650;
+
 type Submission = RunningJob['submission'];
 
 /** Dependencies of `JobAdmission`. */
@@ -22,6 +26,7 @@
 	readonly pool: Pool;
 	readonly runTimes: MeanRunTimes;
 	readonly losses: LossHistory;
+	readonly takeovers: Takeovers;
 	readonly forecast: AdmissionForecast;
 	readonly journal: Journal;
 	/** Schedules a placement pass for waiting tasks. */
@@ -41,7 +46,7 @@
 		if (running === undefined) {
 			this.#accept(job, submission, token);
 		} else {
-			this.#rejoin(running, submission, token);
+			this.#rejoin(running, job, {submission, token});
 		}
 	}
 
@@ -77,6 +82,11 @@
 		// Refuses a job that can't meet its objective before it takes capacity.
 		this.dependencies.completion.endIfExpired(running, submission.receivedAt);
 		this.#refuseByForecast(running);
+		if (!running.isEnded && (previousTasks !== undefined || (submission.ageMilliseconds ?? 0) >= resubmittedAgeMilliseconds)) {
+			running.isHeld = true;
+			this.dependencies.takeovers.request({job: job.id, timeoutMilliseconds: job.callerTimeoutMilliseconds});
+		}
+
 		this.dependencies.forecast.recordWaiting(running);
 		this.dependencies.schedulePlacement();
 	}
@@ -90,9 +100,14 @@
 	}
 
 	/** Keeps the current runs: restarting them would run each task twice at once. */
-	#rejoin(running: RunningJob, submission: Submission, token: CancellationToken): void {
+	#rejoin(running: RunningJob, {id, callerTimeoutMilliseconds: timeoutMilliseconds}: BestEffortJob, {submission, token}: {readonly submission: Submission; readonly token: CancellationToken}): void {
 		running.submission.settle(uncertainVerdict('stopped', 'submitted again'));
 		running.resubmit(submission);
+		if (timeoutMilliseconds < running.latestTimeoutMilliseconds) {
+			running.latestTimeoutMilliseconds = timeoutMilliseconds;
+			this.dependencies.takeovers.request({job: id, timeoutMilliseconds});
+		}
+
 		this.dependencies.journal.record('jobRejoined', {job: running.job.id, startedTasks: running.possibleStarts});
 		this.#watchSubmitter(running, token);
 	}
--- a/src/features/dispatch/job-table.ts
+++ b/src/features/dispatch/job-table.ts
@@ -82,6 +82,11 @@
 		return this.#ended.take(id);
 	}
 
+	/** Whether runs of a running or ended job may go on. */
+	hasRuns(id: JobId, releasedAfter: number): boolean {
+		return (this.#jobs.get(id)?.tasks.some(state => state.owner !== undefined) ?? false) || this.#ended.hasRuns(id, releasedAfter);
+	}
+
 	/** Tasks of ended jobs that an entry may still be running. */
 	endedTasksOwnedBy(owner: MemberId): readonly TaskState[] {
 		return this.#ended.tasksOwnedBy(owner);
--- a/src/features/dispatch/run-results.ts
+++ b/src/features/dispatch/run-results.ts
@@ -42,6 +42,11 @@
 export class RunResults {
 	constructor(private readonly dependencies: RunResultsDependencies) {}
 
+	/** How long a run may go on after its owner released its target, unless another entry adopts it. */
+	get longestUnadoptedMilliseconds(): number {
+		return (this.dependencies.leaseMilliseconds * maximumClockDrift) + adoptionGraceMilliseconds;
+	}
+
 	/**
 	 * Records an outcome reported by another entry. Completions and failures are accepted from any entry. Refusals and losses
 	 * are accepted only from the owner, since another entry may repeat a refusal from an earlier submission.
@@ -130,9 +135,8 @@
 
 	/** Ends runs that no entry adopted before their lease expired. */
 	endUnadopted(job: RunningJob, now: number): void {
-		const limit = (this.dependencies.leaseMilliseconds * maximumClockDrift) + adoptionGraceMilliseconds;
 		for (const state of job.tasks) {
-			if (state.handedOverAt !== undefined && now - state.handedOverAt > limit) {
+			if (state.handedOverAt !== undefined && now - state.handedOverAt > this.longestUnadoptedMilliseconds) {
 				this.recordOutcome(state.id, state.attempt, {kind: 'gone', target: '', cause: 'handed over to nobody'});
 			}
 		}
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -26,6 +26,10 @@
 	isEnded = false;
 	/** Whether the job arrived before any free capacity was known; it is then not refused for missing its objective. */
 	isBeforeCapacityKnown = false;
+	/** Whether the job waits for runs of its former submissions on other entries to end. */
+	isHeld = false;
+	/** The shortest timeout of its submissions, which tells the latest one. */
+	latestTimeoutMilliseconds: number;
 	/** Whether the latest placement pass left a target free that the job could have had, for the sake of a faster one. */
 	hasDeclinedTarget = false;
 
@@ -42,6 +46,7 @@
 		previousTasks?: readonly TaskState[],
 	) {
 		this.#submission = submission;
+		this.latestTimeoutMilliseconds = job.callerTimeoutMilliseconds;
 		const {nearLabel, farFactor} = job.shape.place;
 		this.#isLocalityRelaxed = nearLabel === undefined || this.receivedAt + (farFactor * expectedMilliseconds) <= this.objectiveAt;
 		this.tasks = previousTasks?.length === job.shape.count ? previousTasks : Array.from({length: job.shape.count}, (_, index) => createTask(job.id, index));
@@ -100,8 +105,9 @@
 		this.#hasWaitedForLocality = true;
 	}
 
+	/** A held job counts as well: its former submissions may run. */
 	get mayHaveRun(): boolean {
-		return this.possibleStarts > 0;
+		return this.possibleStarts > 0 || this.isHeld;
 	}
 
 	get waiting(): readonly TaskState[] {
--- a/src/features/dispatch/task-placer.ts
+++ b/src/features/dispatch/task-placer.ts
@@ -65,7 +65,7 @@
 		const waiting: RunningJob[] = [];
 		let leastCpuMillis = Number.POSITIVE_INFINITY;
 		for (const job of jobs) {
-			if (job.hasWaiting) {
+			if (job.hasWaiting && !job.isHeld) {
 				waiting.push(job);
 				leastCpuMillis = Math.min(leastCpuMillis, job.job.shape.need.cpuMillis);
 			}
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
 import type {InstanceId} from '../../base/instance-id.js';
+import type {JobId} from '../../base/job-id.js';
 import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
@@ -144,6 +145,17 @@
 		}
 	}
 
+	/** The runs of a job's tasks that may go on, also on targets that were released. */
+	* runsOf(job: JobId): Iterable<Run> {
+		for (const session of this.#sessions.withClosing()) {
+			for (const run of session.runs) {
+				if (jobOfTask(run.request.task) === job) {
+					yield run;
+				}
+			}
+		}
+	}
+
 	/** Opens sessions for new targets, updates existing ones, and abandons those of targets that are no longer owned. */
 	assign(owned: ReadonlyMap<InstanceId, OwnedTarget>): void {
 		this.#sessions.assign(owned);
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -188,6 +188,11 @@
 		this.#connections.add(endpoints);
 	}
 
+	/** A peer that was discovered, even if it is considered lost; undefined for any other. */
+	discovered(id: MemberId): Member | undefined {
+		return this.#discovered.get(id);
+	}
+
 	/** Sends a message to a peer that was discovered, even if it is considered lost; ignored for any other. */
 	send(to: MemberId, message: PoolMessage): void {
 		const member = this.#discovered.get(to);
--- /dev/null
+++ b/src/features/takeovers/takeover-requests.ts
@@ -0,0 +1,187 @@
+/** Takeovers of resubmitted jobs from the other entries. */
+import type {Clock} from '../../base/clock.js';
+import type {Disposable} from '../../base/disposable.js';
+import {Emitter} from '../../base/emitter.js';
+import type {JobId} from '../../base/job-id.js';
+import type {MemberId} from '../../base/member-id.js';
+import type {JobTakeover} from './job-takeover.js';
+import type {TakeoverMessage} from './takeover-message.js';
+
+/** Requests are sent at most this often, each for all jobs that came in between. */
+const roundMilliseconds = 20;
+/** Bounds the size of a frame. */
+const maximumJobsPerRound = 200;
+const checkMilliseconds = 20;
+/** How long to wait for an answer. Entries that are slow, dead, cut off or of a former version don't hold up the job for longer. */
+const longestAnswerMilliseconds = 100;
+/** How long to wait for the end of runs that an entry is stopping; their leases end sooner. */
+const longestStopMilliseconds = 1500;
+
+type PendingTakeover = {
+	readonly round: number;
+	readonly sentAt: number;
+	/** Entries that haven't answered. */
+	readonly unanswered: Set<MemberId>;
+	/** Entries on which runs are ending, since the given time. */
+	readonly busy: Map<MemberId, number>;
+	mayHaveRun: boolean;
+	unansweredPeers: number;
+};
+
+type FinishedTakeover = {readonly job: JobId; readonly mayHaveRun: boolean; readonly waitedMilliseconds: number; readonly unansweredPeers: number};
+
+/** Dependencies of the requests. */
+type TakeoverRequestsParts = {
+	/** The peers to ask, with whether each has to ask others. */
+	readonly peers: () => Iterable<readonly [MemberId, boolean]>;
+	readonly nextRound: () => number;
+	/** Stops runs of former submissions on this entry's own targets. */
+	readonly yieldLocally: (takeovers: readonly JobTakeover[]) => void;
+	readonly send: (to: MemberId, message: TakeoverMessage) => void;
+	readonly clock: Clock;
+};
+
+/**
+ * Before the first start of a resubmitted job, all peers are asked to give up its former submissions. The job waits for the answers,
+ * and for the ends of the runs that they tell of, so that the order of both doesn't depend on how late anyone is.
+ */
+export class TakeoverRequests implements Disposable {
+	readonly #finish = new Emitter<FinishedTakeover>();
+	readonly #pending = new Map<JobId, PendingTakeover>();
+	readonly #queued: JobTakeover[] = [];
+	#sentAt = Number.NEGATIVE_INFINITY;
+	#flushTimer: Disposable | undefined;
+	#checkTimer: Disposable | undefined;
+
+	constructor(private readonly parts: TakeoverRequestsParts) {}
+
+	/** Fires when a job may be started. */
+	get onDidFinish() {
+		return this.#finish.event;
+	}
+
+	/** Whether answers or ends are outstanding for a job. */
+	isPending(job: JobId): boolean {
+		return this.#pending.has(job) || this.#queued.some(queued => queued.job === job);
+	}
+
+	request(takeover: JobTakeover): void {
+		this.#queued.push(takeover);
+		this.#scheduleFlush();
+	}
+
+	recordAnswer(from: MemberId, {round, busy, relayed}: Extract<TakeoverMessage, {kind: 'answer'}>): void {
+		const [busyJobs, openJobs] = [new Set(busy), new Set([...busy, ...relayed])];
+		const now = this.parts.clock.now();
+		for (const [job, pending] of this.#pending) {
+			if (pending.round !== round || !pending.unanswered.delete(from)) {
+				continue;
+			}
+
+			pending.mayHaveRun ||= busyJobs.has(job);
+			if (openJobs.has(job)) {
+				pending.busy.set(from, now);
+			}
+
+			this.#finishIfAnswered(job, pending);
+		}
+	}
+
+	recordEnd(from: MemberId, jobs: readonly JobId[]): void {
+		for (const job of jobs) {
+			const pending = this.#pending.get(job);
+			if (pending?.busy.delete(from)) {
+				this.#finishIfAnswered(job, pending);
+			}
+		}
+	}
+
+	/** Nothing more can be learned from a lost entry. */
+	forget(member: MemberId): void {
+		for (const [job, pending] of this.#pending) {
+			pending.unanswered.delete(member);
+			pending.busy.delete(member);
+			this.#finishIfAnswered(job, pending);
+		}
+	}
+
+	dispose(): void {
+		this.#flushTimer?.dispose();
+		this.#checkTimer?.dispose();
+	}
+
+	#scheduleFlush(): void {
+		const {clock} = this.parts;
+		this.#flushTimer ??= clock.schedule(Math.max(0, this.#sentAt + roundMilliseconds - clock.now()), () => {
+			this.#flushTimer = undefined;
+			this.#flush();
+		});
+	}
+
+	#flush(): void {
+		const {peers, yieldLocally, send, clock} = this.parts;
+		const takeovers = this.#queued.splice(0, maximumJobsPerRound);
+		const asked = [...peers()];
+		const round = this.parts.nextRound();
+		this.#sentAt = clock.now();
+		yieldLocally(takeovers);
+		for (const [peer, isToRelay] of asked) {
+			send(peer, {
+				kind: 'request', round, isToRelay, takeovers,
+			});
+		}
+
+		for (const {job} of takeovers) {
+			const pending: PendingTakeover = {
+				round, sentAt: this.#sentAt, unanswered: new Set(asked.map(([peer]) => peer)), busy: new Map(), mayHaveRun: false, unansweredPeers: 0,
+			};
+			this.#pending.set(job, pending);
+			this.#finishIfAnswered(job, pending);
+		}
+
+		if (this.#queued.length > 0) {
+			this.#scheduleFlush();
+		}
+
+		this.#scheduleCheck();
+	}
+
+	#finishIfAnswered(job: JobId, {unanswered, busy, mayHaveRun, sentAt, unansweredPeers}: PendingTakeover): void {
+		if (unanswered.size === 0 && busy.size === 0) {
+			this.#pending.delete(job);
+			this.#finish.fire({
+				job, mayHaveRun, waitedMilliseconds: this.parts.clock.now() - sentAt, unansweredPeers,
+			});
+		}
+	}
+
+	#scheduleCheck(): void {
+		if (this.#pending.size === 0) {
+			return;
+		}
+
+		this.#checkTimer ??= this.parts.clock.schedule(checkMilliseconds, () => {
+			this.#checkTimer = undefined;
+			this.#check();
+			this.#scheduleCheck();
+		});
+	}
+
+	#check(): void {
+		const now = this.parts.clock.now();
+		for (const [job, pending] of this.#pending) {
+			if (now - pending.sentAt >= longestAnswerMilliseconds) {
+				pending.unansweredPeers += pending.unanswered.size;
+				pending.unanswered.clear();
+			}
+
+			for (const [peer, since] of pending.busy) {
+				if (now - since >= longestStopMilliseconds) {
+					pending.busy.delete(peer);
+				}
+			}
+
+			this.#finishIfAnswered(job, pending);
+		}
+	}
+}
--- a/src/runtime/journal/events/pooled-job-events.ts
+++ b/src/runtime/journal/events/pooled-job-events.ts
@@ -51,4 +51,13 @@
 	forecastRefuted: {
 		number: 808, level: 'notice', meaning: 'There was capacity in time for a job that was refused at its arrival; the forecast is corrected', fields: ['job', 'queue', 'scale'],
 	},
+	jobYielded: {
+		number: 809, level: 'detail', meaning: 'A running job was given up because another entry has a later submission of it', fields: ['job', 'claimant'],
+	},
+	jobReleased: {
+		number: 810,
+		level: 'detail',
+		meaning: 'A resubmitted job may start: its former submissions were given up, or the entries that did not answer in time are not waited for',
+		fields: ['job', 'mayHaveRun', 'waitedMilliseconds', 'unansweredPeers'],
+	},
 } as const satisfies Readonly<Record<string, EventDescription>>;
--- a/test/support/in-memory-network.ts
+++ b/test/support/in-memory-network.ts
@@ -15,6 +15,9 @@
 export class InMemoryNetwork {
 	readonly endpoints = new Map<MemberId, NetworkEndpoint>();
 	framesSent = 0;
+	readonly framesByChannel = new Map<string, number>();
+	/** Channels that a member doesn't know, as one of a former version. */
+	readonly unknownChannels = new Map<MemberId, string>();
 	/** Latency of a link in milliseconds, by `from>to`; 1 ms by default. */
 	readonly linkDelays = new Map<string, number>();
 	/** Links on which messages are lost, as `from>to`. */
@@ -135,8 +138,9 @@
 		}
 
 		this.framesSent += 1;
+		this.framesByChannel.set(message.channel, (this.framesByChannel.get(message.channel) ?? 0) + 1);
 		this.clock.schedule(this.linkDelays.get(link) ?? delayMilliseconds, () => {
-			if (!this.blockedLinks.has(link) && this.endpoints.has(from.id)) {
+			if (!this.blockedLinks.has(link) && this.endpoints.has(from.id) && this.unknownChannels.get(to) !== message.channel) {
 				this.#receive(to, `from ${from.id}`, () => {
 					this.endpoints.get(to)?.receiveEmitter.fire({from, message: structuredClone(message)});
 				});
