Failing test: resubmissions with long timeouts aren't recognised

Failure: a timeout within a fifth of the usual one pulls the estimate down, so that with timeouts of 20 s, resubmissions after 1.3 s are no longer recognised by their age once more than a twentieth of the submissions are some. Not mended: counting only nearer timeouts as first ones would let the estimate rise in queues with timeouts of many lengths.

--- a/test/features/dispatch/caller-timeouts.test.ts
+++ b/test/features/dispatch/caller-timeouts.test.ts
@@ -66,3 +66,17 @@
 	timeouts.seed(queue, 9000);
 	assert.equal(timeouts.typical.get(queue)! < 2000, true);
 });
+
+// Guards against resubmissions that pull down the estimate by which they are recognised, so that after a few of them none is.
+test('resubmissions are recognised while a fifth of all submissions are some, also with long timeouts', () => {
+	const timeouts = new CallerTimeouts();
+	timeouts.seed(queue, 20_000);
+	let recognised = 0;
+	for (let sample = 1; sample <= 400; sample += 1) {
+		const isResubmitted = sample % 5 === 0;
+		const age = timeouts.estimateAge(queue, isResubmitted ? 18_700 : 20_000, sample * 10);
+		recognised += isResubmitted && age >= 650 ? 1 : 0;
+	}
+
+	assert.equal(recognised >= 72, true, `${recognised} of 80`);
+});
