--- a/src/runtime/journal/events/pooled-job-events.ts
+++ b/src/runtime/journal/events/pooled-job-events.ts
@@ -49,7 +49,7 @@
 		],
 	},
 	taskResent: {
-		number: 809, level: 'detail', meaning: 'The request for a current run is sent again, since its connection was lost', fields: ['task', 'attempt', 'owner'],
+		number: 811, level: 'detail', meaning: 'The request for a current run is sent again, since its connection was lost', fields: ['task', 'attempt', 'owner'],
 	},
 	forecastRefuted: {
 		number: 808, level: 'notice', meaning: 'There was capacity in time for a job that was refused at its arrival; the forecast is corrected', fields: ['job', 'queue', 'scale'],
