Soak: a rolling replacement of one bundle by another

The output counts the runs between entries of the two bundles. A message of a peer that can't be decoded counts as a defect like an unhandled error, in every soak.

--- a/soak/edge-process.ts
+++ b/soak/edge-process.ts
@@ -8,6 +8,7 @@
 import {fileURLToPath} from 'node:url';
 import {formatEdgeSettings} from '../standins/format-edge-settings.js';
 import {FaultProxy} from '../standins/fault-proxy.js';
+import type {SharedRuns} from './shared-runs.js';
 
 const main = fileURLToPath(new URL('stepped-edge.js', import.meta.url));
 const heapMegabytes = 96;
@@ -16,7 +17,10 @@
  * within this time is no defect.
  */
 const startupMilliseconds = 1000;
-const defectEvent = '"event":"errorUnhandled"';
+const defectEvent = /"event":"(?:errorUnhandled|peerMessageUnreadable|poolMessageUnreadable)"/v;
+
+/** A bundle of the edge daemon, and its scheduling file; empty for none. */
+type EdgeProgram = {readonly bundle: string; readonly scheduling: string};
 
 /** Identity of an entry and the services it uses. */
 type EdgeProcessOptions = {
@@ -26,11 +30,12 @@
 	readonly storeAddress: string;
 	readonly folder: string;
 	readonly profileFolder: string | undefined;
-	/** Bundle of the edge daemon. */
-	readonly bundle: string;
-	/** Scheduling file of the entry; empty for none. */
-	readonly scheduling: string;
-	/** Called for each unexpected exit (`exits`) and each unhandled error (`defects`). */
+	/** What the entry runs at first. */
+	readonly former: EdgeProgram;
+	/** What the entry runs from its first restart on. */
+	readonly present: EdgeProgram;
+	readonly sharedRuns: SharedRuns;
+	/** Called for each unexpected exit (`exits`) and each unhandled error or undecodable message (`defects`). */
 	readonly onDefect: (kind: 'exits' | 'defects', detail: string) => void;
 };
 
@@ -90,7 +95,7 @@
 
 	/** Starts a new process. `seeds` are the peer addresses that it joins through. */
 	async start(seeds: readonly string[]): Promise<void> {
-		const {instance, zone, address, folder, profileFolder, bundle, scheduling} = this.options;
+		const {instance, zone, address, folder, profileFolder, former, present} = this.options;
 		const settings = formatEdgeSettings({
 			instance, zone, address, storeAddress: await this.store.listen(), seeds,
 		});
@@ -101,6 +106,7 @@
 		this.peers.forwardTo(settings.control);
 		await this.peers.listen();
 		this.incarnation += 1;
+		const {bundle, scheduling} = this.incarnation === 1 ? former : present;
 		this.#isTerminating = false;
 		this.#hasLogged = false;
 		this.#suspendedAt = undefined;
@@ -167,12 +173,14 @@
 	}
 
 	#monitor(child: ChildProcess, incarnation: number): void {
-		const {onDefect, instance} = this.options;
+		const {onDefect, instance, former, present, sharedRuns} = this.options;
+		const isFormer = incarnation === 1 && former !== present;
 		for (const output of [child.stdout!, child.stderr!]) {
 			createInterface({input: output}).on('line', line => {
 				this.#log.write(`${line}\n`);
 				this.#hasLogged ||= child === this.#child;
-				if (line.includes(defectEvent)) {
+				sharedRuns.observe(instance, isFormer, line);
+				if (defectEvent.test(line)) {
 					onDefect('defects', `${instance}: ${line}`);
 				}
 			});
--- a/soak/invariants/clean-termination.ts
+++ b/soak/invariants/clean-termination.ts
@@ -1,4 +1,4 @@
-/** Checks for unexpected exits, unhandled errors and orphaned tasks. */
+/** Checks for unexpected exits, unhandled errors, undecodable messages and orphaned tasks. */
 import {Invariant} from '../invariant.js';
 import type {SoakRecord} from '../soak-record.js';
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -34,6 +34,8 @@
 	.option('profile', {type: 'string', describe: 'folder for V8 CPU profiles of the entries, which are then stopped gracefully'})
 	.option('bundle', {type: 'string', default: 'target/savorylock-edge.js', describe: 'bundle of the edge daemon, which may be that of another commit'})
 	.option('scheduling', {type: 'string', default: 'deploy/scheduling.toml', describe: 'scheduling file of the entries; empty for none, as for a bundle of a commit without that option'})
+	.option('former-bundle', {type: 'string', default: '', describe: 'bundle of the entries at first: they are replaced one after the other, and each restart begins the bundle; empty for none'})
+	.option('former-scheduling', {type: 'string', default: '', describe: 'scheduling file of the former bundle; empty for none'})
 	.option('folder', {type: 'string', default: 'target/soak', describe: 'folder for the logs of the entries'})
 	.version(version)
 	.strict()
@@ -66,6 +68,8 @@
 		profileFolder: options.profile,
 		bundle: options.bundle,
 		scheduling: options.scheduling,
+		formerBundle: options.formerBundle,
+		formerScheduling: options.formerScheduling,
 	}, folder);
 	const served = record.jobs.filter(({attempts}) => attempts.some(({outcome}) => outcome?.kind === 'answer' && outcome.status === 200)).length;
 	const found = allInvariants
@@ -75,7 +79,8 @@
 	const faults = hasFaults ? generateFaultPlan(seed, milliseconds).length : 0;
 	const counts = `${faults} faults, ${record.jobs.length} jobs, ${served} served, median wait ${medianWait(record)} ms, ${record.runs.length} run events`;
 	const outlasted = `longest run after a lost answer ${longestRunAfterLoss(record)} ms`;
-	print(`seed ${seed}: ${counts}, ${outlasted}, ${found.length === 0 ? 'all invariants held' : 'VIOLATED'}`);
+	const shared = options.formerBundle === '' ? '' : `, ${record.runsAcrossBundles} runs for entries of the other bundle`;
+	print(`seed ${seed}: ${counts}${shared}, ${outlasted}, ${found.length === 0 ? 'all invariants held' : 'VIOLATED'}`);
 	for (const {name, violations} of found) {
 		print(`  violated: ${name} (${violations.length})`);
 		for (const violation of violations.slice(0, shownViolations)) {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import {generateFaultPlan} from './generate-fault-plan.js';
 import {FaultScheduler} from './fault-scheduler.js';
 import {FaultInjector} from './fault-injector.js';
+import {planReplacements} from './plan-replacements.js';
 import {suspensionKinds} from './suspension-kinds.js';
 import type {SoakPlan} from './soak-plan.js';
 import type {SoakRecord} from './soak-record.js';
@@ -21,7 +22,7 @@
  */
 export async function runSoak(plan: SoakPlan, folder: string): Promise<SoakRecord> {
 	const record: SoakRecord = {
-		jobs: [], runs: [], probes: [], publications: [], disturbances: [], drains: [], exits: [], defects: [], leftovers: [], healedAt: 0,
+		jobs: [], runs: [], probes: [], publications: [], disturbances: [], drains: [], exits: [], defects: [], runsAcrossBundles: 0, leftovers: [], healedAt: 0,
 	};
 	const environment = await SoakEnvironment.start(plan, folder, record);
 	const callers = new Callers(environment.entries, new Random(plan.seed + 1), record, plan);
@@ -38,6 +39,7 @@
 		await wait(settleMilliseconds);
 		record.leftovers = await environment.runningTasks();
 		record.runs = await environment.runEvents();
+		record.runsAcrossBundles = environment.sharedRuns.acrossBundles;
 	} finally {
 		callers.dispose();
 		await environment.stop();
@@ -46,8 +48,9 @@
 	return record;
 }
 
-function faultsOf({seed, milliseconds, longestPauseMilliseconds, longestSuspensionMilliseconds, hasFaults}: SoakPlan): ReturnType<typeof generateFaultPlan> {
+function faultsOf({seed, milliseconds, zones, entriesPerZone, longestPauseMilliseconds, longestSuspensionMilliseconds, hasFaults, formerBundle}: SoakPlan): ReturnType<typeof generateFaultPlan> {
 	const pauses = longestPauseMilliseconds > 0 ? generatePausePlan(seed, milliseconds, longestPauseMilliseconds) : [];
 	const suspensions = longestSuspensionMilliseconds > 0 ? generatePausePlan(seed, milliseconds, longestSuspensionMilliseconds, suspensionKinds) : [];
-	return [...(hasFaults ? generateFaultPlan(seed, milliseconds) : []), ...pauses, ...suspensions];
+	const replacements = formerBundle === '' ? [] : planReplacements(zones * entriesPerZone, milliseconds);
+	return [...(hasFaults ? generateFaultPlan(seed, milliseconds) : []), ...pauses, ...suspensions, ...replacements];
 }
--- a/soak/soak-environment.ts
+++ b/soak/soak-environment.ts
@@ -5,6 +5,7 @@
 import {ConfigurationPublisher} from '../standins/configuration-publisher.js';
 import {FaultProxy} from '../standins/fault-proxy.js';
 import {EdgeProcess} from './edge-process.js';
+import {SharedRuns} from './shared-runs.js';
 import {soakHost} from './soak-host.js';
 import type {SoakPlan} from './soak-plan.js';
 import type {SoakRecord} from './soak-record.js';
@@ -37,10 +38,14 @@
 	}
 
 	readonly workerRelays: FaultProxy[] = [];
+	readonly sharedRuns: SharedRuns;
+	readonly entries: readonly EdgeProcess[];
 	readonly operator: ConfigurationPublisher;
 	readonly storeAddress: string;
 
-	private constructor(private readonly plan: SoakPlan, private readonly store: Program, private readonly host: Program, readonly entries: readonly EdgeProcess[]) {
+	private constructor(private readonly plan: SoakPlan, private readonly store: Program, private readonly host: Program, {entries, sharedRuns}: Fleet) {
+		this.entries = entries;
+		this.sharedRuns = sharedRuns;
 		this.storeAddress = `127.0.0.1:${store.ports.httpPort}`;
 		this.operator = new ConfigurationPublisher(this.storeAddress, service, soakHost);
 	}
@@ -124,22 +129,29 @@
 	return response.body.json();
 }
 
+/** The entries, and the runs between them. */
+type Fleet = {readonly entries: readonly EdgeProcess[]; readonly sharedRuns: SharedRuns};
+
 /** Settings that all entries share. */
 type SharedEntrySettings = {readonly zones: readonly string[]; readonly folder: string; readonly storeAddress: string; readonly record: SoakRecord};
 
-function createEntries(plan: SoakPlan, {zones, folder, storeAddress, record}: SharedEntrySettings): readonly EdgeProcess[] {
+function createEntries(plan: SoakPlan, {zones, folder, storeAddress, record}: SharedEntrySettings): Fleet {
 	const network = process.pid % networkCount;
-	return zones.flatMap((zone, zoneIndex) => Array.from({length: plan.entriesPerZone}, (_, index) => new EdgeProcess({
+	const sharedRuns = new SharedRuns();
+	const present = {bundle: plan.bundle, scheduling: plan.scheduling};
+	const entries = zones.flatMap((zone, zoneIndex) => Array.from({length: plan.entriesPerZone}, (_, index) => new EdgeProcess({
 		instance: `${zone}-entry-${index + 1}`,
 		zone,
 		address: `127.${network + 10}.${zoneIndex + 1}.${index + 1}`,
 		storeAddress,
 		folder,
 		profileFolder: plan.profileFolder,
-		bundle: plan.bundle,
-		scheduling: plan.scheduling,
+		present,
+		former: plan.formerBundle === '' ? present : {bundle: plan.formerBundle, scheduling: plan.formerScheduling},
+		sharedRuns,
 		onDefect(kind, detail) {
 			record[kind].push(detail);
 		},
 	})));
+	return {entries, sharedRuns};
 }
--- a/soak/soak-plan.ts
+++ b/soak/soak-plan.ts
@@ -21,4 +21,8 @@
 	readonly bundle: string;
 	/** Scheduling file of the entries; empty for none. */
 	readonly scheduling: string;
+	/** Bundle that each entry runs at first, until it is replaced; empty for none, so that no entry is replaced. */
+	readonly formerBundle: string;
+	/** Scheduling file of the entries while they run the former bundle; empty for none. */
+	readonly formerScheduling: string;
 };
--- a/soak/soak-record.ts
+++ b/soak/soak-record.ts
@@ -42,8 +42,10 @@
 	readonly drains: Array<{readonly worker: string; readonly ackedAt: number}>;
 	/** Unexpected process exits. */
 	readonly exits: string[];
-	/** Unhandled errors, as logged. */
+	/** Unhandled errors and messages of peers that could not be decoded, as logged. */
 	readonly defects: string[];
+	/** Runs that an entry started for an entry of the other bundle. */
+	runsAcrossBundles: number;
 	/** Tasks still running after all callers have finished and all faults have ended. */
 	leftovers: readonly string[];
 	/** When the last fault was reverted. */
--- a/test/soak/invariants.test.ts
+++ b/test/soak/invariants.test.ts
@@ -36,6 +36,7 @@
 		drains: [],
 		exits: [],
 		defects: [],
+		runsAcrossBundles: 0,
 		leftovers: [],
 		healedAt: 0,
 		...changes,
