Entries of another version of the peer protocol are logged once, by both sides

A hello of another version closed the connection as an invalid frame, without a line, and the dialer redialled every 250 ms: a layout that changes with its version, as the pinned layouts demand, would have split a fleet without a word. Now only the version is read of such a hello, the listener answers with its own and closes, and each side logs peerVersionDiffers (308) once for each version, at most eight, since a hello comes before any proof of the shared key. Entries of before close the connection on that answer as on any invalid frame. The version is named in one place.

Not yet played with real processes.

--- a/src/runtime/journal/events/membership-events.ts
+++ b/src/runtime/journal/events/membership-events.ts
@@ -27,6 +27,12 @@
 	peerMessageUnreadable: {
 		number: 307, level: 'warning', meaning: 'A message from a peer could not be decoded and was dropped', fields: ['peer', 'channel'],
 	},
+	peerVersionDiffers: {
+		number: 308,
+		level: 'warning',
+		meaning: 'An entry speaks another version of the peer protocol, so that it and this entry share no capacity; logged once for each version',
+		fields: ['version', 'own', 'address'],
+	},
 	catalogueChanged: {
 		number: 320, level: 'notice', meaning: 'A target was added, removed, restarted or started to drain', fields: ['target', 'change', 'sequence', 'incarnation'],
 	},
--- a/src/runtime/peers/accepted-connection.ts
+++ b/src/runtime/peers/accepted-connection.ts
@@ -8,6 +8,7 @@
 import {handshake} from './handshake.js';
 import type {Member} from './member.js';
 import type {peerFrameSchema} from './peer-frame.js';
+import {protocolVersion} from './protocol-version.js';
 import type {TrafficCounter} from './traffic-counter.js';
 
 /** Closes connections that don't complete the handshake in time. */
@@ -66,11 +67,18 @@
 			this.#unverifiedPeer = frame.member;
 			const proof = handshake.proof(this.parts.key, 'listener', frame.nonce, this.parts.self.id);
 			this.#frames.send({
-				kind: 'welcome', version: 1, nonce: this.#nonce, proof, member: this.parts.self,
+				kind: 'welcome', version: protocolVersion, nonce: this.#nonce, proof, member: this.parts.self,
 			});
 			return;
 		}
 
+		if (frame.kind === 'version') {
+			this.parts.listener.onVersionDiffers(frame.version, this.parts.socket.remoteAddress ?? '');
+			this.#frames.send({kind: 'version', version: protocolVersion});
+			this.#frames.dispose();
+			return;
+		}
+
 		this.#completeHandshake(frame);
 	}
 
--- a/src/runtime/peers/connection-listener.ts
+++ b/src/runtime/peers/connection-listener.ts
@@ -18,6 +18,8 @@
 	readonly onMessage: (member: Member, message: PeerMessage & {readonly stamp: number; readonly echo: number}) => void;
 	/** The peer's port refused the connection. */
 	readonly onConnectionRefused: (peerAddress: string) => void;
+	/** The other side speaks another version of the protocol. */
+	readonly onVersionDiffers: (version: number, address: string) => void;
 	/** The other side doesn't have the shared key or doesn't follow the protocol. */
 	readonly onHandshakeFailed: (detail: string) => void;
 };
--- a/src/runtime/peers/decode-frame.ts
+++ b/src/runtime/peers/decode-frame.ts
@@ -1,7 +1,7 @@
 /** Decoding of peer frames. */
 import {decode} from 'cbor-x';
 import type {z} from 'zod';
-import {peerFrameSchema} from './peer-frame.js';
+import {otherVersionSchema, peerFrameSchema} from './peer-frame.js';
 
 type Frame = z.output<typeof peerFrameSchema>;
 
@@ -29,5 +29,10 @@
 
 function parseHandshake(value: unknown): Frame | undefined {
 	const checked = peerFrameSchema.safeParse(value);
-	return checked.success ? checked.data : undefined;
+	if (checked.success) {
+		return checked.data;
+	}
+
+	const other = otherVersionSchema.safeParse(value);
+	return other.success ? {kind: 'version', version: other.data.version} : undefined;
 }
--- a/src/runtime/peers/outgoing-connection.ts
+++ b/src/runtime/peers/outgoing-connection.ts
@@ -11,6 +11,7 @@
 import type {PeerMessage} from './peer-message.js';
 import type {PeerTiming} from './peer-timing.js';
 import type {PeerTransport} from './peer-transport.js';
+import {protocolVersion} from './protocol-version.js';
 import type {TrafficCounter} from './traffic-counter.js';
 
 /** Limit of messages queued until the connection is established; the oldest are dropped, since senders retransmit. */
@@ -128,7 +129,7 @@
 			socket.setTimeout(0);
 			this.#isConnected = true;
 			frames.send({
-				kind: 'hello', version: 1, nonce: this.#nonce, member: this.parts.self,
+				kind: 'hello', version: protocolVersion, nonce: this.#nonce, member: this.parts.self,
 			});
 		});
 		socket.setTimeout(this.parts.timing.connectTimeout);
@@ -163,6 +164,12 @@
 	}
 
 	#completeHandshake(frame: Frame): void {
+		if (frame.kind === 'version') {
+			this.parts.listener.onVersionDiffers(frame.version, this.parts.peerAddress);
+			this.#socket?.dispose();
+			return;
+		}
+
 		if (frame.kind !== 'welcome' || !handshake.matches(handshake.proof(this.parts.key, 'listener', this.#nonce, frame.member.id), frame.proof)) {
 			this.parts.listener.onHandshakeFailed(`invalid handshake from the listener at ${this.parts.peerAddress}`);
 			this.#socket?.dispose();
--- a/src/runtime/peers/tcp-peer-network.ts
+++ b/src/runtime/peers/tcp-peer-network.ts
@@ -18,9 +18,13 @@
 import type {PeerTiming} from './peer-timing.js';
 import type {PeerTraffic} from './peer-traffic.js';
 import type {PeerTransport} from './peer-transport.js';
+import {protocolVersion} from './protocol-version.js';
 import type {ReceivedMessage} from './received-message.js';
 import {TrafficCounter} from './traffic-counter.js';
 
+/** Limit of versions that are logged: they are stated before any proof of the shared key. */
+const loggedVersions = 8;
+
 /** The entry's identity, listening address and peer options. */
 type Identity = {
 	readonly instance: InstanceId;
@@ -51,6 +55,7 @@
 	readonly #discoverEmitter = new Emitter<Member>();
 	readonly #confirmDeathEmitter = new Emitter<MemberId>();
 	readonly #refuseEmitter = new Emitter<string>();
+	readonly #otherVersions = new Set<number>();
 	readonly #deadMembers = new Set<MemberId>();
 	#monitoredAddresses: ReadonlySet<string> = new Set();
 	/** Addresses that are dialled until a member is discovered there, monitored or not. */
@@ -245,12 +250,23 @@
 			onConnectionRefused: address => {
 				this.#handleRefusal(address);
 			},
+			onVersionDiffers: (version, address) => {
+				this.#logOtherVersion(version, address);
+			},
 			onHandshakeFailed: detail => {
 				this.journal.record('strangerDropped', {detail});
 			},
 		};
 	}
 
+	/** Once for each version, since each attempt to connect shows it again. */
+	#logOtherVersion(version: number, address: string): void {
+		if (!this.#otherVersions.has(version) && this.#otherVersions.size < loggedVersions) {
+			this.#otherVersions.add(version);
+			this.journal.record('peerVersionDiffers', {version, own: protocolVersion, address});
+		}
+	}
+
 	#handleHandshake(member: Member): void {
 		const previous = this.#membersByAddress.get(member.peerAddress);
 		// A delayed handshake of a dead incarnation must not revive it.
