A stop states for how long its requester may not have read the hang-up

A requester was suspended for 0.37 to 0.48 s, its caller hung up meanwhile and came again 1.3 s later, and the target didn't get the stop.

Cause: an owner counts 1.2 s from when the requester gave the run up. That is when it reads the hang-up, up to a suspension after it came. The delay of reading is learned from late timers, and counts in part only, so that slowness alone costs no run. A suspension of less than half a second shows on neither.

Change: a stop states how long before it the hang-up may have come: the delay of timers, or time of the last half second that only the wall clock counted. The owner counts 1.2 s from then for this run, which nobody waits for, so that it needn't be generous. Also where the owner is the requester itself. A trailing value that is left out if nothing is known; entries of the code before ignore it.

Evidence: late-disconnects, suspended for a moment, target of the requester itself: fails on the code before (250 ms), passes for 250, 365 and 490 ms at eight moments each.

--- a/src/features/dispatch/owner-commands.ts
+++ b/src/features/dispatch/owner-commands.ts
@@ -23,10 +23,10 @@
 	stop({task, attempt, owner}: OwnedRun, cause: string): void {
 		const {executor, pool} = this.dependencies;
 		if (owner === pool.self) {
-			executor.stop(task, attempt, cause);
+			executor.stop(task, attempt, cause, pool.unreadMilliseconds);
 		} else {
 			pool.send(owner, {
-				kind: 'stop', task, attempt, cause,
+				kind: 'stop', task, attempt, cause, unreadMilliseconds: pool.unreadMilliseconds || undefined,
 			});
 		}
 	}
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -200,10 +200,10 @@
 		}
 	}
 
-	/** Stops a run that nobody waits for any more. */
-	stop(task: string, attempt: number, cause: string): void {
+	/** Stops a run that nobody waits for any more, or has waited for since the given time before the requester's last contact. */
+	stop(task: string, attempt: number, cause: string, unreadMilliseconds = 0): void {
 		for (const session of this.#sessions.withClosing()) {
-			session.abandonRun(task, attempt, cause);
+			session.abandonRun({task, attempt}, cause, unreadMilliseconds);
 		}
 	}
 
@@ -212,7 +212,7 @@
 		for (const session of this.#sessions.withClosing()) {
 			for (const run of session.runs) {
 				if (run.requester === requester) {
-					session.abandonRun(run.request.task, run.request.attempt, cause);
+					session.abandonRun(run.request, cause);
 				}
 			}
 		}
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -25,6 +25,9 @@
 import {TargetReports} from './target-reports.js';
 import {UnknownRuns} from './unknown-runs.js';
 
+/** Longer pauses end all jobs of a requester; more would withhold the lease from the target's other runs. */
+const longestUnreadMilliseconds = 1200;
+
 /**
  * Starts and stops runs on one target, renews their lease and processes their ends. The target accepts orders only from the
  * session with the highest fencing token. A run keeps its capacity reserved until it has provably ended.
@@ -196,11 +199,14 @@
 		}
 	}
 
-	/** Stops a run that nobody waits for any more. Its lease doesn't outlast the requester's last contact by long. */
-	abandonRun(task: string, attempt: number, cause: string): void {
+	/**
+	 * Stops a run that nobody waits for any more. Its lease doesn't outlast the requester's last contact by long, less the time for which
+	 * the requester didn't read that the caller had disconnected.
+	 */
+	abandonRun({task, attempt}: {readonly task: string; readonly attempt: number}, cause: string, unreadMilliseconds = 0): void {
 		const run = this.#runs.get({task, attempt});
 		if (run !== undefined) {
-			run.abandonedAt ??= this.parts.lastContact(run.requester);
+			run.abandonedAt ??= this.parts.lastContact(run.requester) - Math.min(unreadMilliseconds, longestUnreadMilliseconds);
 			this.#runControl.stop(run, cause);
 		}
 	}
--- a/src/features/pool/decode-messages.ts
+++ b/src/features/pool/decode-messages.ts
@@ -94,7 +94,7 @@
 
 		case messageCode.stop: {
 			return {
-				kind: 'stop', task: values.text<TaskId>(), attempt: values.number(), cause: values.text(),
+				kind: 'stop', task: values.text<TaskId>(), attempt: values.number(), cause: values.text(), unreadMilliseconds: values.optionalFiniteNumber(),
 			};
 		}
 
--- a/src/features/pool/encode-messages.ts
+++ b/src/features/pool/encode-messages.ts
@@ -52,7 +52,7 @@
 		}
 
 		case 'stop': {
-			return [messageCode.stop, message.task, message.attempt, message.cause];
+			return [messageCode.stop, message.task, message.attempt, message.cause, ...optional(message.unreadMilliseconds)];
 		}
 
 		case 'handover': {
@@ -60,7 +60,7 @@
 		}
 
 		case 'adopted': {
-			return [messageCode.adopted, message.task, message.attempt, ...(message.fence === undefined ? [] : [message.fence])];
+			return [messageCode.adopted, message.task, message.attempt, ...optional(message.fence)];
 		}
 
 		case 'adoptionHeard': {
@@ -91,6 +91,10 @@
 	}
 }
 
+function optional(value: number | undefined): Encoded {
+	return value === undefined ? [] : [value];
+}
+
 function encodeStateMessage({state, isForMonitor, mesh, backlog}: Extract<PoolMessage, {readonly kind: 'state'}>): Encoded {
 	const slowdowns = encodeSlowdowns(state);
 	const encoded = [messageCode.state, ...encodeState(state), isForMonitor, ...slowdowns];
--- a/src/features/pool/pool-message.ts
+++ b/src/features/pool/pool-message.ts
@@ -27,7 +27,8 @@
 	| {readonly kind: 'entries'; readonly entries: readonly PeerEndpoint[]}
 	| {readonly kind: 'run'; readonly request: RunRequest}
 	| {readonly kind: 'report'; readonly task: TaskId; readonly attempt: number; readonly outcome: RunOutcome}
-	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string}
+	/** `unreadMilliseconds`: how long before the message the caller may have disconnected; absent if not known to be late. */
+	| {readonly kind: 'stop'; readonly task: TaskId; readonly attempt: number; readonly cause: string; readonly unreadMilliseconds?: number | undefined}
 	/** `requesters` describes the entries of the runs, which the new owner may never have connected to. */
 	| {readonly kind: 'handover'; readonly handovers: readonly Handover[]; readonly requesters: readonly PeerDescriptor[]}
 	/** `fence` is the sender's token for the run's target; absent from entries of former versions. */
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -74,6 +74,7 @@
 		});
 		this.#store.add(parts.pauses.onDidSkipTime(milliseconds => {
 			this.#contacts.recordSkippedTime(milliseconds);
+			this.#readingDelay.recordSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidExplainSkippedTime(milliseconds => {
 			this.#contacts.explainSkippedTime(milliseconds);
@@ -173,6 +174,12 @@
 		return Math.max(this.#contacts.lastContact(id) ?? Number.NEGATIVE_INFINITY, this.#descriptors.heardAt(id));
 	}
 
+	/** How long ago a caller may have disconnected whose disconnect this entry reads now. */
+	get unreadMilliseconds(): number {
+		this.parts.pauses.check();
+		return this.#readingDelay.unreadMilliseconds;
+	}
+
 	start(): void {
 		this.#readingDelay.start();
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
--- a/src/features/pool/reading-delay.ts
+++ b/src/features/pool/reading-delay.ts
@@ -15,6 +15,7 @@
  */
 export class ReadingDelay implements Disposable {
 	readonly #samples: number[] = [];
+	#skipped: {readonly milliseconds: number; readonly at: number} | undefined;
 	#dueAt = Number.POSITIVE_INFINITY;
 	#timer: Disposable | undefined;
 
@@ -26,6 +27,21 @@
 		return longest < negligibleMilliseconds ? 0 : Math.round(longest);
 	}
 
+	/** How long ago input may have arrived that this entry reads now: includes a suspension that it has just resumed from. */
+	get unreadMilliseconds(): number {
+		return Math.max(this.milliseconds, this.skippedMilliseconds);
+	}
+
+	/** Time that the clock didn't count just now, which may have been a suspension; 0 after a few periods. */
+	get skippedMilliseconds(): number {
+		const {milliseconds, at} = this.#skipped ?? {milliseconds: 0, at: 0};
+		return this.clock.now() - at > sampleCount * periodMilliseconds ? 0 : Math.round(milliseconds);
+	}
+
+	recordSkippedTime(milliseconds: number): void {
+		this.#skipped = {milliseconds: milliseconds + this.skippedMilliseconds, at: this.clock.now()};
+	}
+
 	start(): void {
 		const now = this.clock.now();
 		this.#dueAt = (Math.floor((now / periodMilliseconds) + 0.5) + 1) * periodMilliseconds;
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -243,7 +243,7 @@
 		this.#waiting.delete(task);
 	}
 
-	#handleStop(from: MemberId, {task, attempt, cause}: Extract<PoolMessage, {kind: 'stop'}>): void {
+	#handleStop(from: MemberId, {task, attempt, cause, unreadMilliseconds}: Extract<PoolMessage, {kind: 'stop'}>): void {
 		const known = this.#runs.get(runKeyOf({task, attempt}));
 		if (known !== undefined && known.requester !== from) {
 			this.#cancelWaiting(from, task);
@@ -253,7 +253,7 @@
 		if (known === undefined) {
 			this.#refusePermanently(from, {task, attempt}, 'superseded');
 		} else {
-			this.executor.stop(task, attempt, cause);
+			this.executor.stop(task, attempt, cause, unreadMilliseconds);
 		}
 	}
 
--- a/test/entries/edge/late-disconnects.test.ts
+++ b/test/entries/edge/late-disconnects.test.ts
@@ -61,3 +61,22 @@
 		assert.deepEqual([next.submitted?.verdict, cluster.orders.starts.length], [{kind: 'answered', answer: 'complete'}, 2], `${delay} ms late`);
 	}
 });
+
+// Guards against an owner that renews a run as if the caller had disconnected when its resumed requester read it.
+for (const owner of ['b', 'a'] as const) {
+	test(`a run whose stops are lost ends before its caller resubmits, although its requester was suspended for a moment (target of ${owner}-1)`, async () => {
+		for (const suspension of [250, 365, 490]) {
+			for (const moment of slowMilliseconds) {
+				const {world, cluster, submission} = await startOnSlowRequester({owner, run: 8000, delay: 0});
+				await cluster.advance(moment);
+				world.pause('a-1');
+				world.loseStops('target', true);
+				submission.disconnect();
+				await cluster.advance(suspension);
+				world.resume('a-1', {first: 'timers', countsPause: false, socketOrder: 0});
+				await cluster.advance(callerResubmissionMilliseconds - suspension);
+				assert.deepEqual(cluster.runningTasks(), [], `suspended for ${suspension} ms after ${moment} ms`);
+			}
+		}
+	});
+}
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -70,7 +70,10 @@
 		kind: 'report', task, attempt: 1, outcome: {kind: 'gone', target: 'target-1', cause: 'lapsed'},
 	},
 	{
-		kind: 'stop', task, attempt: 1, cause: 'its job is over',
+		kind: 'stop', task, attempt: 1, cause: 'its job is over', unreadMilliseconds: 365,
+	},
+	{
+		kind: 'stop', task, attempt: 1, cause: 'its job is over', unreadMilliseconds: undefined,
 	},
 	{
 		kind: 'handover', handovers: [{target: 'target-1' as InstanceId, runs: [{request, requester: 'entry#1' as MemberId}]}], requesters: [{
