An owner counts its suspension towards the time since a run was abandoned

Cause: a run that is given up has a lease of at most 1.2 s from then by its owner's monotonic clock, which doesn't count a suspension. Contacts with requesters are made older by skipped time, but the moment of the abandonment wasn't.

Change: it is, as soon as the skipped time shows; likewise for a suspension that only a target's clock shows.

Evidence: late-disconnects, owner was suspended for a moment: fails on the code before (150 ms after 50 ms), passes for 150 to 490 ms at three moments.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -165,8 +165,12 @@
 			this.pauses.reportClockGap(gap);
 		}));
 		disposables.add(this.pauses.onDidSkipTime(milliseconds => {
+			this.executor.recordSkippedTime(milliseconds);
 			this.#explainSkippedTime(milliseconds);
 		}));
+		disposables.add(this.pauses.onDidFindHiddenSuspension(milliseconds => {
+			this.executor.recordSkippedTime(milliseconds);
+		}));
 		disposables.add(this.pauses.onDidPause(pause => {
 			this.#verifyPause(pause);
 		}));
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -218,6 +218,15 @@
 		}
 	}
 
+	/** Records time that only the wall clock counted: if this entry was suspended, runs were abandoned earlier by it. */
+	recordSkippedTime(milliseconds: number): void {
+		for (const session of this.#sessions.withClosing()) {
+			for (const run of session.runs) {
+				run.abandonedAt = run.abandonedAt === undefined ? undefined : run.abandonedAt - milliseconds;
+			}
+		}
+	}
+
 	dispose(): void {
 		this.#sessions.dispose();
 	}
--- a/test/entries/edge/late-disconnects.test.ts
+++ b/test/entries/edge/late-disconnects.test.ts
@@ -80,3 +80,27 @@
 		}
 	});
 }
+
+/** Suspends the owner of a run for a moment, after its stop was lost. */
+async function suspendOwner({suspension, moment, isMasked}: {readonly suspension: number; readonly moment: number; readonly isMasked: boolean}): Promise<readonly string[]> {
+	const {world, cluster, submission} = await startOnSlowRequester({owner: 'b', run: 8000, delay: 0});
+	await cluster.advance(1000);
+	world.loseStops('target', true);
+	submission.disconnect();
+	await cluster.advance(moment);
+	world.pause('b-1');
+	await cluster.advance(suspension);
+	world.clocks.get('b-1')!.advanceWallTime(isMasked ? -suspension : 0);
+	world.resume('b-1', {first: 'timers', countsPause: false, socketOrder: 0});
+	await cluster.advance(callerResubmissionMilliseconds - moment - suspension);
+	return cluster.runningTasks();
+}
+
+// Guards against an owner that counts the time since a run was abandoned without its own suspension.
+test('a run whose stops are lost ends before its caller resubmits, although its owner was suspended for a moment', async () => {
+	for (const suspension of [150, 250, 365, 490]) {
+		for (const moment of [50, 300, 550]) {
+			assert.deepEqual(await suspendOwner({suspension, moment, isMasked: false}), [], `suspended for ${suspension} ms after ${moment} ms`);
+		}
+	}
+});
