Failing test: an owner that was suspended unnoticed renews a run that was given up

Cause: the 1.2 s since a run was given up are counted by the owner's monotonic clock. A suspension doesn't count there, and if the wall clock is set back by as much, only a target's clock shows it; that is looked at from 1.2 s on. The target got no stop.

A way: the end of the lease of a run that was given up, in the target's own time, fixed when it's given up.

--- a/test/entries/edge/late-disconnects.test.ts
+++ b/test/entries/edge/late-disconnects.test.ts
@@ -104,3 +104,10 @@
 		}
 	}
 });
+
+// Guards against a suspension of the owner that neither of its clocks shows, because its wall clock was set back meanwhile.
+test('a run whose stops are lost ends before its caller resubmits, although its owner was suspended unnoticed', async () => {
+	for (const suspension of [250, 365, 490]) {
+		assert.deepEqual(await suspendOwner({suspension, moment: 300, isMasked: true}), [], `suspended for ${suspension} ms`);
+	}
+});
