--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -223,10 +223,10 @@
 		}
 	}
 
-	/** Stops a run that nobody waits for any more. */
-	stop(task: string, attempt: number, cause: string): void {
+	/** Stops a run that nobody waits for any more, or has waited for since the given time before the requester's last contact. */
+	stop(task: string, attempt: number, cause: string, unreadMilliseconds = 0): void {
 		for (const session of this.#sessions.withClosing()) {
-			session.abandonRun(task, attempt, cause);
+			session.abandonRun({task, attempt}, cause, unreadMilliseconds);
 		}
 	}
 
@@ -235,12 +235,21 @@
 		for (const session of this.#sessions.withClosing()) {
 			for (const run of session.runs) {
 				if (run.requester === requester) {
-					session.abandonRun(run.request.task, run.request.attempt, cause);
+					session.abandonRun(run.request, cause);
 				}
 			}
 		}
 	}
 
+	/** Records time that only the wall clock counted: if this entry was suspended, runs were abandoned earlier by it. */
+	recordSkippedTime(milliseconds: number): void {
+		for (const session of this.#sessions.withClosing()) {
+			for (const run of session.runs) {
+				run.abandonedAt = run.abandonedAt === undefined ? undefined : run.abandonedAt - milliseconds;
+			}
+		}
+	}
+
 	dispose(): void {
 		this.#sessions.dispose();
 	}
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -77,6 +77,7 @@
 		});
 		this.#store.add(parts.pauses.onDidSkipTime(milliseconds => {
 			this.#recordSkippedTime(milliseconds);
+			this.#readingDelay.recordSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidExplainSkippedTime(milliseconds => {
 			this.#contacts.explainSkippedTime(milliseconds);
@@ -184,6 +185,12 @@
 		return id === this.self ? this.lastContact(id) : this.#descriptors.heardAt(id);
 	}
 
+	/** How long ago a caller may have disconnected whose disconnect this entry reads now. */
+	get unreadMilliseconds(): number {
+		this.parts.pauses.check();
+		return this.#readingDelay.unreadMilliseconds;
+	}
+
 	start(): void {
 		this.#readingDelay.start();
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
--- a/test/support/pinned-frames.ts
+++ b/test/support/pinned-frames.ts
@@ -9,7 +9,7 @@
 	epoch: {losses: 2, pauses: 1},
 	acknowledgedEpoch: {losses: 0, pauses: 3},
 	messages: [{
-		kind: 'stop', task: 'job.0.0.0' as TaskId, attempt: 1, cause: 'over',
+		kind: 'stop', task: 'job.0.0.0' as TaskId, attempt: 1, cause: 'over', unreadMilliseconds: undefined,
 	}],
 	sentAt: 4711,
 	skippedMilliseconds: 0,
--- a/test/support/pinned-messages.ts
+++ b/test/support/pinned-messages.ts
@@ -1,4 +1,5 @@
 /** Messages of the pool, and their bytes in the present layout. */
+import type {FencingToken} from '../../src/base/fencing-token.js';
 import type {AvailabilityZone} from '../../src/base/availability-zone.js';
 import type {Incarnation} from '../../src/base/incarnation.js';
 import type {InstanceId} from '../../src/base/instance-id.js';
@@ -81,7 +82,7 @@
 	},
 	stop: {
 		messages: [{
-			kind: 'stop', task, attempt: 1, cause: 'over',
+			kind: 'stop', task, attempt: 1, cause: 'over', unreadMilliseconds: undefined,
 		}],
 		bytes: '818405696a6f622e302e302e3001646f766572',
 	},
@@ -135,7 +136,7 @@
 	},
 };
 
-/** Layouts with values at the end of a message that entries before 0ba3686 neither encode nor read. */
+/** Layouts with values at the end of a message that entries of former versions neither encode nor read. */
 export const extendedMessages: Readonly<Record<string, PinnedMessages>> = {
 	'state with slowdowns': {
 		messages: [{
@@ -161,4 +162,13 @@
 		messages: [{kind: 'run', request: {...request, millisecondsToObjective: 140}}],
 		bytes: '819202696a6f622e302e302e30016236301969781840016571756575656773657276696365f7f70120f481656f7468657203183c188c',
 	},
+	'state of an extended mesh': {messages: [{
+		kind: 'state', isForMonitor: true, mesh: 'extended', state,
+	}], bytes: '818900f407818467736572766963651969781840018286677365727669636519697818400161616162846773657276696365000000f580f768657874656e646564'},
+	'stop with unread time': {messages: [{
+		kind: 'stop', task, attempt: 1, cause: 'over', unreadMilliseconds: 230,
+	}], bytes: '818505696a6f622e302e302e3001646f76657218e6'},
+	'adopted with a fencing token': {messages: [{
+		kind: 'adopted', task, attempt: 1, fence: 7 as FencingToken,
+	}], bytes: '818407696a6f622e302e302e300107'},
 };
