--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -347,7 +347,9 @@
 
 		const isCurrent = this.#epochs.isCurrent(from.id, frame);
 		for (const message of frame.messages) {
-			this.#handle({from, message, isCurrent, sentAt});
+			this.#handle({
+				from, message, isCurrent, sentAt,
+			});
 		}
 	}
 
--- a/test/support/pinned-messages.ts
+++ b/test/support/pinned-messages.ts
@@ -38,7 +38,9 @@
 /** Layouts that all entries since 454fc6b encode and decode. */
 export const commonMessages: Readonly<Record<string, PinnedMessages>> = {
 	state: {
-		messages: [{kind: 'state', isForMonitor: true, mesh: 'full', state}],
+		messages: [{
+			kind: 'state', isForMonitor: true, mesh: 'full', state,
+		}],
 		bytes: '818600f407818467736572766963651969781840018286677365727669636519697818400161616162846773657276696365000000f5',
 	},
 	entries: {messages: [{kind: 'entries', entries: [{address: '10.0.0.1:1', zone}]}], bytes: '81820a81826a31302e302e302e313a31647a6f6e65'},
@@ -98,9 +100,11 @@
 		bytes: '818306818266746172676574819167656e7472792331696a6f622e302e302e30016236301969781840016571756575656773657276696365f7f70120f481656f746865720318'
 			+ '3c818567656e747279233165656e747279647a6f6e656a31302e302e302e323a311878',
 	},
-	adopted: {messages: [{
-		kind: 'adopted', task, attempt: 1, fence: undefined,
-	}], bytes: '818307696a6f622e302e302e3001'},
+	adopted: {
+		messages: [{
+			kind: 'adopted', task, attempt: 1, fence: undefined,
+		}], bytes: '818307696a6f622e302e302e3001',
+	},
 	adoptionHeard: {messages: [{kind: 'adoptionHeard', task, attempt: 1}], bytes: '81830f696a6f622e302e302e3001'},
 	lost: {messages: [{kind: 'lost', member: requester}], bytes: '81820b67656e7472792331'},
 	losses: {
@@ -162,13 +166,19 @@
 		messages: [{kind: 'run', request: {...request, millisecondsToObjective: 140}}],
 		bytes: '819202696a6f622e302e302e30016236301969781840016571756575656773657276696365f7f70120f481656f7468657203183c188c',
 	},
-	'state of an extended mesh': {messages: [{
-		kind: 'state', isForMonitor: true, mesh: 'extended', state,
-	}], bytes: '818900f407818467736572766963651969781840018286677365727669636519697818400161616162846773657276696365000000f580f768657874656e646564'},
-	'stop with unread time': {messages: [{
-		kind: 'stop', task, attempt: 1, cause: 'over', unreadMilliseconds: 230,
-	}], bytes: '818505696a6f622e302e302e3001646f76657218e6'},
-	'adopted with a fencing token': {messages: [{
-		kind: 'adopted', task, attempt: 1, fence: 7 as FencingToken,
-	}], bytes: '818407696a6f622e302e302e300107'},
+	'state of an extended mesh': {
+		messages: [{
+			kind: 'state', isForMonitor: true, mesh: 'extended', state,
+		}], bytes: '818900f407818467736572766963651969781840018286677365727669636519697818400161616162846773657276696365000000f580f768657874656e646564',
+	},
+	'stop with unread time': {
+		messages: [{
+			kind: 'stop', task, attempt: 1, cause: 'over', unreadMilliseconds: 230,
+		}], bytes: '818505696a6f622e302e302e3001646f76657218e6',
+	},
+	'adopted with a fencing token': {
+		messages: [{
+			kind: 'adopted', task, attempt: 1, fence: 7 as FencingToken,
+		}], bytes: '818407696a6f622e302e302e300107',
+	},
 };
