Answers of takeovers that arrive during a stall are read before they are missed

What callers saw: two runs of a task at the same time. The entry of a resubmission asks its peers, stalls for 110 ms or more, and starts the job beside the former run, although the peers' answers have long arrived. Cause: after a stall, timers fire before sockets are read. The check found that 100 ms had passed, and released the job; the answers that told of the run were then ignored. Change: the check follows the reads of its event-loop turn. Disposal forgets the pending jobs, so that a deferred check schedules nothing. Measured in memory, the first caller's disconnect never read and the target's stops lost: two runs for stalls of 110, 150, 250 and 450 ms with timers first, target of the requester's or of another entry, before; none after. 19 tests of takeovers and ordered resubmissions pass.

--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -108,6 +108,7 @@
 	dispose(): void {
 		this.#flushTimer?.dispose();
 		this.#checkTimer?.dispose();
+		this.#pending.clear();
 	}
 
 	#scheduleFlush(): void {
@@ -162,8 +163,11 @@
 
 		this.#checkTimer ??= this.parts.clock.schedule(checkMilliseconds, () => {
 			this.#checkTimer = undefined;
-			this.#check();
-			this.#scheduleCheck();
+			// After a stall, timers fire before the answers that arrived meanwhile are read.
+			this.parts.clock.defer(() => {
+				this.#check();
+				this.#scheduleCheck();
+			});
 		});
 	}
 
