A takeover waits for runs of an owner that is lost

What callers saw: two runs of a task at the same time. The requester is late by 150 ms and doesn't answer in time, the owner tells of the run and dies, and the resubmitted job starts at once, although the target goes on with the run until its lease ends. Cause: the loss of a peer ended the wait for the runs that it had told of. Change: it ends the wait for the peer's answer only. The wait for its runs ends after 1.5 s at the latest, as for any other peer. Measured in memory, the first caller's disconnect never read and the target's stops lost: two runs in 8 of 8 cases before (requester 150 and 230 ms late, owner killed 5 to 150 ms after the resubmission), none after. 29 tests of takeovers and resubmissions pass. Not mended: an owner that dies before it answers, beside a late requester (2 of 2 at each delay).

--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -96,11 +96,10 @@
 		}
 	}
 
-	/** Nothing more can be learned from a lost entry. */
+	/** A lost entry won't answer. Runs that it told of may go on without it until their leases end. */
 	forget(member: MemberId): void {
 		for (const [job, pending] of this.#pending) {
 			pending.unanswered.delete(member);
-			pending.busy.delete(member);
 			this.#finishIfAnswered(job, pending);
 		}
 	}
