The end of a relayed takeover says whether the job ran

What callers saw: in a fleet without a full mesh, a resubmission that had waited for the end of a former run was answered "not run" (503) when it found no room. In a fleet with one, the same job may have run (504). Cause: a peer that asks the rest of its zone answers before it knows of the run, and its message of the end didn't say what it had learned since. Change: the message names the jobs that ran.

--- a/src/features/takeovers/decode-takeover.ts
+++ b/src/features/takeovers/decode-takeover.ts
@@ -28,7 +28,7 @@
 		}
 
 		case takeoverCode.ended: {
-			return {kind: 'ended', jobs: decodeIds(values)};
+			return {kind: 'ended', jobs: decodeIds(values), mayHaveRun: decodeIds(values)};
 		}
 
 		default: {
--- a/src/features/takeovers/encode-takeover.ts
+++ b/src/features/takeovers/encode-takeover.ts
@@ -19,7 +19,7 @@
 		}
 
 		case 'ended': {
-			return [takeoverCode.ended, message.jobs];
+			return [takeoverCode.ended, message.jobs, message.mayHaveRun];
 		}
 	}
 }
--- a/src/features/takeovers/takeover-message.ts
+++ b/src/features/takeovers/takeover-message.ts
@@ -15,4 +15,5 @@
 	 * `ended` follows for each of them.
 	 */
 	| {readonly kind: 'answer'; readonly round: number; readonly busy: readonly JobId[]; readonly relayed: readonly JobId[]}
-	| {readonly kind: 'ended'; readonly jobs: readonly JobId[]};
+	/** `mayHaveRun` are those of the relayed jobs that ran for others on the entries that were asked. */
+	| {readonly kind: 'ended'; readonly jobs: readonly JobId[]; readonly mayHaveRun: readonly JobId[]};
--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -87,10 +87,12 @@
 		}
 	}
 
-	recordEnd(from: MemberId, jobs: readonly JobId[]): void {
+	recordEnd(from: MemberId, {jobs, mayHaveRun}: Extract<TakeoverMessage, {kind: 'ended'}>): void {
+		const ranJobs = new Set(mayHaveRun);
 		for (const job of jobs) {
 			const pending = this.#pending.get(job);
 			if (pending?.busy.delete(from)) {
+				pending.mayHaveRun ||= ranJobs.has(job);
 				this.#finishIfAnswered(job, pending);
 			}
 		}
--- a/src/features/takeovers/takeover-responder.ts
+++ b/src/features/takeovers/takeover-responder.ts
@@ -13,6 +13,9 @@
 /** Runs that were given up have ended with their leases by then. */
 const longestWaitMilliseconds = 1500;
 
+/** A job whose end another entry waits for, since the given time; `mayHaveRun` says what other entries told of it. */
+type WaitingJob = {readonly claimant: MemberId; readonly since: number; mayHaveRun: boolean};
+
 /** Dependencies of the responder. */
 type TakeoverResponderParts = {
 	readonly self: MemberId;
@@ -31,8 +34,7 @@
 
 /** Stops the runs of former submissions, and tells the entry that takes a job over once they have ended. */
 export class TakeoverResponder implements Disposable {
-	/** Jobs whose end other entries wait for, with the time of the request. */
-	readonly #waiting = new Map<MemberId, Map<JobId, {readonly claimant: MemberId; readonly since: number}>>();
+	readonly #waiting = new Map<MemberId, Map<JobId, WaitingJob>>();
 	#timer: Disposable | undefined;
 
 	constructor(private readonly parts: TakeoverResponderParts) {}
@@ -63,28 +65,42 @@
 		}
 
 		const since = this.parts.clock.now();
-		const waiting = this.#waiting.get(from) ?? new Map<JobId, {readonly claimant: MemberId; readonly since: number}>();
+		const waiting = this.#waiting.get(from) ?? new Map<JobId, WaitingJob>();
 		this.#waiting.set(from, waiting);
 		for (const {job, claimant} of takeovers) {
 			if (open.has(job)) {
-				waiting.set(job, {claimant, since});
+				waiting.set(job, {claimant, since, mayHaveRun: false});
 			}
 		}
 
 		this.#schedule();
 	}
 
+	/** Records what the entries that were asked for a job have told of it. */
+	recordRelayed(job: JobId, mayHaveRun: boolean): void {
+		for (const jobs of this.#waiting.values()) {
+			const waiting = jobs.get(job);
+			if (waiting !== undefined) {
+				waiting.mayHaveRun ||= mayHaveRun;
+			}
+		}
+
+		this.check();
+	}
+
 	/** Tells the waiting entries which jobs have ended. */
 	check(): void {
 		const now = this.parts.clock.now();
 		for (const [member, jobs] of this.#waiting) {
-			const ended = [...jobs].filter(([job, {claimant, since}]) => now - since > longestWaitMilliseconds || !(this.#isBusy(claimant, job) || this.parts.isRelayed(job))).map(([job]) => job);
-			for (const job of ended) {
+			const ended = [...jobs].filter(([job, {claimant, since}]) => now - since > longestWaitMilliseconds || !(this.#isBusy(claimant, job) || this.parts.isRelayed(job)));
+			for (const [job] of ended) {
 				jobs.delete(job);
 			}
 
 			if (ended.length > 0) {
-				this.parts.send(member, {kind: 'ended', jobs: ended});
+				this.parts.send(member, {
+					kind: 'ended', jobs: ended.map(([job]) => job), mayHaveRun: ended.filter(([, waiting]) => waiting.mayHaveRun).map(([job]) => job),
+				});
 			}
 
 			if (jobs.size === 0) {
--- a/src/features/takeovers/takeovers.ts
+++ b/src/features/takeovers/takeovers.ts
@@ -70,8 +70,8 @@
 				// They were given up when the request arrived.
 			},
 		}));
-		this.#store.add(this.#relays.onDidFinish(() => {
-			this.#responder.check();
+		this.#store.add(this.#relays.onDidFinish(({job, mayHaveRun}) => {
+			this.#responder.recordRelayed(job, mayHaveRun);
 		}));
 		this.#store.add(network.onDidReceive(({from, message}) => {
 			if (message.channel === channel) {
@@ -154,8 +154,8 @@
 			}
 
 			case 'ended': {
-				this.#requests.recordEnd(from, message.jobs);
-				this.#relays.recordEnd(from, message.jobs);
+				this.#requests.recordEnd(from, message);
+				this.#relays.recordEnd(from, message);
 				break;
 			}
 
--- a/test/features/takeovers/takeover-messages.test.ts
+++ b/test/features/takeovers/takeover-messages.test.ts
@@ -18,7 +18,7 @@
 	{
 		kind: 'answer', round: 3, busy: [job], relayed: ['other' as JobId],
 	},
-	{kind: 'ended', jobs: [job]},
+	{kind: 'ended', jobs: [job], mayHaveRun: [job]},
 ];
 
 // Guards against values that are read in another order than they are written.
