The timeout in a takeover must be finite

What callers would see: NaN for a timeout stays in the order of submissions for 30 s, in which no run of the job's former submissions is given up; negative infinity gives up every submission. Entries of this code send neither. Cause: the decoder checked the type only, unlike that of frames and handovers. Change: it rejects such a message. Measured: the test fails before the change and passes now.

--- a/src/features/takeovers/decode-takeover.ts
+++ b/src/features/takeovers/decode-takeover.ts
@@ -42,5 +42,5 @@
 }
 
 function decodeJobs(values: EncodedValues): readonly JobTakeover[] {
-	return values.lists(item => ({job: item.text<JobId>(), timeoutMilliseconds: item.number(), claimant: item.text<MemberId>()}));
+	return values.lists(item => ({job: item.text<JobId>(), timeoutMilliseconds: item.finiteNumber(), claimant: item.text<MemberId>()}));
 }
--- a/test/features/takeovers/takeover-messages.test.ts
+++ b/test/features/takeovers/takeover-messages.test.ts
@@ -28,7 +28,7 @@
 
 // Guards against messages of other versions that stop the process or are half read.
 test('malformed takeover messages are refused', () => {
-	for (const body of [undefined, [], [99], [0, 1, true, ['job']], [2, 1, [7], []], [3, 'job']]) {
+	for (const body of [undefined, [], [99], [0, 1, true, ['job']], [2, 1, [7], []], [3, 'job'], [0, 1, true, [['job', Number.NaN, 'member']]], [1, [['job', Number.NEGATIVE_INFINITY, 'member']]]]) {
 		assert.throws(() => decodeTakeover(body), TypeError);
 	}
 });
