--- a/src/features/takeovers/decode-takeover.ts
+++ b/src/features/takeovers/decode-takeover.ts
@@ -28,7 +28,7 @@
 		}
 
 		case takeoverCode.ended: {
-			return {kind: 'ended', jobs: decodeIds(values)};
+			return {kind: 'ended', jobs: decodeIds(values), mayHaveRun: decodeIds(values)};
 		}
 
 		default: {
@@ -42,5 +42,5 @@
 }
 
 function decodeJobs(values: EncodedValues): readonly JobTakeover[] {
-	return values.lists(item => ({job: item.text<JobId>(), timeoutMilliseconds: item.number(), claimant: item.text<MemberId>()}));
+	return values.lists(item => ({job: item.text<JobId>(), timeoutMilliseconds: item.finiteNumber(), claimant: item.text<MemberId>()}));
 }
--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -87,20 +87,21 @@
 		}
 	}
 
-	recordEnd(from: MemberId, jobs: readonly JobId[]): void {
+	recordEnd(from: MemberId, {jobs, mayHaveRun}: Extract<TakeoverMessage, {kind: 'ended'}>): void {
+		const ranJobs = new Set(mayHaveRun);
 		for (const job of jobs) {
 			const pending = this.#pending.get(job);
 			if (pending?.busy.delete(from)) {
+				pending.mayHaveRun ||= ranJobs.has(job);
 				this.#finishIfAnswered(job, pending);
 			}
 		}
 	}
 
-	/** Nothing more can be learned from a lost entry. */
+	/** A lost entry won't answer. Runs that it told of may go on without it until their leases end. */
 	forget(member: MemberId): void {
 		for (const [job, pending] of this.#pending) {
 			pending.unanswered.delete(member);
-			pending.busy.delete(member);
 			this.#finishIfAnswered(job, pending);
 		}
 	}
@@ -108,6 +109,7 @@
 	dispose(): void {
 		this.#flushTimer?.dispose();
 		this.#checkTimer?.dispose();
+		this.#pending.clear();
 	}
 
 	#scheduleFlush(): void {
@@ -162,8 +164,11 @@
 
 		this.#checkTimer ??= this.parts.clock.schedule(checkMilliseconds, () => {
 			this.#checkTimer = undefined;
-			this.#check();
-			this.#scheduleCheck();
+			// After a stall, timers fire before the answers that arrived meanwhile are read.
+			this.parts.clock.defer(() => {
+				this.#check();
+				this.#scheduleCheck();
+			});
 		});
 	}
 
