--- a/src/runtime/peers/decode-frame.ts
+++ b/src/runtime/peers/decode-frame.ts
@@ -1,7 +1,8 @@
 /** Decoding of peer frames. */
 import {decode} from 'cbor-x';
 import type {z} from 'zod';
-import {otherVersionSchema, peerFrameSchema} from './peer-frame.js';
+import {otherVersionSchema} from './other-version-schema.js';
+import {peerFrameSchema} from './peer-frame.js';
 
 type Frame = z.output<typeof peerFrameSchema>;
 
--- a/src/runtime/peers/peer-frame.ts
+++ b/src/runtime/peers/peer-frame.ts
@@ -38,6 +38,3 @@
 	z.object({kind: z.literal('ping'), stamp: z.number()}),
 	z.object({kind: z.literal('pong'), stamp: z.number()}),
 ]);
-
-/** What is read of a `hello` of another version; its other fields may differ. */
-export const otherVersionSchema = z.object({kind: z.literal('hello'), version: z.int()}).refine(({version}) => version !== protocolVersion);
