--- a/src/features/takeovers/submission-order.ts
+++ b/src/features/takeovers/submission-order.ts
@@ -27,7 +27,10 @@
 		this.#removeExpired();
 	}
 
-	/** Whether the runs that a requester has of the job belong to a former submission; a requester without a takeover has the first one. */
+	/**
+	 * Whether the runs that a requester has of the job belong to a former submission. A requester without a takeover is taken to have the
+	 * first one, also if its submission was a later one that it didn't recognise: that one's runs are then stopped and begin again.
+	 */
 	isFormer(requester: MemberId, {job, timeoutMilliseconds}: JobTakeover): boolean {
 		const known = this.#jobs.get(job)?.timeouts.get(requester) ?? Number.POSITIVE_INFINITY;
 		return isLaterSubmission(timeoutMilliseconds, known);
--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -24,7 +24,7 @@
 	readonly sentAt: number;
 	/** Entries that haven't answered. */
 	readonly unanswered: Set<MemberId>;
-	/** Entries on which runs are ending, since the given time. */
+	/** Entries on which runs are ending, or that ask the rest of their zone, with the time of their answer. */
 	readonly busy: Map<MemberId, number>;
 	mayHaveRun: boolean;
 	unansweredPeers: number;
@@ -44,6 +44,8 @@
 };
 
 /**
+ * The wait of a claimant for its peers, and of a peer that relays a request for the rest of its zone.
+ *
  * Before the first start of a resubmitted job, all peers are asked to give up its former submissions. The job waits for the answers,
  * and for the ends of the runs that they tell of, so that the order of both doesn't depend on how late anyone is.
  */
