Resubmissions are recognised whatever the callers' usual timeout is

Callers saw: with usual timeouts above some 6.5 s, a resubmitted job counted as a first one, started without asking its peers, and could run beside its former submission.

Cause: what counted as a first submission was a share (0.8) of the estimate, and so was the step of the estimate, though a resubmission is lower by a time, 1.3 s. Resubmissions then pulled the estimate down to themselves. A queue that began with resubmissions, or was reset by a change of its timeouts while there were some, kept their timeout as its estimate.

Change: first submissions are separated from resubmissions by the distribution of the latest 100 timeouts: a gap, below which timeouts are multiples of the delay lower than above it. The difference that marks a resubmission follows from the spread of the first ones. A fall of the estimate by more than half the delay waits for 5 s, as before.

--- a/src/features/dispatch/caller-timeouts.ts
+++ b/src/features/dispatch/caller-timeouts.ts
@@ -29,9 +29,9 @@
 	 */
 	estimateAge(queue: ProfileName, timeoutMilliseconds: number, now: number): number {
 		const timeout = this.#of(queue);
-		const {milliseconds: typical} = timeout;
+		const ageMilliseconds = timeout.ageOf(timeoutMilliseconds);
 		timeout.record(timeoutMilliseconds, now);
-		return typical === undefined ? 0 : Math.max(0, typical - timeoutMilliseconds);
+		return ageMilliseconds;
 	}
 
 	#of(queue: ProfileName): TypicalTimeout {
--- a/src/features/dispatch/job-admission.ts
+++ b/src/features/dispatch/job-admission.ts
@@ -10,12 +10,10 @@
 import type {BestEffortJob} from './best-effort-job.js';
 import type {JobCompletion} from './job-completion.js';
 import type {JobTable} from './job-table.js';
+import {leastResubmittedAgeMilliseconds} from './least-resubmitted-age.js';
 import {RunningJob} from './running-job.js';
 import {uncertainVerdict} from './uncertain-verdict.js';
 
-/** Half of the time after which callers resubmit a job; the typical timeout is known to a few hundredths. */
-const resubmittedAgeMilliseconds = 650;
-
 type Submission = RunningJob['submission'];
 
 /** Dependencies of `JobAdmission`. */
@@ -82,7 +80,7 @@
 		// Refuses a job that can't meet its objective before it takes capacity.
 		this.dependencies.completion.endIfExpired(running, submission.receivedAt);
 		this.#refuseByForecast(running);
-		if (!running.isEnded && (previousTasks !== undefined || (submission.ageMilliseconds ?? 0) >= resubmittedAgeMilliseconds)) {
+		if (!running.isEnded && (previousTasks !== undefined || (submission.ageMilliseconds ?? 0) >= leastResubmittedAgeMilliseconds)) {
 			running.isHeld = true;
 			this.dependencies.takeovers.request({job: job.id, timeoutMilliseconds: job.callerTimeoutMilliseconds});
 		}
--- a/src/features/dispatch/typical-timeout.ts
+++ b/src/features/dispatch/typical-timeout.ts
@@ -1,30 +1,29 @@
 /** Typical caller timeout of one queue. */
+import {freshTimeouts} from './fresh-timeouts.js';
+import {leastResubmittedAgeMilliseconds} from './least-resubmitted-age.js';
+import {quantileOf} from './quantile-of.js';
+import {resubmissionDelayMilliseconds} from './resubmission-delay.js';
 
-/** Quantile of the timeouts of first submissions that is tracked. */
-const quantile = 0.05;
-/** Samples needed for the first estimate. */
+/** Excludes a few callers with other timeouts than the rest, on both sides. */
+const outlierShare = 0.05;
+/** Samples needed for the first estimate; too few to tell first submissions from resubmissions. */
 const initialSamples = 40;
-/** Step per sample, as a share of the estimate. */
-const learningRate = 0.01;
-/** A timeout below this share of the estimate marks a resubmission. */
-const freshThreshold = 0.8;
-/**
- * Resets the estimate when most of the window has looked like resubmissions for this long: an outage causes that for a
- * second or two, a change of the callers' timeouts for longer.
- */
-const resetMilliseconds = 5000;
-const windowSamples = 60;
+const windowSamples = 100;
+/** Lowers the estimate when it has been too high for this long: an outage causes that for a second or two, a change of the callers' timeouts for longer. */
+const shiftMilliseconds = 5000;
+/** A submission that is closer to the estimate isn't told from a first one. */
+const leastDifferenceMilliseconds = 200;
 
 /**
- * Estimates a low quantile of caller timeouts by stochastic approximation. Each submission states the caller's remaining
- * time, so a timeout below the estimate reveals the age of a resubmitted job. The low quantile underestimates ages rather
- * than overestimating them.
+ * Tracks the lower end of the timeouts of recent first submissions. Each submission states the caller's remaining time, so a timeout
+ * below the estimate reveals the age of a resubmitted job. The lower end underestimates ages rather than overestimating them.
  */
 export class TypicalTimeout {
 	#milliseconds: number | undefined;
-	#firstSamples: number[] = [];
-	#recent: boolean[] = [];
-	#shiftedSince: number | undefined;
+	/** By how much a timeout has to be below the estimate to mark a resubmission. */
+	#resubmittedDifference = leastResubmittedAgeMilliseconds;
+	readonly #recent: number[] = [];
+	#tooHighSince: number | undefined;
 
 	/** The estimate; undefined until enough samples were recorded. */
 	get milliseconds(): number | undefined {
@@ -36,47 +35,50 @@
 		this.#milliseconds ??= milliseconds;
 	}
 
-	/** Records the timeout of a submission. */
-	record(milliseconds: number, now: number): void {
-		if (this.#milliseconds === undefined) {
-			this.#initialize(milliseconds);
-			return;
-		}
-
-		const isFresh = milliseconds >= freshThreshold * this.#milliseconds;
-		if (isFresh) {
-			this.#milliseconds += learningRate * this.#milliseconds * (milliseconds < this.#milliseconds ? quantile - 1 : quantile);
-		}
-
-		this.#detectShift(isFresh, now);
-	}
-
-	#initialize(milliseconds: number): void {
-		this.#firstSamples.push(milliseconds);
-		if (this.#firstSamples.length >= initialSamples) {
-			const sorted = this.#firstSamples.sort((left, right) => left - right);
-			this.#milliseconds = sorted[Math.floor(quantile * initialSamples)];
-			this.#firstSamples = [];
-		}
+	/** Returns a lower bound in milliseconds of the age of a submission with the given timeout; 0 without an estimate. */
+	ageOf(timeoutMilliseconds: number): number {
+		const difference = Math.max(0, (this.#milliseconds ?? 0) - timeoutMilliseconds);
+		return difference < this.#resubmittedDifference ? difference : Math.max(difference, leastResubmittedAgeMilliseconds);
 	}
 
-	#detectShift(isFresh: boolean, now: number): void {
-		this.#recent.push(isFresh);
+	/** Records the timeout of a submission. */
+	record(timeoutMilliseconds: number, now: number): void {
+		this.#recent.push(timeoutMilliseconds);
 		if (this.#recent.length > windowSamples) {
 			this.#recent.shift();
 		}
 
-		const fresh = this.#recent.filter(Boolean).length;
-		if (this.#recent.length < windowSamples || fresh >= windowSamples / 2) {
-			this.#shiftedSince = undefined;
-			return;
+		const sorted = this.#recent.toSorted((left, right) => left - right);
+		if (sorted.length === windowSamples) {
+			this.#update(freshTimeouts(sorted), now);
+		} else if (this.#milliseconds === undefined && sorted.length >= initialSamples) {
+			this.#milliseconds = lowerEndOf(sorted);
 		}
+	}
 
-		this.#shiftedSince ??= now;
-		if (now - this.#shiftedSince > resetMilliseconds) {
-			this.#milliseconds = undefined;
-			this.#recent = [];
-			this.#shiftedSince = undefined;
+	#update(fresh: readonly number[], now: number): void {
+		const milliseconds = lowerEndOf(fresh);
+		const isTooHigh = this.#milliseconds !== undefined && this.#milliseconds - milliseconds >= leastResubmittedAgeMilliseconds;
+		this.#tooHighSince = isTooHigh ? this.#tooHighSince ?? now : undefined;
+		if (this.#tooHighSince !== undefined && now - this.#tooHighSince <= shiftMilliseconds) {
+			return;
 		}
+
+		this.#milliseconds = milliseconds;
+		this.#resubmittedDifference = resubmittedDifferenceOf(quantileOf(fresh, 1 - outlierShare) - milliseconds);
 	}
 }
+
+/** Extrapolates two low quantiles, as the lowest samples may be outliers. */
+function lowerEndOf(sorted: readonly number[]): number {
+	return (2 * quantileOf(sorted, outlierShare)) - quantileOf(sorted, 2 * outlierShare);
+}
+
+/**
+ * Half of what separates the youngest resubmissions from the estimate. Timeouts that spread by more than the resubmission delay don't
+ * separate them; the wider the spread, the further below the estimate are first submissions.
+ */
+function resubmittedDifferenceOf(spreadMilliseconds: number): number {
+	const separation = Math.abs(resubmissionDelayMilliseconds - spreadMilliseconds);
+	return Math.min(leastResubmittedAgeMilliseconds, Math.max(leastDifferenceMilliseconds, separation / 2));
+}
--- a/test/features/dispatch/caller-timeouts.test.ts
+++ b/test/features/dispatch/caller-timeouts.test.ts
@@ -80,3 +80,73 @@
 
 	assert.equal(recognised >= 72, true, `${recognised} of 80`);
 });
+
+type Traffic = {readonly timeout: number; readonly spread: number; readonly resubmittedInverse: number; readonly interval: number};
+
+/** Submits first submissions and resubmissions by turns; returns the wrongly recognised ones of each, and when the last one came. */
+function submitTraffic(timeouts: CallerTimeouts, {timeout, spread, resubmittedInverse, interval}: Traffic, startedAt = 0, samples = 800) {
+	const random = new Random(1);
+	const wrong = {first: 0, resubmitted: 0, lastAfter: 0};
+	for (let sample = 1; sample <= samples; sample += 1) {
+		const isResubmitted = sample % resubmittedInverse === 0;
+		const stated = timeout + (spread * (random.fraction() - 0.5)) - (isResubmitted ? 1300 : 0);
+		const isRecognised = timeouts.estimateAge(queue, stated, startedAt + (sample * interval)) >= 650;
+		if (isRecognised !== isResubmitted) {
+			wrong[isResubmitted ? 'resubmitted' : 'first'] += 1;
+			wrong.lastAfter = sample * interval;
+		}
+	}
+
+	return wrong;
+}
+
+// Guards against thresholds that are a share of the timeout, although resubmissions are younger by a time.
+test('resubmissions are told from first submissions whatever the usual timeout, its spread and their share are', () => {
+	for (const timeout of [1500, 4000, 8000, 12_000, 20_000, 31_000, 45_000]) {
+		for (const spread of [0, 0.01 * timeout, 0.02 * timeout]) {
+			for (const resubmittedInverse of [2, 3, 5, 10]) {
+				const timeouts = new CallerTimeouts();
+				timeouts.seed(queue, timeout);
+				const {first, resubmitted} = submitTraffic(timeouts, {
+					timeout, spread, resubmittedInverse, interval: 10,
+				});
+				assert.deepEqual({first, resubmitted}, {first: 0, resubmitted: 0}, `${timeout} ms, spread ${spread} ms, one in ${resubmittedInverse}`);
+			}
+		}
+	}
+});
+
+// Guards against an estimate that stays at the resubmissions' timeout because they were among its first samples.
+test('resubmissions are recognised in a queue that began with them', () => {
+	for (const resubmittedInverse of [3, 5, 10]) {
+		const timeouts = new CallerTimeouts();
+		const traffic = {
+			timeout: 20_000, spread: 200, resubmittedInverse, interval: 10,
+		};
+		submitTraffic(timeouts, traffic, 0, 100);
+		assert.deepEqual(submitTraffic(timeouts, traffic, 1000), {first: 0, resubmitted: 0, lastAfter: 0}, `one in ${resubmittedInverse}`);
+	}
+});
+
+// Guards against an estimate that follows a change of the callers' timeouts too slowly to recognise resubmissions afterwards.
+test('changed timeouts are learned within seconds, also while some submissions are resubmissions', () => {
+	for (const [before, after] of [[2000, 20_000], [20_000, 2000], [20_000, 18_700], [20_000, 19_000], [20_000, 20_700], [8000, 45_000]] as const) {
+		for (const resubmittedInverse of [5, Number.POSITIVE_INFINITY]) {
+			const timeouts = new CallerTimeouts();
+			const traffic = {spread: 100, resubmittedInverse, interval: 20};
+			submitTraffic(timeouts, {...traffic, timeout: before});
+			const {lastAfter} = submitTraffic(timeouts, {...traffic, timeout: after}, 16_000);
+			assert.equal(lastAfter <= 8000, true, `${before} to ${after} ms, one in ${resubmittedInverse}: ${lastAfter} ms`);
+		}
+	}
+});
+
+// Guards against taking the lower ones of widely spread timeouts for resubmissions.
+test('first submissions are rarely taken for resubmissions although their timeouts spread by more than the resubmission delay', () => {
+	for (const spread of [1300, 1700, 2000, 2600, 5000]) {
+		const {first} = submitTraffic(new CallerTimeouts(), {
+			timeout: 30_000, spread, resubmittedInverse: Number.POSITIVE_INFINITY, interval: 10,
+		}, 0, 4000);
+		assert.equal(first <= 8, true, `${first} of 4000 with a spread of ${spread} ms`);
+	}
+});
