Resubmissions wait for the answers of live entries that are known to be slow

Callers saw: a task ran beside its former submission's run, for as long as that one's entry took to read the request to give it up, whenever that entry read 110 ms late or more and owned the target itself; with stops that work as well.

Cause: a claimant waited 100 ms for each answer, for a dead peer as for a live one that states how late it reads.

Ruled out: lost stops.

Change: a peer that stated a delay in its latest message, and whose next heartbeat isn't overdue, is waited for by three times that delay and the claimant's own more, 500 ms in all at most; others for 100 ms as before.

--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -30,9 +30,18 @@
 
 /**
  * `aliveAt` is when the latest message was sent, and `lastAt` the same less the reading delay. `smallestDifference` and its predecessor
- * cover one window each; both are in milliseconds. `skippedMilliseconds` is the latest that the peer stated.
+ * cover one window each; both are in milliseconds. `skippedMilliseconds` and `readingDelayMilliseconds` are the latest that the peer
+ * stated.
  */
-type Contact = {aliveAt: number; lastAt: number; windowEndsAt: number; smallestDifference: number; previousDifference: number; skippedMilliseconds: number};
+type Contact = {
+	aliveAt: number;
+	lastAt: number;
+	windowEndsAt: number;
+	smallestDifference: number;
+	previousDifference: number;
+	skippedMilliseconds: number;
+	readingDelayMilliseconds: number;
+};
 
 /**
  * Estimates when each peer sent its latest message, by this entry's monotonic clock. The time at which a message is read proves
@@ -77,8 +86,9 @@
 		const difference = now - sentAt;
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
 			aliveAt: Number.NEGATIVE_INFINITY, lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference,
-			skippedMilliseconds,
+			skippedMilliseconds, readingDelayMilliseconds,
 		});
+		contact.readingDelayMilliseconds = readingDelayMilliseconds;
 		const added = Math.max(0, skippedMilliseconds - contact.skippedMilliseconds);
 		const estimate = sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
 		// A message from the future: the peer wasn't suspended, and this message may be as late as the former ones. One from the near
@@ -110,6 +120,11 @@
 		return this.#contacts.get(member)?.aliveAt;
 	}
 
+	/** How late a peer reads its input, as it stated in its latest message; undefined if there was none. */
+	statedReadingDelay(member: MemberId): number | undefined {
+		return this.#contacts.get(member)?.readingDelayMilliseconds;
+	}
+
 	/** Records time that only this entry's wall clock counted: if it was suspended, all contacts are older by that time. */
 	recordSkippedTime(milliseconds: number): void {
 		this.#unexplainedMilliseconds += milliseconds;
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -4,7 +4,6 @@
 import {Emitter} from '../../base/emitter.js';
 import type {MemberId} from '../../base/member-id.js';
 import {repeat} from '../../base/repeat.js';
-import type {Pause} from '../../runtime/pause.js';
 import type {Member} from '../../runtime/peers/member.js';
 import {decodeFrame} from './decode-frame.js';
 import type {EntryState} from './entry-state.js';
@@ -21,6 +20,7 @@
 import type {PoolMessage} from './pool-message.js';
 import type {PoolParts} from './pool-parts.js';
 import {ReadingDelay} from './reading-delay.js';
+import {recordPause} from './record-pause.js';
 import {StateBroadcaster} from './state-broadcaster.js';
 
 /**
@@ -87,7 +87,7 @@
 			this.#contacts.explainSkippedTime(milliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidPause(pause => {
-			this.#handlePause(pause);
+			recordPause(members(), pause, clock.now(), checkMilliseconds);
 		}));
 		this.#store.add(parts.pauses.onDidConfirmPause(milliseconds => {
 			this.#handleStall(milliseconds);
@@ -191,6 +191,17 @@
 		return this.#readingDelay.unreadMilliseconds;
 	}
 
+	/**
+	 * How late a live peer reads its input, in milliseconds, as it stated last; 0 for any other, and for one whose next heartbeat is later
+	 * than that explains.
+	 */
+	readingDelay(id: MemberId): number {
+		const known = this.#members.get(id);
+		const delay = this.#contacts.statedReadingDelay(id) ?? 0;
+		const isLive = known !== undefined && this.parts.clock.now() - known.heardAt <= known.expectedTiming.staleAfterMilliseconds + (2 * delay);
+		return isLive ? delay : 0;
+	}
+
 	start(): void {
 		this.#readingDelay.start();
 		this.#store.add(repeat(this.parts.clock, checkMilliseconds, () => {
@@ -416,24 +427,6 @@
 		}
 	}
 
-	/**
-	 * Adds time that this entry's clock didn't count to the silence of the peers. Each peer then has until its next heartbeat
-	 * to send something: earlier messages may still be unread, or the system time may just have been set.
-	 */
-	#handlePause({milliseconds, monotonicMilliseconds: counted}: Pause): void {
-		const now = this.parts.clock.now();
-		for (const known of this.#members.values()) {
-			const {timeoutMilliseconds, periodMilliseconds} = known.expectedTiming;
-			const heartbeat = periodMilliseconds + checkMilliseconds;
-			const silentBefore = now - known.heardAt - counted;
-			if (silentBefore <= heartbeat) {
-				known.heardAt = Math.min(now, Math.max(now - milliseconds - silentBefore, now - timeoutMilliseconds + heartbeat));
-			} else {
-				known.heardAt -= milliseconds - counted;
-			}
-		}
-	}
-
 	/** Invalidates all earlier requests of the peers, which may have restarted the work elsewhere or may be gone. */
 	#handleStall(milliseconds: number): void {
 		this.#epochs.recordPause();
--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -14,8 +14,10 @@
 /** Bounds the size of a frame. */
 const maximumJobsPerRound = 200;
 const checkMilliseconds = 20;
-/** How long to wait for an answer. Entries that are slow, dead, cut off or of a former version don't hold up the job for longer. */
-const longestAnswerMilliseconds = 100;
+/** How long to wait for an answer. Entries that are dead, cut off or of a former version don't hold up the job for longer. */
+const usualAnswerMilliseconds = 100;
+/** The same for entries that are known to read their input late. */
+const longestAnswerMilliseconds = 500;
 /** How long to wait for the end of runs that an entry is stopping; their leases end sooner. */
 const longestStopMilliseconds = 1500;
 
@@ -40,6 +42,8 @@
 	/** Stops runs of former submissions on this entry's own targets. */
 	readonly yieldLocally: (takeovers: readonly JobTakeover[]) => void;
 	readonly send: (to: MemberId, message: TakeoverMessage) => void;
+	/** How late an answer of a peer may be read, in milliseconds, because of slow entries; 0 if absent. */
+	readonly delayOf?: (peer: MemberId) => number;
 	readonly clock: Clock;
 };
 
@@ -180,9 +184,11 @@
 	#check(): void {
 		const now = this.parts.clock.now();
 		for (const [job, pending] of this.#pending) {
-			if (now - pending.sentAt >= longestAnswerMilliseconds) {
-				pending.unansweredPeers += pending.unanswered.size;
-				pending.unanswered.clear();
+			for (const peer of pending.unanswered) {
+				if (now - pending.sentAt >= this.#answerLimit(peer)) {
+					pending.unanswered.delete(peer);
+					pending.unansweredPeers += 1;
+				}
 			}
 
 			for (const [peer, since] of pending.busy) {
@@ -194,4 +200,8 @@
 			this.#finishIfAnswered(job, pending);
 		}
 	}
+
+	#answerLimit(peer: MemberId): number {
+		return Math.min(longestAnswerMilliseconds, usualAnswerMilliseconds + (this.parts.delayOf?.(peer) ?? 0));
+	}
 }
--- a/src/features/takeovers/takeovers.ts
+++ b/src/features/takeovers/takeovers.ts
@@ -54,6 +54,7 @@
 				return this.#round;
 			},
 			send,
+			delayOf: (peer: MemberId) => this.#delayOf(peer),
 			clock,
 		};
 		this.#requests = this.#store.add(new TakeoverRequests({
@@ -123,6 +124,13 @@
 		});
 	}
 
+	/** The peer reads the request late, and this entry the answer. A slow peer states at least a third of its delay up to 300 ms. */
+	#delayOf(peer: MemberId): number {
+		const {pool} = this.parts;
+		const delay = pool.readingDelay(peer);
+		return delay === 0 ? 0 : (3 * delay) + pool.unreadMilliseconds;
+	}
+
 	#send(to: MemberId, message: TakeoverMessage): void {
 		const member = this.parts.pool.discovered(to);
 		if (member !== undefined) {
