Owners refuse starts of former submissions after a takeover

Callers saw: a former submission that still waited was started beside the later one, after its owner had answered the takeover that nothing ran, because its requester had not read the takeover yet.

Cause: the owner knew the order of the submissions for 30 s, but did not hold it against a start that came afterwards.

Change: such a start is refused as superseded, so that the job still may have run, and its requester is told of the later submission; it then gives its job up. If its own submission is the later one, and was not recognised, it takes the job over, so that it isn't refused again.

The waiting requests and the verification of pauses got files of their own; remote-runs, pooled-entry and dispatcher are smaller.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -34,15 +34,13 @@
 import type {TargetOrders} from '../../features/targets/target-orders.js';
 import type {ZoneEvacuations} from '../../features/targets/zone-evacuations.js';
 import type {Journal} from '../../runtime/journal/journal.js';
-import type {Pause} from '../../runtime/pause.js';
 import {PauseDetector} from '../../runtime/pause-detector.js';
 import type {PeerNetwork} from '../../runtime/peers/peer-network.js';
+import {PauseVerification} from './pause-verification.js';
 
 /** Delay after the start before zones without entries are covered, so that the pool can form first. */
 const coverDelayMilliseconds = 1500;
 const coverIntervalMilliseconds = 200;
-/** Shorter differences between wall clock and monotonic clock are adjustments of the former, or too short to matter. */
-const leastSuspensionMilliseconds = 200;
 
 /** Dependencies of an entry. */
 type PooledEntryParts = {
@@ -113,7 +111,9 @@
 			clock,
 			journal,
 		}));
-		disposables.add(new RemoteRuns(this.pool, this.executor, clock, journal));
+		disposables.add(new RemoteRuns({
+			pool: this.pool, executor: this.executor, refuseFormer: (requester, job) => takeovers.refuseFormer(requester, job), clock, journal,
+		}));
 		this.ownership = disposables.add(new Ownership({
 			zone, member, store: group, catalogue, evacuations, executor: this.executor, orders, clock, journal,
 		}));
@@ -176,24 +176,25 @@
 	}
 
 	#subscribe(): void {
-		const {routing} = this.parts;
+		const {routing, clock} = this.parts;
 		const disposables = this.#disposables;
+		const verification = new PauseVerification(this.executor, this.pauses, clock);
 		disposables.add(this.executor.onDidCompareClocks(gap => {
 			this.pauses.reportClockGap(gap);
 		}));
 		disposables.add(this.pauses.onDidSkipTime(milliseconds => {
 			this.executor.recordSkippedTime(milliseconds);
-			this.#explainSkippedTime(milliseconds);
+			verification.explainSkippedTime(milliseconds);
 		}));
 		disposables.add(this.pauses.onDidFindHiddenSuspension(milliseconds => {
 			this.executor.recordSkippedTime(milliseconds);
 		}));
 		disposables.add(this.pauses.onDidPause(pause => {
-			this.#verifyPause(pause);
+			verification.verify(pause);
 		}));
 		disposables.add(this.pool.onDidDetectEviction(() => {
 			this.pauses.suspectPause();
-			this.#askTargets(0);
+			verification.askTargets(0);
 		}));
 		disposables.add(this.executor.onDidChangeFreeCapacity(() => {
 			this.pool.announceCapacity();
@@ -267,37 +268,6 @@
 		}
 	}
 
-	/** Lets the targets' clocks show whether the system was suspended or its clock set. Without targets, assumes a suspension. */
-	#explainSkippedTime(milliseconds: number): void {
-		if (this.executor.ownedTargets > 0) {
-			this.executor.pollTargets();
-			return;
-		}
-
-		const now = this.parts.clock.now();
-		this.pauses.reportClockGap({
-			milliseconds, since: now, comparedSince: Number.NEGATIVE_INFINITY, requestedAt: now,
-		});
-	}
-
-	/** Places nothing while the system may have been suspended. A pause that the monotonic clock counted needs no proof. */
-	#verifyPause({milliseconds, monotonicMilliseconds}: Pause): void {
-		const uncounted = milliseconds - monotonicMilliseconds;
-		if (uncounted >= leastSuspensionMilliseconds) {
-			this.#askTargets(uncounted);
-		} else {
-			this.executor.pollTargets();
-		}
-	}
-
-	/** Without an answer, the system is taken to have been suspended for the given time. */
-	#askTargets(uncountedMilliseconds: number): void {
-		if (this.executor.ownedTargets > 0) {
-			this.pauses.awaitVerification(uncountedMilliseconds);
-			this.executor.pollTargets();
-		}
-	}
-
 	#nodeState(): EntryState {
 		return {
 			isLeaving: this.#isLeaving, routingVersion: this.parts.routing.version, demand: this.dispatcher.jobs.minimumNeeds, freeCapacity: this.executor.freeCapacity,
--- a/src/features/dispatch/dispatcher.ts
+++ b/src/features/dispatch/dispatcher.ts
@@ -127,12 +127,14 @@
 		return true;
 	}
 
-	/** Ends a job whose submission is older than one that another entry takes over. */
+	/** Ends a job whose submission is older than one that another entry takes over. A later one that wasn't recognised takes that over. */
 	yieldJob({job, timeoutMilliseconds, claimant}: JobTakeover): void {
 		const running = this.#jobs.get(job);
 		if (running !== undefined && isLaterSubmission(timeoutMilliseconds, running.latestTimeoutMilliseconds)) {
 			this.dependencies.journal.record('jobYielded', {job, claimant});
 			this.#completion.end(running, uncertainVerdict('stopped', 'submitted again through another entry'));
+		} else if (running !== undefined && isLaterSubmission(running.latestTimeoutMilliseconds, timeoutMilliseconds)) {
+			this.#admission.takeOver(running);
 		}
 	}
 
@@ -203,16 +205,8 @@
 			journal.record('touchLost', {cause, jobs: this.#jobs.size});
 			this.#completion.endAll('notReady', `the entry was out of touch: ${cause}`);
 		}));
-		this.#store.add(takeovers.onDidFinish(({job, mayHaveRun, waitedMilliseconds, unansweredPeers}) => {
-			const running = this.#jobs.get(job);
-			if (running?.isHeld) {
-				running.isHeld = false;
-				journal.record('jobReleased', {
-					job, mayHaveRun, waitedMilliseconds: Math.round(waitedMilliseconds), unansweredPeers,
-				});
-				running.possibleStarts = Math.max(running.possibleStarts, mayHaveRun ? 1 : 0);
-				this.#schedulePlacement();
-			}
+		this.#store.add(takeovers.onDidFinish(finished => {
+			this.#admission.release(finished);
 		}));
 		this.#store.add(losses.onDidBlockTask(task => {
 			const found = this.#jobs.findTask(task);
--- a/src/features/dispatch/job-admission.ts
+++ b/src/features/dispatch/job-admission.ts
@@ -5,6 +5,7 @@
 import type {LossHistory} from '../execution/loss-history.js';
 import type {MeanRunTimes} from '../placement/mean-run-times.js';
 import type {Pool} from '../pool/pool.js';
+import type {FinishedTakeover} from '../takeovers/finished-takeover.js';
 import type {Takeovers} from '../takeovers/takeovers.js';
 import type {AdmissionForecast} from './admission-forecast.js';
 import type {BestEffortJob} from './best-effort-job.js';
@@ -48,6 +49,32 @@
 		}
 	}
 
+	/** Holds a job until its former submissions have been given up; does nothing if that was done already. */
+	takeOver(running: RunningJob): void {
+		if (running.isTakenOver) {
+			return;
+		}
+
+		running.isTakenOver = true;
+		running.isHeld = true;
+		this.dependencies.takeovers.request({job: running.job.id, timeoutMilliseconds: running.latestTimeoutMilliseconds});
+	}
+
+	/** Lets a held job start once its takeover has finished. */
+	release({job, mayHaveRun, waitedMilliseconds, unansweredPeers}: FinishedTakeover): void {
+		const running = this.dependencies.jobs.get(job);
+		if (!running?.isHeld) {
+			return;
+		}
+
+		running.isHeld = false;
+		this.dependencies.journal.record('jobReleased', {
+			job, mayHaveRun, waitedMilliseconds: Math.round(waitedMilliseconds), unansweredPeers,
+		});
+		running.possibleStarts = Math.max(running.possibleStarts, mayHaveRun ? 1 : 0);
+		this.dependencies.schedulePlacement();
+	}
+
 	#accept(job: BestEffortJob, submission: Submission, token: CancellationToken): void {
 		const {runTimes, journal} = this.dependencies;
 		const expected = runTimes.expected(job.route.queue, job.shape.declaredMilliseconds);
@@ -81,8 +108,7 @@
 		this.dependencies.completion.endIfExpired(running, submission.receivedAt);
 		this.#refuseByForecast(running);
 		if (!running.isEnded && (previousTasks !== undefined || (submission.ageMilliseconds ?? 0) >= leastResubmittedAgeMilliseconds)) {
-			running.isHeld = true;
-			this.dependencies.takeovers.request({job: job.id, timeoutMilliseconds: job.callerTimeoutMilliseconds});
+			this.takeOver(running);
 		}
 
 		this.dependencies.forecast.recordWaiting(running);
--- a/src/features/dispatch/running-job.ts
+++ b/src/features/dispatch/running-job.ts
@@ -28,6 +28,8 @@
 	isBeforeCapacityKnown = false;
 	/** Whether the job waits for runs of its former submissions on other entries to end; its verdict then counts them as possible starts. */
 	isHeld = false;
+	/** Whether its former submissions were taken over. */
+	isTakenOver = false;
 	/** The shortest timeout of its submissions, which tells the latest one. */
 	latestTimeoutMilliseconds: number;
 	/** Whether the latest placement pass left a target free that the job could have had, for the sake of a faster one. */
--- a/src/features/pool/remote-runs.ts
+++ b/src/features/pool/remote-runs.ts
@@ -2,6 +2,8 @@
 import type {Clock} from '../../base/clock.js';
 import type {Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
+import type {JobId} from '../../base/job-id.js';
+import {jobOfTask} from '../../base/job-of-task.js';
 import type {MemberId} from '../../base/member-id.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Journal} from '../../runtime/journal/journal.js';
@@ -12,6 +14,7 @@
 import type {RunRequest} from '../execution/run-request.js';
 import type {Pool} from './pool.js';
 import type {PoolMessage} from './pool-message.js';
+import {WaitingRequests} from './waiting-requests.js';
 
 /**
  * How long a finished run is kept, so that a request that is repeated on a new connection gets the outcome instead of a second run.
@@ -42,8 +45,15 @@
 	isAdoptionAcknowledged: boolean;
 };
 
-/** A request for a task that still runs here for another requester, because the caller has resubmitted the job. */
-type WaitingRequest = {readonly from: MemberId; readonly attempt: number};
+/** Dependencies of the runs. */
+type RemoteRunsParts = {
+	readonly pool: Pool;
+	readonly executor: Executor;
+	/** Refuses a start of a requester whose submission of the job is a former one, and returns whether it did. */
+	readonly refuseFormer: (requester: MemberId, job: JobId) => boolean;
+	readonly clock: Clock;
+	readonly journal: Journal;
+};
 
 /**
  * Starts runs for peers and reports their outcomes. Requests and reports are sent again after a lost connection; a repeated request
@@ -52,9 +62,10 @@
 export class RemoteRuns implements Disposable {
 	readonly #store = new DisposableStore();
 	readonly #runs = new Map<string, TrackedRun>();
-	readonly #waiting = new Map<TaskId, WaitingRequest[]>();
+	readonly #waiting = new WaitingRequests();
 
-	constructor(private readonly pool: Pool, private readonly executor: Executor, private readonly clock: Clock, private readonly journal: Journal) {
+	constructor(private readonly parts: RemoteRunsParts) {
+		const {pool, executor} = parts;
 		this.#store.add(pool.onDidReceive(({from, message, isCurrent, sentAt}) => {
 			if (message.kind === 'run') {
 				this.#recordDelay(from.id, message.request, sentAt);
@@ -84,9 +95,7 @@
 		this.#store.add(pool.onDidLoseMember(member => {
 			// The caller may resubmit the job elsewhere, and its tasks must not run twice at the same time.
 			executor.stopRunsOf(member, 'requester lost');
-			for (const task of this.#waiting.keys()) {
-				this.#cancelWaiting(member, task);
-			}
+			this.#waiting.cancelAllOf(member);
 		}));
 		this.#store.add(pool.onDidReconnect(member => {
 			this.#resendReports(member);
@@ -114,19 +123,19 @@
 		}
 
 		for (const handover of message.kind === 'handover' ? message.handovers : []) {
-			this.executor.receiveHandover(handover);
+			this.parts.executor.receiveHandover(handover);
 		}
 	}
 
 	#adopt({requester, request, handedOverAt, fence}: Adoption): void {
 		const {task, attempt} = request;
-		if (!this.pool.ensureMember(requester)) {
+		if (!this.parts.pool.ensureMember(requester)) {
 			// The requester can't be notified, and will start the task elsewhere when the lease expires.
-			this.executor.stop(task, attempt, 'requester not reachable');
+			this.parts.executor.stop(task, attempt, 'requester not reachable');
 			return;
 		}
 
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		const adopted: PoolMessage = {
 			kind: 'adopted', task, attempt, fence,
 		};
@@ -134,12 +143,12 @@
 			requester, requestedAt: now, lastMessage: adopted, endedAt: undefined, isAdoptionAcknowledged: false,
 		};
 		this.#runs.set(runKeyOf(request), run);
-		this.pool.send(requester, adopted);
+		this.parts.pool.send(requester, adopted);
 		// Includes the silence before the handover.
-		const silenceLeft = adoptionTimeoutMilliseconds - this.pool.reportedSilence(requester);
-		this.clock.schedule(Math.max(0, handedOverAt + silenceLeft - now), () => {
+		const silenceLeft = adoptionTimeoutMilliseconds - this.parts.pool.reportedSilence(requester);
+		this.parts.clock.schedule(Math.max(0, handedOverAt + silenceLeft - now), () => {
 			if (!run.isAdoptionAcknowledged && run.endedAt === undefined) {
-				this.executor.stop(task, attempt, 'requester has not acknowledged the new owner');
+				this.parts.executor.stop(task, attempt, 'requester has not acknowledged the new owner');
 			}
 		});
 	}
@@ -155,9 +164,15 @@
 			return;
 		}
 
-		if (this.executor.isRunning(request.task)) {
+		if (this.parts.refuseFormer(from, jobOfTask(request.task))) {
+			this.#recordNotStarted(from, request, 'its job was submitted again through another entry');
+			this.#reportSuperseded({from, attempt: request.attempt}, request.task);
+			return;
+		}
+
+		if (this.parts.executor.isRunning(request.task)) {
 			this.#recordNotStarted(from, request, 'waits for the end of another run of its task');
-			this.#queueUntilEnd(from, request);
+			this.#waiting.add(request.task, {from, attempt: request.attempt});
 			return;
 		}
 
@@ -169,14 +184,14 @@
 
 		this.#removeExpired();
 		this.#runs.set(key, {
-			requester: from, requestedAt: this.clock.now(), lastMessage: undefined, endedAt: undefined, isAdoptionAcknowledged: true,
+			requester: from, requestedAt: this.parts.clock.now(), lastMessage: undefined, endedAt: undefined, isAdoptionAcknowledged: true,
 		});
 		// A late task is refused if the requester's view of the free capacity is outdated, so that it can choose a faster target. If the
 		// task has to avoid a target that is free, the published capacity would not show it, and the request would be repeated.
 		const hasToBeInTime = (request.millisecondsToObjective ?? 0) > 0;
-		const offer = this.executor.offer(request, from);
+		const offer = this.parts.executor.offer(request, from);
 		if (offer === undefined || (hasToBeInTime && !offer.isInTimeByCapacity)) {
-			this.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
+			this.parts.journal.record('runRefused', {task: request.task, attempt: request.attempt, requester: from});
 			this.#report({
 				requester: from, task: request.task, attempt: request.attempt, outcome: {kind: 'refused', cause: 'noRoom'},
 			});
@@ -192,22 +207,22 @@
 	 * that is refused for its late messages would repeat the request at once.
 	 */
 	#sendFreeCapacity(requester: MemberId): void {
-		if (this.clock.now() - this.pool.lastContact(requester) < latestContactMilliseconds) {
-			this.pool.sendState(requester);
+		if (this.parts.clock.now() - this.parts.pool.lastContact(requester) < latestContactMilliseconds) {
+			this.parts.pool.sendState(requester);
 		}
 	}
 
 	#recordDelay(from: MemberId, {task, attempt}: RunRequest, sentAt: number): void {
-		const milliseconds = Math.round(this.clock.now() - sentAt);
+		const milliseconds = Math.round(this.parts.clock.now() - sentAt);
 		if (milliseconds > usualDelayMilliseconds) {
-			this.journal.record('requestDelayed', {
+			this.parts.journal.record('requestDelayed', {
 				task, attempt, requester: from, milliseconds,
 			});
 		}
 	}
 
 	#recordNotStarted(from: MemberId, {task, attempt}: RunRequest, cause: string): void {
-		this.journal.record('runNotStarted', {
+		this.parts.journal.record('runNotStarted', {
 			task, attempt, requester: from, cause,
 		});
 	}
@@ -219,14 +234,14 @@
 
 	/** Refuses a request of a previous epoch: the sender's runs were stopped, and its callers may have resubmitted elsewhere. */
 	#refuseOutdated(from: MemberId, {task, attempt}: RunRequest): void {
-		this.journal.record('requestOutdated', {task, attempt, requester: from});
+		this.parts.journal.record('requestOutdated', {task, attempt, requester: from});
 		this.#refusePermanently(from, {task, attempt}, 'outdated');
 	}
 
 	/** Answers a repeated request. */
 	#resend(known: TrackedRun): void {
 		if (known.lastMessage !== undefined) {
-			this.pool.send(known.requester, known.lastMessage);
+			this.parts.pool.send(known.requester, known.lastMessage);
 		}
 	}
 
@@ -242,54 +257,38 @@
 		const known = this.#runs.get(runKeyOf(run));
 		if (known?.requester === from) {
 			known.isAdoptionAcknowledged = true;
-			this.executor.acknowledgeAdoption(run.task, run.attempt);
+			this.parts.executor.acknowledgeAdoption(run.task, run.attempt);
 		}
 	}
 
-	#queueUntilEnd(from: MemberId, {task, attempt}: RunRequest): void {
-		this.#cancelWaiting(from, task);
-		this.#waiting.set(task, [...this.#waiting.get(task) ?? [], {from, attempt}]);
-	}
-
 	/** Makes the requester retry with a higher attempt, since the target may know this one as finished. */
-	#reportSuperseded({from, attempt}: WaitingRequest, task: TaskId): void {
-		this.pool.send(from, {
+	#reportSuperseded({from, attempt}: {readonly from: MemberId; readonly attempt: number}, task: TaskId): void {
+		this.parts.pool.send(from, {
 			kind: 'report', task, attempt, outcome: {kind: 'refused', cause: 'superseded'},
 		});
 	}
 
 	#answerWaiting(task: TaskId): void {
-		if (this.executor.isRunning(task)) {
+		if (this.parts.executor.isRunning(task)) {
 			return;
 		}
 
-		for (const request of this.#waiting.get(task) ?? []) {
+		for (const request of this.#waiting.take(task)) {
 			this.#reportSuperseded(request, task);
 		}
-
-		this.#waiting.delete(task);
 	}
 
 	#handleStop(from: MemberId, {task, attempt, cause, unreadMilliseconds}: Extract<PoolMessage, {kind: 'stop'}>): void {
 		const known = this.#runs.get(runKeyOf({task, attempt}));
 		if (known !== undefined && known.requester !== from) {
-			this.#cancelWaiting(from, task);
+			this.#waiting.cancel(task, from);
 			return;
 		}
 
 		if (known === undefined) {
 			this.#refusePermanently(from, {task, attempt}, 'superseded');
 		} else {
-			this.executor.stop(task, attempt, cause, unreadMilliseconds);
-		}
-	}
-
-	#cancelWaiting(from: MemberId, task: TaskId): void {
-		const others = (this.#waiting.get(task) ?? []).filter(waiting => waiting.from !== from);
-		if (others.length === 0) {
-			this.#waiting.delete(task);
-		} else {
-			this.#waiting.set(task, others);
+			this.parts.executor.stop(task, attempt, cause, unreadMilliseconds);
 		}
 	}
 
@@ -299,19 +298,19 @@
 			kind: 'report', task, attempt, outcome: {kind: 'refused', cause},
 		};
 		const key = runKeyOf({task, attempt});
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		if (!this.#runs.has(key)) {
 			this.#runs.set(key, {
 				requester: from, requestedAt: now, lastMessage: report, endedAt: now, isAdoptionAcknowledged: true,
 			});
 		}
 
-		this.pool.send(from, report);
+		this.parts.pool.send(from, report);
 	}
 
 	#report({requester, task, attempt, outcome}: ExecutionReport): void {
 		this.#answerWaiting(task);
-		if (requester === this.pool.self) {
+		if (requester === this.parts.pool.self) {
 			return;
 		}
 
@@ -321,26 +320,26 @@
 		const known = this.#runs.get(runKeyOf({task, attempt}));
 		if (known !== undefined) {
 			known.lastMessage = report;
-			known.endedAt ??= this.clock.now();
+			known.endedAt ??= this.parts.clock.now();
 		}
 
-		this.pool.send(requester, report);
+		this.parts.pool.send(requester, report);
 	}
 
 	#resendReports(member: MemberId): void {
 		this.#removeExpired();
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		for (const {requester, lastMessage, endedAt} of this.#runs.values()) {
 			const mayBeLost = endedAt === undefined || now - endedAt < resendMilliseconds;
 			if (requester === member && lastMessage !== undefined && mayBeLost) {
-				this.pool.send(member, lastMessage);
+				this.parts.pool.send(member, lastMessage);
 			}
 		}
 	}
 
 	/** The map is ordered by age. */
 	#removeExpired(): void {
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		for (const [key, {requestedAt, endedAt}] of this.#runs) {
 			if (now - requestedAt < retentionMilliseconds) {
 				return;
--- a/src/features/takeovers/submission-order.ts
+++ b/src/features/takeovers/submission-order.ts
@@ -36,6 +36,13 @@
 		return isLaterSubmission(timeoutMilliseconds, known);
 	}
 
+	/** The latest submission of a job that was taken over; undefined if none was. */
+	latestOf(job: JobId): JobTakeover | undefined {
+		const timeouts = [...this.#jobs.get(job)?.timeouts ?? []];
+		const [latest] = timeouts.toSorted(([, left], [, right]) => left - right);
+		return latest && {job, claimant: latest[0], timeoutMilliseconds: latest[1]};
+	}
+
 	#removeExpired(): void {
 		const now = this.clock.now();
 		for (const [job, {changedAt}] of this.#jobs) {
--- a/src/features/takeovers/takeover-requests.ts
+++ b/src/features/takeovers/takeover-requests.ts
@@ -4,6 +4,7 @@
 import {Emitter} from '../../base/emitter.js';
 import type {JobId} from '../../base/job-id.js';
 import type {MemberId} from '../../base/member-id.js';
+import type {FinishedTakeover} from './finished-takeover.js';
 import type {JobTakeover} from './job-takeover.js';
 import type {TakeoverMessage} from './takeover-message.js';
 
@@ -32,8 +33,6 @@
 	unansweredPeers: number;
 };
 
-type FinishedTakeover = {readonly job: JobId; readonly mayHaveRun: boolean; readonly waitedMilliseconds: number; readonly unansweredPeers: number};
-
 /** Dependencies of the requests. */
 type TakeoverRequestsParts = {
 	/** The peers to ask, with whether each has to ask others. */
--- a/src/features/takeovers/takeovers.ts
+++ b/src/features/takeovers/takeovers.ts
@@ -37,6 +37,7 @@
 	readonly #requests: TakeoverRequests;
 	readonly #relays: TakeoverRequests;
 	readonly #responder: TakeoverResponder;
+	readonly #order: SubmissionOrder;
 	#round = 0;
 
 	constructor(private readonly parts: TakeoversParts) {
@@ -45,8 +46,9 @@
 			this.#send(to, message);
 		};
 
+		this.#order = new SubmissionOrder(clock);
 		this.#responder = this.#store.add(new TakeoverResponder({
-			...parts, self: pool.self, order: new SubmissionOrder(clock), isRelayed: job => this.#relays.isPending(job), send,
+			...parts, self: pool.self, order: this.#order, isRelayed: job => this.#relays.isPending(job), send,
 		}));
 		const shared = {
 			nextRound: () => {
@@ -99,6 +101,20 @@
 		this.#requests.request({...takeover, claimant: this.parts.pool.self});
 	}
 
+	/**
+	 * Whether a requester's submission of a job is a former one. The requester is told of the later one, in case it hasn't read the
+	 * claimant's request yet.
+	 */
+	refuseFormer(requester: MemberId, job: JobId): boolean {
+		const latest = this.#order.latestOf(job);
+		if (latest === undefined || latest.claimant === requester || !this.#order.isFormer(requester, latest)) {
+			return false;
+		}
+
+		this.#send(requester, {kind: 'notice', takeovers: [latest]});
+		return true;
+	}
+
 	dispose(): void {
 		this.#store.dispose();
 	}
