A suspension that an owner doesn't notice no longer moves the limit of a lease

Callers saw: a run whose stops were lost went on beside the next submission, by as long as its owner had been suspended, if the owner's wall clock was set back meanwhile so that neither of its clocks showed the suspension.

Cause: the limit of a lease, 1.2 s from the requester's last contact, was kept in the owner's time and converted to the target's at each renewal by the latest reading of the target's clock, which goes on during a suspension. A disconnect or stop that was read right after one counted from then.

Change: a contact is converted by the latest reading from before it, so that the same contact gives the same limit. Readings are moved along when contacts are made earlier by noticed skipped time. A run counts as abandoned earlier by what the target's clock has lately advanced more than the owner's. Health reports of ended runs got a file of their own; executor.ts is smaller.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -186,8 +186,12 @@
 			this.executor.recordSkippedTime(milliseconds);
 			verification.explainSkippedTime(milliseconds);
 		}));
+		disposables.add(this.pauses.onDidExplainSkippedTime(milliseconds => {
+			this.executor.explainSkippedTime(milliseconds);
+		}));
 		disposables.add(this.pauses.onDidFindHiddenSuspension(milliseconds => {
 			this.executor.recordSkippedTime(milliseconds);
+			this.executor.explainSkippedTime(milliseconds);
 		}));
 		disposables.add(this.pauses.onDidPause(pause => {
 			verification.verify(pause);
--- a/src/features/execution/clock-offsets.ts
+++ b/src/features/execution/clock-offsets.ts
@@ -3,6 +3,7 @@
 import type {TargetTime} from '../../base/target-time.js';
 import type {ClockGap} from '../../runtime/clock-gap.js';
 import {confirmedPauseThresholdMilliseconds} from '../../runtime/confirmed-pause-threshold.js';
+import {ClockReadings} from './clock-readings.js';
 
 /** Number of readings to compare: answers that were delayed by a pause show only a part of it. */
 const maximumReadings = 4;
@@ -19,6 +20,8 @@
  * that was suspended may find that the target has got another owner and returned.
  */
 export class ClockOffsets {
+	/** All readings of the present incarnation, by which times are converted. */
+	readonly readings = new ClockReadings();
 	#readings: readonly Reading[] = [];
 	#incarnation: Incarnation | undefined;
 
@@ -45,6 +48,7 @@
 
 	/** A confirmed pause is compared once: what follows is compared with readings from after it. */
 	record(clock: TargetTime, receivedAt: number): void {
+		this.readings.record(clock, receivedAt);
 		const offset = clock - receivedAt;
 		this.#readings = this.#readings.filter(reading => offset - reading.offset <= confirmedPauseThresholdMilliseconds);
 		const last = this.#readings.at(-1);
@@ -58,6 +62,7 @@
 		if (incarnation !== this.#incarnation) {
 			this.#incarnation = incarnation;
 			this.#readings = [];
+			this.readings.clear();
 		}
 	}
 
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -21,6 +21,7 @@
 import type {LossHistory} from './loss-history.js';
 import type {OwnedTarget} from './owned-target.js';
 import type {Run} from './run.js';
+import {RunHealth} from './run-health.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
 import {serviceCapacities} from './service-capacities.js';
@@ -58,8 +59,10 @@
 	readonly #changed = new Emitter<void>();
 	readonly #clocksCompared = new Emitter<ClockGap>();
 	readonly #endedTasks = new EndedTasks();
+	readonly #health: RunHealth;
 
 	constructor(private readonly parts: ExecutorParts) {
+		this.#health = new RunHealth(parts.health, parts.speeds, parts.clock);
 		this.#sessions = new TargetSessions({
 			...parts,
 			listener: {
@@ -243,6 +246,7 @@
 
 	/** Records time that only the wall clock counted: if this entry was suspended, runs were abandoned earlier by it. */
 	recordSkippedTime(milliseconds: number): void {
+		this.#sessions.clocks.recordSkippedTime(milliseconds);
 		for (const session of this.#sessions.withClosing()) {
 			for (const run of session.runs) {
 				run.abandonedAt = run.abandonedAt === undefined ? undefined : run.abandonedAt - milliseconds;
@@ -250,6 +254,11 @@
 		}
 	}
 
+	/** Records how much of the skipped time was a suspension: all or nothing. */
+	explainSkippedTime(suspendedMilliseconds: number): void {
+		this.#sessions.clocks.explainSkippedTime(suspendedMilliseconds);
+	}
+
 	dispose(): void {
 		this.#sessions.dispose();
 	}
@@ -312,7 +321,7 @@
 	#handleRunEnd(session: TargetSession, run: Run, outcome: RunOutcome): void {
 		const {request, requester} = run;
 		const now = this.parts.clock.now();
-		const reportedOutcome = this.#reportHealth(session, run, outcome);
+		const reportedOutcome = this.#health.report(session.target.id, run, outcome);
 		if (outcome.kind === 'done' || outcome.kind === 'failed') {
 			this.#endedTasks.record(session.target.service, now);
 		}
@@ -330,37 +339,6 @@
 		this.#changed.fire();
 	}
 
-	/** Reports the end to the target's health; returns the outcome, with `isTargetSuspect` set for a failure on an ejected target. */
-	#reportHealth(session: TargetSession, run: Run, outcome: RunOutcome): RunOutcome {
-		const {health, speeds, clock} = this.parts;
-		const {id} = session.target;
-		const now = clock.now();
-		const expectedMilliseconds = run.slowdown * run.request.expectedMilliseconds;
-		const end = {
-			target: id,
-			profile: run.request.queue,
-			runMilliseconds: now - run.startedAt,
-			expectedMilliseconds: expectedMilliseconds * (speeds?.allowance(id, now) ?? 1),
-			job: jobOfTask(run.request.task),
-			hasFailedElsewhere: run.request.excludedTargets.length > 0,
-		};
-		if (outcome.kind === 'done') {
-			health.report({...end, outcome: 'result'}, now);
-			if (run.isAdopted === undefined) {
-				speeds?.record(id, {runMilliseconds: now - run.startedAt, expectedMilliseconds}, now);
-			}
-		} else if (outcome.kind === 'failed') {
-			health.report({...end, outcome: 'failure'}, now);
-			return {...outcome, isTargetSuspect: health.condition(id, now) === 'out'};
-		} else if (outcome.kind === 'refused' && outcome.cause === 'targetRefused') {
-			health.report({...end, outcome: 'lost'}, now);
-		} else {
-			health.cancelProbe(id);
-		}
-
-		return outcome;
-	}
-
 	#fireReport(requester: MemberId, request: RunRequest, outcome: RunOutcome): void {
 		this.#reported.fire({
 			requester, task: request.task, attempt: request.attempt, outcome,
--- a/src/features/execution/lease-limit.ts
+++ b/src/features/execution/lease-limit.ts
@@ -27,12 +27,17 @@
 
 	/** The monotonic time beyond which the lease must not be renewed; infinite without runs. */
 	get at(): number {
+		return this.contactAt + orphanLimitMilliseconds;
+	}
+
+	/** The earliest contact of a requester, from which the limit counts; infinite without runs. */
+	get contactAt(): number {
 		let earliest = Number.POSITIVE_INFINITY;
 		for (const run of this.runs) {
 			earliest = Math.min(earliest, this.contactOf(run));
 		}
 
-		return earliest + orphanLimitMilliseconds;
+		return earliest;
 	}
 
 	/**
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -1,6 +1,7 @@
 /** The lease of the runs on one target. */
 import type {TargetTime} from '../../base/target-time.js';
 import type {ClockOffsets} from './clock-offsets.js';
+import type {LeaseLimit} from './lease-limit.js';
 
 /** Maximum rate by which a target's clock may be slower than ours, as specified by the platform. */
 const clockDrift = 0.02;
@@ -31,16 +32,22 @@
 	}
 
 	/**
-	 * Records a renewal, and returns the lease's end by the target's clock, at most at the monotonic time `limit`. Undefined before
-	 * the first answer, and after the limit.
+	 * Records a renewal, and returns the lease's end by the target's clock, at most at the limit. Undefined before the first answer, and
+	 * after the limit.
 	 */
-	renewUntil(now: number, limit: number): TargetTime | undefined {
-		if (this.#clock === undefined || limit <= now) {
+	renewUntil(now: number, limit: LeaseLimit): TargetTime | undefined {
+		if (this.#clock === undefined || limit.at <= now) {
+			return undefined;
+		}
+
+		const targetNow = this.#clock + (now - this.#clockReadAt);
+		const end = Math.min(targetNow + this.leaseMilliseconds, this.#limitAt(limit));
+		if (end <= targetNow) {
 			return undefined;
 		}
 
 		this.recordRenewal(now);
-		return Math.floor(this.#clock + (Math.min(now + this.leaseMilliseconds, limit) - this.#clockReadAt)) as TargetTime;
+		return Math.floor(end) as TargetTime;
 	}
 
 	/** Records that the lease may have been renewed at a monotonic time, by this owner or by a former one. */
@@ -52,4 +59,9 @@
 	get latestEnd(): number {
 		return this.#latestEnd;
 	}
+
+	/** The limit by the target's clock: a suspension that this entry's clock doesn't count must not move it. */
+	#limitAt({at, contactAt}: LeaseLimit): number {
+		return Number.isFinite(at) ? (this.offsets.readings.targetTimeOf(contactAt) ?? Number.NEGATIVE_INFINITY) + (at - contactAt) : at;
+	}
 }
--- a/src/features/execution/renewal-plan.ts
+++ b/src/features/execution/renewal-plan.ts
@@ -113,6 +113,6 @@
 		}
 
 		const hasOverdueStop = this.#unanswered > 0 && [...this.runs].some(run => run.state === 'stopping' && run.stopConfirmedAtStep === undefined);
-		return hasOverdueStop || this.runs.size === 0 ? undefined : this.lease.renewUntil(now, this.limit.at);
+		return hasOverdueStop || this.runs.size === 0 ? undefined : this.lease.renewUntil(now, this.limit);
 	}
 }
--- a/src/features/execution/run-control.ts
+++ b/src/features/execution/run-control.ts
@@ -74,7 +74,7 @@
 	async #sendStart(run: Run): Promise<void> {
 		const {lease, limit, clock} = this.parts;
 		const requestedAt = clock.now();
-		const leaseUntil = lease.renewUntil(requestedAt, limit.at);
+		const leaseUntil = lease.renewUntil(requestedAt, limit);
 		if (leaseUntil === undefined) {
 			this.#refuse(run, 'targetRefused');
 			return;
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -215,7 +215,9 @@
 	abandonRun({task, attempt}: {readonly task: string; readonly attempt: number}, cause: string, unreadMilliseconds = 0): void {
 		const run = this.#runs.get({task, attempt});
 		if (run !== undefined) {
-			run.abandonedAt ??= this.#limit.contactOf(run) - Math.min(unreadMilliseconds, longestUnreadMilliseconds);
+			// A suspension that this entry didn't notice may have delayed the message that nobody waits for the run.
+			const unread = Math.max(unreadMilliseconds, this.parts.clockOffsets.readings.recentAdvance(this.parts.clock.now()));
+			run.abandonedAt ??= this.#limit.contactOf(run) - Math.min(unread, longestUnreadMilliseconds);
 			this.#runControl.stop(run, cause);
 		}
 	}
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -12,7 +12,6 @@
 import type {TargetOrders} from '../targets/target-orders.js';
 import type {TargetRecord} from '../targets/target-record.js';
 import type {Adoption} from './adoption.js';
-import {ClockOffsets} from './clock-offsets.js';
 import type {Handover} from './handover.js';
 import type {LossHistory} from './loss-history.js';
 import type {OwnedTarget} from './owned-target.js';
@@ -20,6 +19,7 @@
 import {RunCounts} from './run-counts.js';
 import type {Run} from './run.js';
 import type {RunOutcome} from './run-outcome.js';
+import {TargetClocks} from './target-clocks.js';
 import {TargetSession} from './target-session.js';
 import type {TargetSpeeds} from './target-speeds.js';
 
@@ -54,6 +54,7 @@
 
 /** Opens a session for each newly owned target, with the runs handed over by its former owner, and closes the others. */
 export class TargetSessions implements Iterable<TargetSession>, Disposable {
+	readonly clocks = new TargetClocks();
 	readonly #sessions = new Map<InstanceId, TargetSession>();
 	/** Closed sessions with runs that go on until their lease has passed. */
 	readonly #closing = new Set<TargetSession>();
@@ -63,7 +64,6 @@
 	readonly #adopted = new Emitter<Adoption>();
 	readonly #willRelease = new Emitter<Run>();
 	readonly #responseTimes = new ResponseTimes();
-	readonly #clockOffsets = new Map<InstanceId, ClockOffsets>();
 	/** Of the open sessions, and the closed ones that still have runs. */
 	readonly #runCounts = new RunCounts();
 
@@ -194,7 +194,7 @@
 			target,
 			fence,
 			leaseMilliseconds,
-			clockOffsets: this.#clockOffsetsOf(id),
+			clockOffsets: this.clocks.of(id, clock.now(), other => this.#sessions.has(other)),
 			lastContact,
 			contactAtHandover,
 			checkPause,
@@ -239,20 +239,6 @@
 		return session;
 	}
 
-	/** Also removes those of targets that were not owned lately. */
-	#clockOffsetsOf(id: InstanceId): ClockOffsets {
-		const now = this.parts.clock.now();
-		for (const [other, offsets] of this.#clockOffsets) {
-			if (!this.#sessions.has(other) && offsets.isExpired(now)) {
-				this.#clockOffsets.delete(other);
-			}
-		}
-
-		const offsets = this.#clockOffsets.get(id) ?? new ClockOffsets();
-		this.#clockOffsets.set(id, offsets);
-		return offsets;
-	}
-
 	#adoptRuns(session: TargetSession, {handover, at}: ReceivedHandover): void {
 		session.adopt(handover);
 		for (const {request, requester} of handover.runs) {
--- a/src/runtime/journal/events/ownership-events.ts
+++ b/src/runtime/journal/events/ownership-events.ts
@@ -81,7 +81,7 @@
 	runNotStarted: {
 		number: 731,
 		level: 'detail',
-		meaning: 'A run request started nothing: it is a repetition, the task runs or ran here by another request, or its job was submitted again',
+		meaning: 'A run request started nothing: it is repeated, its task runs or ran by another request, or its job was submitted again',
 		fields: ['task', 'attempt', 'requester', 'cause'],
 	},
 	requestDelayed: {
