Peers' clocks show a suspension that neither clock of an entry does

Callers saw: an entry that was suspended for seconds while its wall clock was set back started a task beside the caller's next submission.

Cause: a suspension was verified by targets only. A target that the entry had first read after it went on, and before peers told it of its loss, answered without a gap, which ruled the suspension out. That the messages of all peers came from seconds ahead counted for nothing.

--- a/src/features/pool/peer-contacts.ts
+++ b/src/features/pool/peer-contacts.ts
@@ -1,6 +1,9 @@
 /** When peers were last known to be alive. */
 import type {Clock} from '../../base/clock.js';
+import {Emitter} from '../../base/emitter.js';
 import type {MemberId} from '../../base/member-id.js';
+import type {ClockGap} from '../../runtime/clock-gap.js';
+import {confirmedPauseThresholdMilliseconds} from '../../runtime/confirmed-pause-threshold.js';
 import {heartbeats} from './heartbeats.js';
 import type {ReadingDelay} from './reading-delay.js';
 
@@ -41,6 +44,8 @@
 	previousDifference: number;
 	skippedMilliseconds: number;
 	readingDelayMilliseconds: number;
+	/** When a message was last read that didn't seem to come from the future. */
+	plausibleAt: number;
 };
 
 /**
@@ -50,6 +55,7 @@
  */
 export class PeerContacts {
 	readonly #contacts = new Map<MemberId, Contact>();
+	readonly #clockGap = new Emitter<ClockGap>();
 	/** Duration of this entry's suspensions. Added to sent times, which would fall behind for the peers otherwise. */
 	#skippedMilliseconds = 0;
 	/** Time that may have been a suspension; until that is known, contacts are taken to be older by it. */
@@ -57,6 +63,11 @@
 
 	constructor(private readonly clock: Clock, private readonly readingDelay: Pick<ReadingDelay, 'milliseconds'>) {}
 
+	/** Fires with the time by which a peer's clock has advanced more than this entry's, if it was suspended for as long as a confirmed pause. */
+	get onDidFindClockGap() {
+		return this.#clockGap.event;
+	}
+
 	/** The time to state in a message that is sent now. */
 	get sendTime(): number {
 		return Math.floor(this.clock.now() + this.#skippedMilliseconds);
@@ -86,13 +97,14 @@
 		const difference = now - sentAt;
 		const contact = this.#contacts.get(member) ?? this.#add(member, {
 			aliveAt: Number.NEGATIVE_INFINITY, lastAt: Number.NEGATIVE_INFINITY, windowEndsAt: now + windowMilliseconds, smallestDifference: difference, previousDifference: difference,
-			skippedMilliseconds, readingDelayMilliseconds,
+			skippedMilliseconds, readingDelayMilliseconds, plausibleAt: now,
 		});
 		contact.readingDelayMilliseconds = readingDelayMilliseconds;
 		const added = Math.max(0, skippedMilliseconds - contact.skippedMilliseconds);
 		const estimate = sentAt + smallestDifferenceOf(contact) - this.#unexplainedMilliseconds;
 		// A message from the future: the peer wasn't suspended, and this message may be as late as the former ones. One from the near
 		// future comes from a peer that was suspended while its wall clock was corrected.
+		this.#checkAhead(contact, estimate - now, added, now);
 		const isWrong = added > 0 && estimate > now + Math.max(clockAdjustmentMilliseconds, added / 2);
 		if (this.#unexplainedMilliseconds === 0) {
 			contact.skippedMilliseconds += added;
@@ -156,6 +168,20 @@
 		return Math.max(0, longestContactAgeMilliseconds - ownDelays - (isIdle ? heartbeatMilliseconds : age));
 	}
 
+	/**
+	 * A message that seems to come from the future shows that this entry was suspended, unless the peer has just added time to its own. A
+	 * message that was read late seems to be earlier, so that the suspension is at least as long.
+	 */
+	#checkAhead(contact: Contact, aheadMilliseconds: number, added: number, now: number): void {
+		if (aheadMilliseconds <= clockAdjustmentMilliseconds || added > 0) {
+			contact.plausibleAt = now;
+		} else if (aheadMilliseconds > confirmedPauseThresholdMilliseconds) {
+			this.#clockGap.fire({
+				milliseconds: aheadMilliseconds, since: contact.plausibleAt, comparedSince: contact.plausibleAt, requestedAt: Number.NEGATIVE_INFINITY,
+			});
+		}
+	}
+
 	#add(member: MemberId, contact: Contact): Contact {
 		this.#contacts.set(member, contact);
 		const [oldest] = this.#contacts.keys();
--- a/src/features/pool/pool.ts
+++ b/src/features/pool/pool.ts
@@ -92,6 +92,9 @@
 		this.#store.add(parts.pauses.onDidConfirmPause(milliseconds => {
 			this.#handleStall(milliseconds);
 		}));
+		this.#store.add(this.#contacts.onDidFindClockGap(gap => {
+			parts.pauses.reportClockGap(gap);
+		}));
 		this.#store.add(network.onDidReceive(({from, message}) => {
 			if (message.channel === channel) {
 				this.#receive(from, message.body);
