A learned timeout that could not be stored is written again

Callers saw: restarted entries didn't recognise resubmissions after the store had not answered one write.

Cause: the timeout counted as stored before the write had succeeded, so that the retry of the next interval never came.

--- a/test/platform/store-caller-timeouts.test.ts
+++ b/test/platform/store-caller-timeouts.test.ts
@@ -14,6 +14,7 @@
 /** Has one stored timeout, and records what is written. */
 class TimeoutStore extends StoreClient {
 	readonly written: string[] = [];
+	isAvailable = true;
 
 	constructor(private readonly stored: number) {
 		super('127.0.0.1:1', new RecordingJournal());
@@ -29,7 +30,7 @@
 
 	override async put(_topic: string, _key: string, value: string) {
 		this.written.push(value);
-		return true;
+		return this.isAvailable;
 	}
 }
 
@@ -55,3 +56,24 @@
 		17_400: ['20000'], 18_700: ['20000'], 20_100: [], 21_000: ['20000'],
 	});
 });
+
+// Guards against a learned timeout that is never stored because the store didn't answer the first time.
+test('a timeout that could not be stored is written again', async () => {
+	const clock = new FakeClock();
+	const store = new TimeoutStore(17_000);
+	const timeouts = new CallerTimeouts();
+	const stores = new StoreCallerTimeouts(store, timeouts, clock);
+	store.isAvailable = false;
+	stores.start();
+	for (let second = 0; second < 45; second += 1) {
+		for (let sample = 0; sample < 10; sample += 1) {
+			timeouts.estimateAge(queue, 20_000, clock.now());
+		}
+
+		await advanceClock(clock, 1000);
+		store.isAvailable = second >= 25;
+	}
+
+	stores.dispose();
+	assert.deepEqual(store.written, ['20000', '20000', '20000']);
+});
