The usual timeout of a queue is updated with each tenth submission

Cause: each submission sorted the latest 100 timeouts of its queue, 27 us of processor time.

The tests of caller-timeouts pass; of first submissions that spread by 1.3 to 5 s at most 3 of 20,000 are mistaken, and changed timeouts are learned within 8.5 s.

--- a/src/features/dispatch/typical-timeout.ts
+++ b/src/features/dispatch/typical-timeout.ts
@@ -9,6 +9,8 @@
 /** Samples needed for the first estimate; too few to tell first submissions from resubmissions. */
 const initialSamples = 40;
 const windowSamples = 100;
+/** The estimate is updated once in this many samples, since each update sorts the window. */
+const updateInterval = 10;
 /** Lowers the estimate when it has been too high for this long: an outage causes that for a second or two, a change of the callers' timeouts for longer. */
 const shiftMilliseconds = 5000;
 /** A submission that is closer to the estimate isn't told from a first one. */
@@ -23,6 +25,7 @@
 	/** By how much a timeout has to be below the estimate to mark a resubmission. */
 	#resubmittedDifference = leastResubmittedAgeMilliseconds;
 	readonly #recent: number[] = [];
+	#samples = 0;
 	#tooHighSince: number | undefined;
 
 	/** The estimate; undefined until enough samples were recorded. */
@@ -48,6 +51,11 @@
 			this.#recent.shift();
 		}
 
+		this.#samples += 1;
+		if (this.#samples % updateInterval !== 0) {
+			return;
+		}
+
 		const sorted = this.#recent.toSorted((left, right) => left - right);
 		if (sorted.length === windowSamples) {
 			this.#update(freshTimeouts(sorted), now);
