Readings of targets' clocks keep to one side of a suspension

Cause, found while reading: an answer that is read right after a suspension, before the clocks are compared, was recorded among the readings from before it, and moved along with them when the skipped time was noticed; so were all readings from after a suspension that was found by a target later. A limit that is converted by such a reading would be too late by the suspension until the next answer.

Change: clocks are compared before a reading is recorded; a hidden suspension discards the readings of before and after.

--- a/src/entries/edge/pooled-entry.ts
+++ b/src/entries/edge/pooled-entry.ts
@@ -190,8 +190,7 @@
 			this.executor.explainSkippedTime(milliseconds);
 		}));
 		disposables.add(this.pauses.onDidFindHiddenSuspension(milliseconds => {
-			this.executor.recordSkippedTime(milliseconds);
-			this.executor.explainSkippedTime(milliseconds);
+			this.executor.recordHiddenSuspension(milliseconds);
 		}));
 		disposables.add(this.pauses.onDidPause(pause => {
 			verification.verify(pause);
--- a/src/features/execution/executor.ts
+++ b/src/features/execution/executor.ts
@@ -247,11 +247,13 @@
 	/** Records time that only the wall clock counted: if this entry was suspended, runs were abandoned earlier by it. */
 	recordSkippedTime(milliseconds: number): void {
 		this.#sessions.clocks.recordSkippedTime(milliseconds);
-		for (const session of this.#sessions.withClosing()) {
-			for (const run of session.runs) {
-				run.abandonedAt = run.abandonedAt === undefined ? undefined : run.abandonedAt - milliseconds;
-			}
-		}
+		this.#sessions.makeAbandonedEarlier(milliseconds);
+	}
+
+	/** Records a suspension that the wall clock didn't count, from before and after which there are readings of the targets' clocks. */
+	recordHiddenSuspension(milliseconds: number): void {
+		this.#sessions.clocks.discardReadings();
+		this.#sessions.makeAbandonedEarlier(milliseconds);
 	}
 
 	/** Records how much of the skipped time was a suspension: all or nothing. */
--- a/src/features/execution/target-clocks.ts
+++ b/src/features/execution/target-clocks.ts
@@ -19,6 +19,13 @@
 		return offsets;
 	}
 
+	/** Discards all readings, for which it isn't known whether they are from before a suspension or after it. */
+	discardReadings(): void {
+		for (const {readings} of this.#offsets.values()) {
+			readings.clear();
+		}
+	}
+
 	/** Records time that only this entry's wall clock counted. */
 	recordSkippedTime(milliseconds: number): void {
 		for (const {readings} of this.#offsets.values()) {
--- a/src/features/execution/target-reports.ts
+++ b/src/features/execution/target-reports.ts
@@ -37,6 +37,8 @@
 	readonly clock: Clock;
 	readonly journal: Journal;
 	readonly listener: SessionListener;
+	/** Finds out whether this entry was paused. */
+	readonly checkPause: () => void;
 };
 
 /** Processes each report: incarnation and clock of the target, ended runs, missing runs, and unknown runs. */
@@ -104,6 +106,8 @@
 
 	/** Records the target's clock. Listeners learn of a suspension of this entry before the rest of the answer is processed. */
 	recordClock(clock: TargetTime, requestedAt: number, now: number): void {
+		// Skipped time applies to the readings from before it only.
+		this.parts.checkPause();
 		this.#compareClocks(clock, requestedAt, now);
 		this.parts.lease.recordClock(clock, now);
 	}
--- a/src/features/execution/target-sessions.ts
+++ b/src/features/execution/target-sessions.ts
@@ -152,6 +152,15 @@
 		});
 	}
 
+	/** Makes the runs that nobody waits for count as abandoned earlier. */
+	makeAbandonedEarlier(milliseconds: number): void {
+		for (const session of this.withClosing()) {
+			for (const run of session.runs) {
+				run.abandonedAt = run.abandonedAt === undefined ? undefined : run.abandonedAt - milliseconds;
+			}
+		}
+	}
+
 	dispose(): void {
 		for (const session of this.withClosing()) {
 			session.dispose();
--- a/test/entries/edge/standing-still-seeds.test.ts
+++ b/test/entries/edge/standing-still-seeds.test.ts
@@ -29,3 +29,8 @@
 test('no task runs twice at a time beside a late requester that counted a step of its wall clock as a suspension', async () => {
 	assert.equal(await peakConcurrentRuns(510_005, '44'), 1);
 });
+
+// Guards against a suspension that is ruled out because the question is asked again, and that peers' kept messages show only bit by bit.
+test('no task runs twice at a time after an unnoticed suspension during which all messages were kept', async () => {
+	assert.equal(await peakConcurrentRuns(520_004, '50'), 1);
+});
