Lease limits and gaps between timeouts are computed once

Cause: a renewal computed the earliest contact of a target's runs three times, each repeated stop looked for suspensions though the run had been given up before, and each pair of neighbouring timeouts copied those above it though few pairs are far enough apart. A test passed the same entry through all its cases.

Change: values are computed once and where they are needed; nothing decides otherwise than before.

--- a/src/features/dispatch/fresh-timeouts.ts
+++ b/src/features/dispatch/fresh-timeouts.ts
@@ -22,8 +22,12 @@
 	let widestGap = leastGapMilliseconds;
 	for (let index = 1; index <= sorted.length / 2; index += 1) {
 		const gap = sorted[index]! - sorted[index - 1]!;
+		if (gap < widestGap) {
+			continue;
+		}
+
 		const upper = sorted.slice(index);
-		if (gap >= widestGap && gap >= leastGapDistances * meanDistanceOf(upper) && areResubmissions(sorted.slice(0, index), upper)) {
+		if (gap >= leastGapDistances * meanDistanceOf(upper) && areResubmissions(sorted.slice(0, index), upper)) {
 			widestGap = gap;
 			fresh = upper;
 		}
--- a/src/features/execution/lease-schedule.ts
+++ b/src/features/execution/lease-schedule.ts
@@ -35,13 +35,13 @@
 	 * Records a renewal, and returns the lease's end by the target's clock, at most at the limit. Undefined before the first answer, and
 	 * after the limit.
 	 */
-	renewUntil(now: number, limit: LeaseLimit): TargetTime | undefined {
-		if (this.#clock === undefined || limit.at <= now) {
+	renewUntil(now: number, {at, contactAt}: Pick<LeaseLimit, 'at' | 'contactAt'>): TargetTime | undefined {
+		if (this.#clock === undefined || at <= now) {
 			return undefined;
 		}
 
 		const targetNow = this.#clock + (now - this.#clockReadAt);
-		const end = Math.min(targetNow + this.leaseMilliseconds, this.#limitAt(limit));
+		const end = Math.min(targetNow + this.leaseMilliseconds, this.#limitAt(at, contactAt));
 		if (end <= targetNow) {
 			return undefined;
 		}
@@ -61,7 +61,7 @@
 	}
 
 	/** The limit by the target's clock: a suspension that this entry's clock doesn't count must not move it. */
-	#limitAt({at, contactAt}: LeaseLimit): number {
+	#limitAt(at: number, contactAt: number): number {
 		return Number.isFinite(at) ? (this.offsets.readings.targetTimeOf(contactAt) ?? Number.NEGATIVE_INFINITY) + (at - contactAt) : at;
 	}
 }
--- a/src/features/execution/target-session.ts
+++ b/src/features/execution/target-session.ts
@@ -215,9 +215,7 @@
 	abandonRun({task, attempt}: {readonly task: string; readonly attempt: number}, cause: string, unreadMilliseconds = 0): void {
 		const run = this.#runs.get({task, attempt});
 		if (run !== undefined) {
-			// A suspension that this entry didn't notice may have delayed the message that nobody waits for the run.
-			const unread = Math.max(unreadMilliseconds, this.parts.clockOffsets.readings.recentAdvance(this.parts.clock.now()));
-			run.abandonedAt ??= this.#limit.contactOf(run) - Math.min(unread, longestUnreadMilliseconds);
+			run.abandonedAt ??= this.#limit.contactOf(run) - this.#unreadMilliseconds(unreadMilliseconds);
 			this.#runControl.stop(run, cause);
 		}
 	}
@@ -261,6 +259,12 @@
 		this.#disposal.cancel();
 	}
 
+	/** A suspension that this entry didn't notice may have delayed the message that nobody waits for a run. */
+	#unreadMilliseconds(statedMilliseconds: number): number {
+		const {clockOffsets, clock} = this.parts;
+		return Math.min(longestUnreadMilliseconds, Math.max(statedMilliseconds, clockOffsets.readings.recentAdvance(clock.now())));
+	}
+
 	get #isClosed(): boolean {
 		return this.#cancellation.token.isCancellationRequested;
 	}
--- a/test/entries/edge/unnoticed-suspensions.test.ts
+++ b/test/entries/edge/unnoticed-suspensions.test.ts
@@ -9,10 +9,9 @@
 /** By how much of a suspension the wall clock is set back. */
 const maskedShares = [0.9, 1, 1.1];
 
-/** The suspended entry owns the target. The caller disconnects the given time after the suspension begins, or before it if negative. */
+/** The suspended entry, b-1, owns the target. The caller disconnects the given time after the suspension begins, or before it if negative. */
 type Case = {
 	readonly requester: string;
-	readonly suspended: string;
 	readonly suspension: number;
 	readonly maskedShare: number;
 	readonly disconnect: number;
@@ -20,10 +19,10 @@
 };
 
 /** Returns whether the run goes on when its caller submits again, although its stops are lost. */
-async function isRunningAtResubmission({requester, suspended, suspension, maskedShare, disconnect, first}: Case): Promise<boolean> {
+async function isRunningAtResubmission({requester, suspension, maskedShare, disconnect, first}: Case): Promise<boolean> {
 	const world = new PausableCluster(['a-1', 'b-1', 'c-1'], 0);
 	const {cluster} = world;
-	cluster.addTarget('target', suspended.split('-')[0]!);
+	cluster.addTarget('target', 'b');
 	await cluster.start();
 	await cluster.advance(2000);
 	const submission = world.submit(requester, id, {payload: '8000', declaredMilliseconds: 8000, timeoutMilliseconds: 20_000});
@@ -34,10 +33,10 @@
 		submission.disconnect();
 	});
 	cluster.clock.schedule(Math.max(0, -disconnect), () => {
-		world.pause(suspended);
+		world.pause('b-1');
 		cluster.clock.schedule(suspension, () => {
-			world.clocks.get(suspended)!.advanceWallTime(-suspension * maskedShare);
-			world.resume(suspended, {first, countsPause: false, socketOrder: 0});
+			world.clocks.get('b-1')!.advanceWallTime(-suspension * maskedShare);
+			world.resume('b-1', {first, countsPause: false, socketOrder: 0});
 		});
 	});
 	await cluster.advance(startedAt + Math.max(0, disconnect) + callerResubmissionMilliseconds - cluster.clock.now());
@@ -46,7 +45,7 @@
 
 async function failedCases(requester: string, disconnects: readonly number[]): Promise<readonly Case[]> {
 	const cases = suspensions.flatMap(suspension => maskedShares.flatMap(maskedShare => disconnects.flatMap(disconnect => (['timers', 'network'] as const).map((first): Case => ({
-		requester, suspended: 'b-1', suspension, maskedShare, disconnect, first,
+		requester, suspension, maskedShare, disconnect, first,
 	})))));
 	const failed: Case[] = [];
 	for (const play of cases) {
