--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -12,6 +12,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {ConfigurationPublisher} from '../../dist/standins/configuration-publisher.js';
+import {FaultProxy} from '../../dist/standins/fault-proxy.js';
 import {call} from './call.mjs';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
@@ -32,12 +33,15 @@
 /** A fleet of entries with a store and workers. */
 export class Fleet {
 	/**
-	 * `zones`: the number of entries in each zone, by zone. `workers`: a zone for each worker. `routes`: path prefixes.
+	 * `zones`: the number of entries in each zone, by zone. `workers`: a zone for each worker. `routes`: path prefixes. `relayed`: the
+	 * entries that peers connect to through a proxy, by the program's own option for relays.
 	 */
-	static async open({zones, workers, routes, record}) {
+	static async open({zones, workers, routes, record, relayed = []}) {
 		const fleet = new Fleet(record);
 		try {
-			await fleet.#start(zones, workers, routes);
+			await fleet.#start({
+				zones, workers, routes, relayed,
+			});
 		} catch (error) {
 			await fleet.close();
 			throw error instanceof CannotRunError ? error : new CannotRunError(error.stack ?? String(error));
@@ -86,12 +90,16 @@
 				await exited;
 			}
 		}));
+		for (const {relay} of this.entries) {
+			relay?.close();
+		}
+
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
 	/** Starts an entry, or starts it again after its end. */
 	startEntry(entry) {
-		const child = spawn(process.execPath, command, {
+		const child = spawn(process.execPath, [...command, ...entry.options], {
 			cwd: root, stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, HOME: process.env.HOME, SAVORYLOCK_SETTINGS: entry.settings},
 		});
 		this.#children.add(child);
@@ -121,7 +129,7 @@
 		throw new CannotRunError(`${entry.name} isn't ready: ${entry.log.slice(-5).join('\n')}`);
 	}
 
-	async #start(zones, workers, routes) {
+	async #start({zones, workers, routes, relayed}) {
 		const store = await this.#startStandIn('dist/standins/store/main.js', ['--port', '0']);
 		this.storeAddress = `127.0.0.1:${store.httpPort}`;
 		const host = await this.#startStandIn('dist/standins/worker/main.js', ['--store', this.storeAddress, '--service', service, '--zones', workers.join(',')]);
@@ -135,7 +143,7 @@
 
 		this.operator = new ConfigurationPublisher(this.storeAddress, service, this.host);
 		await this.operator.publish(routes);
-		await this.#addEntries(zones);
+		await this.#addEntries(zones, new Set(relayed));
 		for (const entry of this.entries) {
 			this.startEntry(entry);
 		}
@@ -143,7 +151,7 @@
 		await Promise.all(this.entries.map(async entry => this.waitUntilReady(entry, this.entries.length - 1)));
 	}
 
-	async #addEntries(zones) {
+	async #addEntries(zones, relayed) {
 		const network = await freeNetwork();
 		for (const [zoneIndex, [zone, count]] of Object.entries(zones).entries()) {
 			for (let index = 1; index <= count; index += 1) {
@@ -158,13 +166,22 @@
 					settings: path.join(this.#folder, `${zone}-${index}.conf`),
 					log: [],
 					process: undefined,
+					relay: relayed.has(`${zone}-entry-${index}`) ? new FaultProxy(false, false) : undefined,
+					options: [],
 				});
 			}
 		}
 
-		const seeds = this.entries.slice(0, 3).map(({control}) => control);
+		const seeds = [];
+		for (const entry of this.entries) {
+			entry.relay?.forwardTo(entry.control);
+			const peers = await entry.relay?.listen() ?? entry.control;
+			entry.options = entry.relay === undefined ? [] : ['--advertised-peers', peers];
+			seeds.push(peers);
+		}
+
 		for (const entry of this.entries) {
-			writeFileSync(entry.settings, settingsOf(entry, Object.keys(zones), seeds, this.storeAddress));
+			writeFileSync(entry.settings, settingsOf(entry, Object.keys(zones), seeds.slice(0, 3), this.storeAddress));
 		}
 	}
 
