--- a/review/support/run-case.mjs
+++ b/review/support/run-case.mjs
@@ -14,11 +14,17 @@
 	const isDisrupted = process.env.TROUBLE !== '0';
 	let fleet;
 	let code = 2;
-	const timer = setTimeout(async () => {
-		record.write('not ended in time');
+	const giveUp = async cause => {
+		record.write('could not run', {cause});
 		await fleet?.close();
 		process.exit(2);
-	}, limitMilliseconds);
+	};
+
+	const timer = setTimeout(async () => giveUp('not ended in time'), limitMilliseconds);
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.once(signal, async () => giveUp(signal));
+	}
+
 	try {
 		fleet = await Fleet.open({...options, record});
 		record.write('fleet ready', {entries: fleet.entries.map(({name}) => name), isDisrupted});
