--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -57,6 +57,14 @@
 
 	constructor(record) {
 		this.record = record;
+		// Also ends what was started by a fleet that isn't open yet when the script is terminated.
+		process.once('exit', () => {
+			for (const child of this.#children) {
+				child.kill('SIGKILL');
+			}
+
+			rmSync(this.#folder, {recursive: true, force: true});
+		});
 	}
 
 	/** Runs of all workers so far: starts and ends, with the time of day. */
