--- a/review/6/run.mjs
+++ b/review/5/run.mjs
@@ -11,7 +11,7 @@
 /** A text as saved by an editor that begins files with U+FEFF. The worker's stand-in takes the number in it as the duration. */
 const spec = `\u{FEFF}60${' '.repeat(200)}`;
 
-await runCase('review/6/record.txt', async (fleet, record) => {
+await runCase('review/5/record.txt', async (fleet, record) => {
 	await fleet.startPlatform(['zone-1', 'zone-2'], ['zone-1', 'zone-1', 'zone-1', 'zone-2', 'zone-2', 'zone-2']);
 	await fleet.startEntries(['zone-1', 'zone-2']);
 	await sleep(4000);
--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -277,6 +277,13 @@
 		await fleet.dispose();
 		process.exit(2);
 	}, 115_000);
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.once(signal, async () => {
+			await fleet.dispose();
+			process.exit(2);
+		});
+	}
+
 	let code = 2;
 	try {
 		const broken = await body(fleet, record);
