--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -64,6 +64,10 @@
 	}
 
 	start() {
+		if (this.fleet.isDisposed) {
+			throw new Error('the case is over');
+		}
+
 		const {fleet, name, zone, address, ports} = this;
 		const file = path.join(fleet.folder, `${name}.conf`);
 		const fields = [
@@ -149,6 +153,8 @@
 /** The processes of a case. */
 export class Fleet {
 	children = new Set();
+	/** Nothing is started any more, so that no process is left. */
+	isDisposed = false;
 	folder = mkdtempSync(path.join(tmpdir(), 'savorylock-review-'));
 	entries = [];
 	seeds = [];
@@ -160,6 +166,10 @@
 	}
 
 	async #startStandIn(words) {
+		if (this.isDisposed) {
+			throw new Error('the case is over');
+		}
+
 		const child = spawn(process.execPath, words, {stdio: ['ignore', 'pipe', 'inherit']});
 		this.children.add(child);
 		child.on('exit', () => this.children.delete(child));
@@ -255,6 +265,7 @@
 	}
 
 	async dispose() {
+		this.isDisposed = true;
 		const children = [...this.children];
 		for (const child of children) {
 			child.kill('SIGCONT');
