Entries pass texts on exactly as they received them

Callers saw: a spec that begins with U+FEFF and has more than 64 bytes reached targets of other entries without that character, and half of a surrogate pair ("\ud83d" in the JSON body) reached them as U+FFFD, with no error anywhere. Targets of the caller's own entry got the text as sent. Labels, queues and results of the product's own daemon took the same way.

Cause: the request travels as a CBOR text. CBOR texts are UTF-8, which has no form for an unpaired surrogate, and the decoder of cbor-x that is written in JavaScript reads texts of more than 64 bytes with a TextDecoder, which drops a leading U+FEFF. The tests didn't see it: from dist/ the library loads its optional native decoder, which keeps U+FEFF; the bundle that users run doesn't find it. No test sent an unpaired surrogate.

Ruled out: the HTTP interface and the order to the target (own targets get the text as sent), and the layout of messages.

Change: a text that isn't plain (see isPlainText) is sent as JSON in a byte string (CBOR tag 262), since JSON escapes both; an object with such a key is sent so as a whole. All other frames keep their bytes. Both builds load the same decoder, by an entry point of cbor-x without the native part, and the linter rejects the other one. An entry states in its handshake that it reads such texts; to entries that don't, of the former version, frames are encoded as before, and no task is sent whose texts they would change.

Open: what an entry of the former version sends is still changed, until the rolling replacement is over.

--- a/bench/backlog-costs.ts
+++ b/bench/backlog-costs.ts
@@ -1,10 +1,10 @@
 /** What the exchange of backlogs and the forecast cost, measured in memory. */
 import {performance} from 'node:perf_hooks';
-import {encode} from 'cbor-x';
 import {BacklogExchange} from '../src/features/backlog/backlog-exchange.js';
 import {FleetForecast} from '../src/features/dispatch/fleet-forecast.js';
 import {schedulingSettingsSchema} from '../src/features/dispatch/scheduling-settings-schema.js';
 import {encodeBacklog} from '../src/features/pool/encode-backlog.js';
+import {cbor} from '../src/runtime/peers/cbor.js';
 import {PooledCluster} from '../test/support/pooled-cluster.js';
 
 const settlingMilliseconds = 3000;
@@ -43,7 +43,7 @@
 	const world = new PooledCluster(names, targetsInZone, (_, dependencies) => ({...dependencies, scheduling}));
 	for (const endpoint of world.network.endpoints.values()) {
 		endpoint.onDidReceive(({message}) => {
-			meter.frameBytes += encode(message.body).length;
+			meter.frameBytes += cbor.encode(message.body).length;
 		});
 	}
 
@@ -94,7 +94,7 @@
 		meter.milliseconds += performance.now() - startedAt;
 		meter.isNested = false;
 		if (name === 'reportFor' && result !== undefined) {
-			const {length} = encode(encodeBacklog(result as Parameters<typeof encodeBacklog>[0]));
+			const {length} = cbor.encode(encodeBacklog(result as Parameters<typeof encodeBacklog>[0]));
 			meter.reports += 1;
 			meter.bytes += length;
 			meter.largestBytes = Math.max(meter.largestBytes, length);
--- a/src/features/dispatch/choose-remote-target.ts
+++ b/src/features/dispatch/choose-remote-target.ts
@@ -16,7 +16,7 @@
 	const eligible: RemoteTarget[] = [];
 	const sameZone: RemoteTarget[] = [];
 	for (const choice of available) {
-		if (canRun(choice.target, request)) {
+		if (canRun(choice, request)) {
 			eligible.push(choice);
 			if (choice.member.member.zone === zone) {
 				sameZone.push(choice);
--- a/src/features/dispatch/speed-placement.ts
+++ b/src/features/dispatch/speed-placement.ts
@@ -62,7 +62,7 @@
 		}
 
 		const preference = new TargetPreference(request, request.millisecondsToObjective ?? 0);
-		const remote = preference.select(available.filter(({target}) => canRun(target, request)), ({target}) => speedOf(target));
+		const remote = preference.select(available.filter(choice => canRun(choice, request)), ({target}) => speedOf(target));
 		const choice = chooseRemoteTarget(remote.targets, request, zone, random);
 		if (choice !== undefined && remote.isInTime) {
 			return {kind: 'remote', choice, request};
--- a/src/runtime/peers/decode-frame.ts
+++ b/src/runtime/peers/decode-frame.ts
@@ -1,6 +1,6 @@
 /** Decoding of peer frames. */
-import {decode} from 'cbor-x';
 import type {z} from 'zod';
+import {cbor} from './cbor.js';
 import {otherVersionSchema} from './other-version-schema.js';
 import {peerFrameSchema} from './peer-frame.js';
 
@@ -13,7 +13,7 @@
  */
 export function decodeFrame(bytes: Uint8Array): Frame | undefined {
 	try {
-		const value = decode(bytes) as Partial<Frame> | undefined;
+		const value = cbor.decode(bytes) as Partial<Frame> | undefined;
 		return isMessageOrPing(value) ? value : parseHandshake(value);
 	} catch {
 		return undefined;
--- a/src/runtime/peers/frame-socket.ts
+++ b/src/runtime/peers/frame-socket.ts
@@ -38,12 +38,13 @@
 		});
 	}
 
-	send(frame: Frame): void {
+	/** Sends a frame; `isForFormerPeer` as for `encodeFrame`. */
+	send(frame: Frame, isForFormerPeer = false): void {
 		if (this.#isClosed || this.socket.writableLength > writeBufferLimitBytes) {
 			return;
 		}
 
-		const bytes = encodeFrame(frame);
+		const bytes = encodeFrame(frame, isForFormerPeer);
 		this.counter.recordSent(bytes.length, trafficLabel(frame));
 		this.socket.write(bytes);
 	}
--- a/src/runtime/peers/member.ts
+++ b/src/runtime/peers/member.ts
@@ -9,4 +9,6 @@
 	readonly instance: InstanceId;
 	readonly zone: AvailabilityZone;
 	readonly peerAddress: string;
+	/** Whether the entry receives texts exactly as sent; one of a former version receives only plain texts unchanged. */
+	readonly hasExactTexts?: boolean;
 };
--- a/src/runtime/peers/outgoing-connection.ts
+++ b/src/runtime/peers/outgoing-connection.ts
@@ -194,7 +194,7 @@
 			const {channel, body} = entry.message;
 			this.#socket?.send({
 				kind: 'message', channel, body, stamp: Math.floor(this.parts.clock.now()), echo: this.parts.listener.lastStampOf(this.#peer),
-			});
+			}, this.#peer.hasExactTexts !== true);
 		}
 	}
 
--- a/src/runtime/peers/peer-frame.ts
+++ b/src/runtime/peers/peer-frame.ts
@@ -10,6 +10,8 @@
 	instance: z.string().max(128).transform(instance => instance as InstanceId),
 	zone: z.string().max(128).transform(zone => zone as AvailabilityZone),
 	peerAddress: z.string().regex(/^[\d.]+:\d+$/v),
+	/** Missing in the handshakes of former versions. */
+	hasExactTexts: z.boolean().optional(),
 });
 
 /**
--- a/src/runtime/peers/tcp-peer-network.ts
+++ b/src/runtime/peers/tcp-peer-network.ts
@@ -12,19 +12,16 @@
 import type {ConnectionListener} from './connection-listener.js';
 import {defaultPeerTiming} from './default-peer-timing.js';
 import type {Member} from './member.js';
+import {OtherVersions} from './other-versions.js';
 import {OutgoingConnection} from './outgoing-connection.js';
 import type {PeerMessage} from './peer-message.js';
 import {PeerNetwork} from './peer-network.js';
 import type {PeerTiming} from './peer-timing.js';
 import type {PeerTraffic} from './peer-traffic.js';
 import type {PeerTransport} from './peer-transport.js';
-import {protocolVersion} from './protocol-version.js';
 import type {ReceivedMessage} from './received-message.js';
 import {TrafficCounter} from './traffic-counter.js';
 
-/** Limit of versions that are logged: they are stated before any proof of the shared key. */
-const loggedVersions = 8;
-
 /** The entry's identity, listening address and peer options. */
 type Identity = {
 	readonly instance: InstanceId;
@@ -55,7 +52,7 @@
 	readonly #discoverEmitter = new Emitter<Member>();
 	readonly #confirmDeathEmitter = new Emitter<MemberId>();
 	readonly #refuseEmitter = new Emitter<string>();
-	readonly #otherVersions = new Set<number>();
+	readonly #otherVersions: OtherVersions;
 	readonly #deadMembers = new Set<MemberId>();
 	#monitoredAddresses: ReadonlySet<string> = new Set();
 	/** Addresses that are dialled until a member is discovered there, monitored or not. */
@@ -67,6 +64,7 @@
 
 	constructor(private readonly identity: Identity, private readonly clock: Clock, private readonly journal: Journal) {
 		super();
+		this.#otherVersions = new OtherVersions(journal);
 		this.#self = this.#createIncarnation(identity.port);
 		this.#listener = this.#createListener();
 		this.#checkTimer = repeat(clock, (identity.timing ?? defaultPeerTiming).checkInterval, () => {
@@ -201,7 +199,7 @@
 		const {instance, zone, address, advertised} = this.identity;
 		const incarnation = `${this.clock.wallTime().toString(36)}${Math.floor(this.clock.now()).toString(36)}`;
 		return {
-			id: `${instance}#${incarnation}` as MemberId, instance, zone, peerAddress: advertised ?? `${address}:${port}`,
+			id: `${instance}#${incarnation}` as MemberId, instance, zone, peerAddress: advertised ?? `${address}:${port}`, hasExactTexts: true,
 		};
 	}
 
@@ -251,7 +249,7 @@
 				this.#handleRefusal(address);
 			},
 			onVersionDiffers: (version, address) => {
-				this.#logOtherVersion(version, address);
+				this.#otherVersions.record(version, address);
 			},
 			onHandshakeFailed: detail => {
 				this.journal.record('strangerDropped', {detail});
@@ -259,14 +257,6 @@
 		};
 	}
 
-	/** Once for each version, since each attempt to connect shows it again. */
-	#logOtherVersion(version: number, address: string): void {
-		if (!this.#otherVersions.has(version) && this.#otherVersions.size < loggedVersions) {
-			this.#otherVersions.add(version);
-			this.journal.record('peerVersionDiffers', {version, own: protocolVersion, address});
-		}
-	}
-
 	#handleHandshake(member: Member): void {
 		const previous = this.#membersByAddress.get(member.peerAddress);
 		// A delayed handshake of a dead incarnation must not revive it.
--- a/test/features/pool/backlog-messages.test.ts
+++ b/test/features/pool/backlog-messages.test.ts
@@ -1,7 +1,6 @@
 /** Encoding of backlogs in pool messages, between entries with and without them. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {encode as encodeCbor, decode as decodeCbor} from 'cbor-x';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
 import type {ProfileName} from '../../../src/base/profile-name.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
@@ -9,6 +8,7 @@
 import {decodeMessages} from '../../../src/features/pool/decode-messages.js';
 import {encodeMessages} from '../../../src/features/pool/encode-messages.js';
 import type {PoolMessage} from '../../../src/features/pool/pool-message.js';
+import {cbor} from '../../../src/runtime/peers/cbor.js';
 
 const services: readonly ServiceBacklog[] = [{
 	service: 'service' as ServiceName, totalCpuMillis: 128_000, freeCpuMillis: 9000, largestFreeCpuMillis: 4000, endedTasks: 70, queues: [{
@@ -23,7 +23,7 @@
 } as const satisfies PoolMessage;
 
 function roundTrip(messages: readonly PoolMessage[]): readonly PoolMessage[] {
-	return decodeMessages(decodeCbor(encodeCbor(encodeMessages(messages))));
+	return decodeMessages(cbor.decode(cbor.encode(encodeMessages(messages))));
 }
 
 test('a state survives encoding and decoding with a backlog and without', () => {
--- a/test/features/pool/messages.test.ts
+++ b/test/features/pool/messages.test.ts
@@ -1,13 +1,13 @@
 /** Encoding and decoding of pool messages. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {encode as encodeCbor, decode as decodeCbor} from 'cbor-x';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
 import type {FencingToken} from '../../../src/base/fencing-token.js';
 import type {Incarnation} from '../../../src/base/incarnation.js';
 import type {InstanceId} from '../../../src/base/instance-id.js';
 import type {MemberId} from '../../../src/base/member-id.js';
 import type {ProfileName} from '../../../src/base/profile-name.js';
+import {cbor} from '../../../src/runtime/peers/cbor.js';
 import {unconstrainedPlacement} from '../../support/unconstrained-placement.js';
 import {Resources} from '../../../src/base/resources.js';
 import type {ServiceName} from '../../../src/base/service-name.js';
@@ -113,14 +113,14 @@
 ];
 
 test('every message survives encoding and decoding', () => {
-	assert.deepEqual(decodeMessages(decodeCbor(encodeCbor(encodeMessages(messages)))), messages);
+	assert.deepEqual(decodeMessages(cbor.decode(cbor.encode(encodeMessages(messages)))), messages);
 });
 
 test('a frame survives encoding and decoding with its epochs', () => {
 	const frame = {
 		epoch: {losses: 2, pauses: 1}, acknowledgedEpoch: {losses: 0, pauses: 3}, sentAt: 4711, skippedMilliseconds: 12, readingDelayMilliseconds: 34, messages,
 	};
-	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
+	assert.deepEqual(decodeFrame(cbor.decode(cbor.encode(encodeFrame(frame)))), frame);
 });
 
 // Old and new entries work together during an update: slowdowns and the time left are trailing values that an old entry neither
@@ -175,13 +175,13 @@
 		epoch: {losses: 0, pauses: 0}, acknowledgedEpoch: {losses: 0, pauses: 0}, sentAt: 4711, skippedMilliseconds: 0, readingDelayMilliseconds: 0, messages,
 	};
 	assert.equal(encodeFrame(frame).length, 6);
-	assert.deepEqual(decodeFrame(decodeCbor(encodeCbor(encodeFrame(frame)))), frame);
+	assert.deepEqual(decodeFrame(cbor.decode(cbor.encode(encodeFrame(frame)))), frame);
 });
 
 // Guards against repeating the payload, which makes up most of the bytes, for every task of a job.
 test('runs of one job in a batch carry the payload once', () => {
 	const runOf = (index: number) => ({kind: 'run' as const, request: {...request, task: `job.0.0.${index}` as TaskId}});
-	const bytesOf = (count: number) => encodeCbor(encodeMessages(Array.from({length: count}, (_, index) => runOf(index)))).length;
+	const bytesOf = (count: number) => cbor.encode(encodeMessages(Array.from({length: count}, (_, index) => runOf(index)))).length;
 	assert.equal(bytesOf(8) < 1.5 * bytesOf(1), true);
 });
 
--- a/test/features/pool/wire-format.test.ts
+++ b/test/features/pool/wire-format.test.ts
@@ -6,23 +6,23 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
-import {decode, encode} from 'cbor-x';
 import {decodeFrame} from '../../../src/features/pool/decode-frame.js';
 import {decodeMessages} from '../../../src/features/pool/decode-messages.js';
 import {encodeFrame} from '../../../src/features/pool/encode-frame.js';
 import {encodeMessages} from '../../../src/features/pool/encode-messages.js';
 import {messageCode} from '../../../src/features/pool/message-code.js';
+import {cbor} from '../../../src/runtime/peers/cbor.js';
 import {formerFrames, frameWithoutEpochs, presentFrames} from '../../support/pinned-frames.js';
 import {commonMessages, extendedMessages} from '../../support/pinned-messages.js';
 
 const pinned = Object.entries({...commonMessages, ...extendedMessages});
 
 function toHex(value: unknown): string {
-	return Buffer.from(encode(value)).toString('hex');
+	return Buffer.from(cbor.encode(value)).toString('hex');
 }
 
 function fromHex(bytes: string): unknown {
-	return decode(Buffer.from(bytes, 'hex'));
+	return cbor.decode(Buffer.from(bytes, 'hex'));
 }
 
 for (const [name, {messages, bytes}] of pinned) {
--- a/test/features/takeovers/takeover-messages.test.ts
+++ b/test/features/takeovers/takeover-messages.test.ts
@@ -1,12 +1,12 @@
 /** Encoding and decoding of takeover messages. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {decode as decodeCbor, encode as encodeCbor} from 'cbor-x';
 import type {JobId} from '../../../src/base/job-id.js';
 import type {MemberId} from '../../../src/base/member-id.js';
 import {decodeTakeover} from '../../../src/features/takeovers/decode-takeover.js';
 import {encodeTakeover} from '../../../src/features/takeovers/encode-takeover.js';
 import type {TakeoverMessage} from '../../../src/features/takeovers/takeover-message.js';
+import {cbor} from '../../../src/runtime/peers/cbor.js';
 
 const job = 'job' as JobId;
 const takeovers = [{job, timeoutMilliseconds: 3700, claimant: 'c-1#1' as MemberId}];
@@ -23,7 +23,7 @@
 
 // Guards against values that are read in another order than they are written.
 test('takeover messages survive encoding', () => {
-	assert.deepEqual(messages.map(message => decodeTakeover(decodeCbor(encodeCbor(encodeTakeover(message))))), messages);
+	assert.deepEqual(messages.map(message => decodeTakeover(cbor.decode(cbor.encode(encodeTakeover(message))))), messages);
 });
 
 // Guards against messages of other versions that stop the process or are half read.
--- a/test/support/in-memory-targets.ts
+++ b/test/support/in-memory-targets.ts
@@ -67,6 +67,8 @@
 	readonly crashes: InstanceId[] = [];
 	/** Executed starts, in order. */
 	readonly starts: Array<{readonly target: InstanceId; readonly task: TaskId; readonly attempt: number}> = [];
+	/** The payloads of the executed starts, in the same order. */
+	readonly payloads: string[] = [];
 	/** The highest number of concurrent runs of one task. */
 	peakConcurrentRuns = 0;
 	/** Number of orders of any kind. */
@@ -234,6 +236,7 @@
 		const endTimer = payload === crashingPayload ? this.#scheduleCrash(id) : this.#scheduleEnd(id, state, {task, payload});
 		state.runs.set(task, {task, attempt, endTimer});
 		this.starts.push({target: id, task, attempt});
+		this.payloads.push(payload);
 		const concurrentRuns = [...this.#targets.values()].filter(other => other.runs.has(task)).length;
 		this.peakConcurrentRuns = Math.max(this.peakConcurrentRuns, concurrentRuns);
 	}
--- a/test/support/pooled-cluster.ts
+++ b/test/support/pooled-cluster.ts
@@ -79,10 +79,15 @@
 	readonly #catalogue = new InMemoryCatalogue();
 	readonly #dependencies = new Map<string, PausableDependencies>();
 
-	/** `customizeDependencies` can replace the dependencies of an entry. */
-	constructor(entryNames: readonly string[], targetsInZone: number, private readonly customizeDependencies: Customization = (_, dependencies) => dependencies) {
+	/** `customizeDependencies` can replace the dependencies of an entry. Peers take `formerEntries` for entries of a former version. */
+	constructor(
+		entryNames: readonly string[],
+		targetsInZone: number,
+		private readonly customizeDependencies: Customization = (_, dependencies) => dependencies,
+		formerEntries: readonly string[] = [],
+	) {
 		for (const name of entryNames) {
-			this.#addEntry(name);
+			this.#addEntry(name, formerEntries.includes(name));
 		}
 
 		for (const zone of new Set(entryNames.map(name => zoneOf(name)))) {
@@ -185,8 +190,8 @@
 		return {clock: this.clock, orders: this.orders, group: this.group};
 	}
 
-	#addEntry(name: string): void {
-		const dependencies = new PausableDependencies({...this.#shared, network: this.network.join(name, zoneOf(name))});
+	#addEntry(name: string, isFormer: boolean): void {
+		const dependencies = new PausableDependencies({...this.#shared, network: this.network.join(name, zoneOf(name), isFormer)});
 		const {clock, network, group, orders} = dependencies;
 		this.#dependencies.set(name, dependencies);
 		this.entries.set(name, new PooledEntry(this.customizeDependencies(name, {
--- a/xo.config.js
+++ b/xo.config.js
@@ -10,10 +10,14 @@
 	soak: ['bench', 'test'],
 };
 
+/** Imports that would make the bundle differ from the compiled modules, on which most tests run. */
+const paths = [{name: 'cbor-x', message: 'Use cbor.ts: this entry point loads a native part that the bundle lacks.'}];
+
 const layers = Object.entries(forbidden).map(([folder, folders]) => ({
 	files: [`${folder}/**/*.ts`],
 	rules: {
 		'no-restricted-imports': ['error', {
+			paths,
 			patterns: [{group: folders.map(name => `**/${name}/**`), message: `${folder} imports only from its own layer and from below it.`}],
 		}],
 	},
@@ -21,6 +25,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
+	{rules: {'no-restricted-imports': ['error', {paths}]}},
 	...layers,
 	{
 		rules: {
