A store key with a leading byte order mark is another key

What operators could see: a record that the store kept under the key U+FEFF + "config" replaced the routing configuration, and one under U+FEFF + "evacuate/ZONE" evacuated the zone. The store's JSON interface, from which an entry reads at its start, kept the two keys apart.

Cause: keys in the store's binary records were decoded by a TextDecoder that drops a leading U+FEFF, as the decoder of texts between entries did.

--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -71,6 +71,24 @@
 	client.dispose();
 });
 
+// Guards against a record of another key that is taken for the configuration.
+test('a key that begins with a byte order mark is not the key without it', async () => {
+	const {service, journal, client} = await createStore();
+	const table = new RoutingTable(1500, clock, journal);
+	const evacuations = new ZoneEvacuations(journal);
+	const routing = routingOf(client, table, journal, evacuations);
+	service.put('keyed.op', 'config', configurationOf(1, ['one']));
+	routing.start();
+	await waitUntil(() => table.version === 1);
+	service.put('keyed.op', '\uFEFFconfig', configurationOf(5, ['other']));
+	service.put('keyed.op', '\uFEFFevacuate/one', '{}');
+	service.put('keyed.op', 'config', configurationOf(2, ['two']));
+	await waitUntil(() => table.version > 1);
+	assert.deepEqual([table.version, evacuations.has('one' as AvailabilityZone)], [2, false]);
+	routing.dispose();
+	client.dispose();
+});
+
 // The store may trim its history before an entry has read a change.
 test('a configuration whose record was trimmed is read as the latest value of its key', async () => {
 	const {service, journal, client} = await createStore();
