savorylock submit sends the payloads that its lines state

What callers saw: of a file of JSON lines, one with invalid UTF-8 was submitted with U+FFFD in its place; one with U+2028 or U+2029 in a text was cut in two, neither of which is JSON, and reported as not run; and the first line of a file with a byte order mark was reported as not run.

Cause: readline decodes its input as UTF-8 without a check, and takes U+2028 and U+2029 for ends of lines. Lines are now read byte by byte, and each is parsed by a decoder that rejects invalid UTF-8.

--- a/src/entries/command/submit-jobs.ts
+++ b/src/entries/command/submit-jobs.ts
@@ -1,7 +1,9 @@
 /** Submits jobs that are read as JSON lines. */
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {createInterface} from 'node:readline';
 import {request} from 'undici';
+import {parseJson} from '../../base/parse-json.js';
 import {exitCode} from './exit-code.js';
 
 const maxConcurrentJobs = 64;
@@ -26,6 +28,8 @@
 		running.delete(job);
 	};
 
+	// Each byte as a character: lines end nowhere else than at line breaks, and each of them is checked to be UTF-8.
+	input.setEncoding('latin1');
 	for await (const text of createInterface({input})) {
 		line += 1;
 		if (text.trim() === '') {
@@ -47,7 +51,7 @@
 async function submitOne(entryUrl: string, text: string, line: number): Promise<Result> {
 	let job: {readonly id?: string};
 	try {
-		job = JSON.parse(text) as typeof job;
+		job = parseJson(Buffer.from(text, 'latin1')) as typeof job;
 	} catch (error) {
 		return {
 			line, status: 0, verdict: 'not-run', milliseconds: 0, body: {detail: `the line isn't valid JSON: ${String(error)}`},
@@ -66,7 +70,7 @@
 			bodyTimeout: 0,
 		});
 		const verdict = String(response.headers['savorylock-verdict'] ?? 'may-have-run');
-		const answer = await response.body.json();
+		const answer = parseJson(await response.body.bytes());
 		return {
 			line, status: response.statusCode, verdict, milliseconds: elapsed(), body: answer,
 		};
