JSON that isn't UTF-8 is rejected instead of repaired

Callers saw: a body with invalid UTF-8, such as a spec in Latin-1, was accepted, and its tasks ran with U+FFFD in the place of each invalid byte. In the product's own daemon a target's result was repaired on its way to the caller in the same way.

Cause: bodies were decoded by decoders that replace invalid sequences without an error (TextDecoder, Request.json, undici's body.json). A body that isn't UTF-8 isn't JSON.

Callers get 400 and the job doesn't run; a target's answer counts as unreadable, as any other malformed one, so that a job that may have run is reported so; malformed records of the store are logged and not used, as before.

Suspected and refuted: that a result that begins with U+FEFF loses it in HttpTargetDriver. The decoder drops a byte order mark only before the JSON, where RFC 8259 lets parsers ignore it; a test shows the result arrives whole.

--- a/src/entries/command/fleet-client.ts
+++ b/src/entries/command/fleet-client.ts
@@ -1,6 +1,7 @@
 /** HTTP client for the instance list and the status of entries. */
 import {request} from 'undici';
 import * as z from 'zod';
+import {parseJson} from '../../base/parse-json.js';
 
 const listTimeoutMilliseconds = 3000;
 const statusTimeoutMilliseconds = 1000;
@@ -21,7 +22,7 @@
 	/** The listed live entries. */
 	async entries(): Promise<readonly ListedInstance[]> {
 		const response = await request(`${this.instancesUrl}/instances`, {headersTimeout: listTimeoutMilliseconds});
-		const {instances} = listSchema.parse(await response.body.json());
+		const {instances} = listSchema.parse(parseJson(await response.body.bytes()));
 		return instances.filter(instance => instance.kind === 'entry' && instance.state === 'live');
 	}
 
@@ -29,7 +30,7 @@
 	async status(address: string): Promise<z.output<typeof statusSchema> | undefined> {
 		try {
 			const response = await request(`http://${address}/v1/status`, {headersTimeout: statusTimeoutMilliseconds, bodyTimeout: statusTimeoutMilliseconds});
-			return statusSchema.parse(await response.body.json());
+			return statusSchema.parse(parseJson(await response.body.bytes()));
 		} catch {
 			return undefined;
 		}
--- a/src/features/intake/api-server.ts
+++ b/src/features/intake/api-server.ts
@@ -7,6 +7,7 @@
 import {CancellationSource} from '../../base/cancellation-source.js';
 import type {Disposable} from '../../base/disposable.js';
 import type {JobAnswer} from '../../base/job-answer.js';
+import {parseJson} from '../../base/parse-json.js';
 import type {SubmissionId} from '../../base/submission-id.js';
 import type {Verdict} from '../../base/verdict.js';
 import type {JobService} from '../jobs/job-service.js';
@@ -113,9 +114,9 @@
 	async #parseBody(request: Request): Promise<Refusal | {readonly kind: 'job'; readonly job: ReturnType<typeof jobBodySchema.parse>}> {
 		let raw: unknown;
 		try {
-			raw = await request.json();
+			raw = parseJson(new Uint8Array(await request.arrayBuffer()));
 		} catch {
-			return refusal('invalidRequest', 'the body isn\'t JSON');
+			return refusal('invalidRequest', 'the body isn\'t JSON in UTF-8');
 		}
 
 		const checked = jobBodySchema.safeParse(raw);
--- a/src/runtime/instances/http-instance-list.ts
+++ b/src/runtime/instances/http-instance-list.ts
@@ -8,6 +8,7 @@
 import type {Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
 import type {InstanceId} from '../../base/instance-id.js';
+import {parseJson} from '../../base/parse-json.js';
 import {wait} from '../../base/wait.js';
 import type {Journal} from '../journal/journal.js';
 import type {Instance} from './instance.js';
@@ -72,7 +73,7 @@
 		try {
 			const signal = abortSignalOf(requestTimeoutMilliseconds, this.#cancellation.token);
 			const response = await request(`${this.baseUrl}/instances`, {signal});
-			const rows = listSchema.parse(await response.body.json()).instances;
+			const rows = listSchema.parse(parseJson(await response.body.bytes())).instances;
 			this.#handleSnapshot({readAt, instances: rows.flatMap(row => this.#parseInstance(row))});
 		} catch (error) {
 			this.#handleFailure(error);
--- a/src/runtime/stream/http-log-stream.ts
+++ b/src/runtime/stream/http-log-stream.ts
@@ -5,6 +5,7 @@
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {JsonValue} from '../../base/json-value.js';
 import {jsonValueSchema} from '../../base/json-value-schema.js';
+import {parseJson} from '../../base/parse-json.js';
 import type {StreamOffset} from '../../base/stream-offset.js';
 import type {AppendResult} from './append-result.js';
 import {LogStream} from './log-stream.js';
@@ -38,7 +39,7 @@
 				body: JSON.stringify(body),
 				signal: abortSignalOf(appendTimeoutMilliseconds, token),
 			});
-			const reply = await response.body.json();
+			const reply = parseJson(await response.body.bytes());
 			if (response.statusCode === 201) {
 				return {kind: 'appended', offset: appendResponseSchema.parse(reply).offset};
 			}
@@ -56,7 +57,7 @@
 			const response = await request(`${this.#recordsUrl}?from=${from}&wait=${waitMilliseconds}`, {
 				signal: abortSignalOf(waitMilliseconds + readTimeoutMarginMilliseconds, token),
 			});
-			const reply = await response.body.json();
+			const reply = parseJson(await response.body.bytes());
 			if (response.statusCode !== 200) {
 				return {kind: 'unavailable', detail: `the log answered ${response.statusCode}`};
 			}
--- a/src/runtime/targets/http-target-driver.ts
+++ b/src/runtime/targets/http-target-driver.ts
@@ -5,6 +5,7 @@
 import type {CancellationToken} from '../../base/cancellation-token.js';
 import type {Disposable} from '../../base/disposable.js';
 import {jsonValueSchema} from '../../base/json-value-schema.js';
+import {parseJson} from '../../base/parse-json.js';
 import type {TaskAnswer} from '../../base/task-answer.js';
 import type {TaskId} from '../../base/task-id.js';
 import type {Verdict} from '../../base/verdict.js';
@@ -74,7 +75,7 @@
 				headersTimeout: controlTimeoutMilliseconds,
 				bodyTimeout: controlTimeoutMilliseconds,
 			});
-			return usageSchema.parse(await response.body.json());
+			return usageSchema.parse(parseJson(await response.body.bytes()));
 		} catch {
 			return undefined;
 		}
@@ -123,8 +124,8 @@
 			return {kind: 'mayHaveRun', cause: 'answerUnusable', detail: 'the answer names another task'};
 		}
 
-		const text = await this.#readText(response);
-		if (text === undefined) {
+		const bytes = await this.#readBody(response);
+		if (bytes === undefined) {
 			return {kind: 'mayHaveRun', cause: 'answerUnusable', detail: `the answer exceeds ${this.responseLimitBytes} bytes`};
 		}
 
@@ -132,10 +133,10 @@
 			return {kind: 'notRun', cause: 'targetRefused', detail: `the target refused with ${response.statusCode}`};
 		}
 
-		return parseResponse(text, response.statusCode);
+		return parseResponse(bytes, response.statusCode);
 	}
 
-	async #readText(response: Dispatcher.ResponseData): Promise<string | undefined> {
+	async #readBody(response: Dispatcher.ResponseData): Promise<Uint8Array | undefined> {
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
@@ -147,7 +148,7 @@
 			chunks.push(chunk);
 		}
 
-		return new TextDecoder().decode(Buffer.concat(chunks));
+		return Buffer.concat(chunks);
 	}
 
 	/** Requests that a target stop a task; returns whether the target confirmed that the task is no longer running. */
@@ -184,10 +185,10 @@
 	};
 }
 
-function parseResponse(text: string, statusCode: number): TaskVerdict {
+function parseResponse(bytes: Uint8Array, statusCode: number): TaskVerdict {
 	let parsed;
 	try {
-		parsed = taskResponseSchema.parse(JSON.parse(text));
+		parsed = taskResponseSchema.parse(parseJson(bytes));
 	} catch {
 		return {kind: 'mayHaveRun', cause: 'answerUnusable', detail: `the answer with ${statusCode} isn't readable`};
 	}
--- a/test/features/intake/api-server.test.ts
+++ b/test/features/intake/api-server.test.ts
@@ -1,5 +1,6 @@
 /** HTTP responses to valid and invalid requests. */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {after, before, test} from 'node:test';
 import type {AvailabilityZone} from '../../../src/base/availability-zone.js';
 import {Emitter} from '../../../src/base/emitter.js';
@@ -58,7 +59,7 @@
 	server.dispose();
 });
 
-async function submit(body: string, headers: Record<string, string> = {}): Promise<unknown> {
+async function submit(body: string | Uint8Array, headers: Record<string, string> = {}): Promise<unknown> {
 	const response = await fetch(`${url}/v1/jobs`, {method: 'POST', body, headers: {'content-type': 'application/json', 'idempotency-key': '"job-1"', ...headers}});
 	const text = await response.text();
 	return {
@@ -78,6 +79,7 @@
 test('invalid requests get a 4xx status and are reported as not run', async () => {
 	const cases = {
 		'malformed JSON': '{"profile": "flight-desk", "tasks": [',
+		'text in Latin-1': Buffer.from(jobOf({tasks: [{payload: 'caf\u00E9'}]}), 'latin1'),
 		'no object': '[]',
 		'unknown profile': jobOf({profile: 'sailing-desk'}),
 		'retired profile': jobOf({profile: 'winter-desk'}),
--- a/test/platform/job-server.test.ts
+++ b/test/platform/job-server.test.ts
@@ -1,5 +1,6 @@
 /** HTTP interface for callers. */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {after, test} from 'node:test';
 import {request} from 'undici';
 import {JobServer} from '../../platform/job-server.js';
@@ -29,7 +30,7 @@
 	after(() => {
 		server.dispose();
 	});
-	const call = async (method: 'POST' | 'GET' | 'DELETE', path: string, body?: string) => {
+	const call = async (method: 'POST' | 'GET' | 'DELETE', path: string, body?: string | Uint8Array) => {
 		const answer = await request(`http://127.0.0.1:${server.port}${path}`, {method, ...(body !== undefined && {body}), headers: {host: 'host.example'}});
 		return {status: answer.statusCode, retryAfter: answer.headers['retry-after'], body: await answer.body.json()};
 	};
@@ -88,6 +89,40 @@
 	matches('a known route is served', await call('GET', '/queue/'));
 });
 
+// Guards against a job that runs with another payload than its caller sent, because its text was repaired on the way in.
+test('a body that is not UTF-8 is refused, and its job is not run', async () => {
+	const {world, call, publish} = await serveJobs(0);
+	publish();
+	const [before, after] = JSON.stringify({best_effort: true, spec: '|', steps: [step]}).split('|');
+	const payloads = {
+		'Latin-1': [0xE9], 'an unfinished sequence': [0xE2, 0x82], 'a surrogate': [0xED, 0xA0, 0xBD], 'an overlong sequence': [0xC0, 0xAF],
+	};
+	for (const [name, payload] of Object.entries(payloads)) {
+		matches(name, await call('POST', `/queue/${id}`, Buffer.concat([Buffer.from(before!), Buffer.from(payload), Buffer.from(after!)])));
+	}
+
+	assert.deepEqual(world.orders.starts, []);
+});
+
+// Guards against payloads that change between the body and the order to a target of the same entry.
+test('a target gets the payload that the body states', async () => {
+	const {world, call, publish} = await serveJobs(0);
+	publish();
+	const specifications = ['"\uFEFF20"', String.raw`"\uFEFF20"`, String.raw`"\ud83d"`, String.raw`"20\u0000"`, '"20\u2028\u{1F600}"'];
+	for (const [index, specification] of specifications.entries()) {
+		// A byte order mark before the JSON is no part of it.
+		const body = `\uFEFF{"best_effort":true,"spec":${specification},"steps":[${JSON.stringify(step)}]}`;
+		const answer = call('POST', `/queue/${String(index).padStart(16, '0')}`, body);
+		while (world.journal.named('jobEnded').length <= index) {
+			await advanceClock(world.clock, 5);
+		}
+
+		await answer;
+	}
+
+	assert.deepEqual([...new Set(world.orders.payloads)], [...new Set(specifications.map(specification => JSON.parse(specification) as string))]);
+});
+
 test('queries and cancellations of an unknown job get 410', async () => {
 	const {call, publish} = await serveJobs(0);
 	publish();
--- a/test/runtime/targets/http-target-driver.test.ts
+++ b/test/runtime/targets/http-target-driver.test.ts
@@ -1,5 +1,6 @@
 /** Tests of the HTTP target driver against a fake target with faults. */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:net';
 import {after, test} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
@@ -101,6 +102,28 @@
 	server.close();
 });
 
+// Guards against a caller that gets another result than the target gave, because its text was repaired on the way.
+test('a result that is not UTF-8 is not delivered', async () => {
+	const body = Buffer.concat([Buffer.from('{"result":"caf'), Buffer.from([0xE9]), Buffer.from('"}')]);
+	const server = createServer(socket => {
+		socket.once('data', () => {
+			socket.end(Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\ntask-id: job/0\r\ncontent-length: ${body.length}\r\n\r\n`), body]));
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const target = {id: 'target-1' as InstanceId, address: `127.0.0.1:${(server.address() as {port: number}).port}`};
+	matchSnapshot('not UTF-8', await driver.run(target, createRequest({}), neverCancelled));
+	server.close();
+});
+
+test('a result that begins with a byte order mark is delivered with it', async () => {
+	const {target} = await startTarget();
+	const verdict = await driver.run(target, createRequest({runMilliseconds: 1, echo: '\uFEFFseat 4'}), neverCancelled);
+	assert.equal(verdict.kind === 'answered' && verdict.answer.kind === 'result' && verdict.answer.value, '\uFEFFseat 4');
+});
+
 test('an unresponsive target gives "may have run" at the time limit of the task', async () => {
 	// Guards against waiting longer than the task's limit on an open connection.
 	const {server, target} = await startTarget();
