JSON values keep a key called __proto__

Callers saw, with the product's own daemon: a payload or result lost each key "__proto__", at any depth, so that the target didn't get the payload that was sent, and the caller not the result.

Objects with that key are embedded as JSON in a frame, like those whose keys aren't plain texts.

--- a/src/runtime/peers/embed-texts.ts
+++ b/src/runtime/peers/embed-texts.ts
@@ -3,9 +3,12 @@
 import {isPlainText} from '../../base/is-plain-text.js';
 import {EmbeddedJson} from './embedded-json.js';
 
+/** The decoder renames this key, since setting it would change an object's prototype. */
+const prototypeKey = '__proto__';
+
 /**
- * Replaces each text that isn't plain by `EmbeddedJson`, and each object with such a key. Such keys exist only in JSON values, so that
- * the whole object can be embedded. Returns a value without any of them unchanged.
+ * Replaces each text that isn't plain by `EmbeddedJson`, and each object with a key that would change. Such keys exist only in JSON
+ * values, so that the whole object can be embedded. Returns a value without any of them unchanged.
  */
 export function embedTexts(value: unknown): unknown {
 	if (typeof value === 'string') {
@@ -26,7 +29,7 @@
 
 function embedFields(fields: Readonly<Record<string, unknown>>): unknown {
 	const entries = Object.entries(fields);
-	if (!entries.every(([key]) => isPlainText(key))) {
+	if (!entries.every(([key]) => isPlainText(key) && key !== prototypeKey)) {
 		return new EmbeddedJson(fields as JsonValue);
 	}
 
--- a/src/runtime/peers/encode-frame.ts
+++ b/src/runtime/peers/encode-frame.ts
@@ -4,8 +4,11 @@
 import {embedTexts} from './embed-texts.js';
 
 const headerBytes = 4;
-/** First bytes of U+FEFF and of the replacement character in UTF-8, and of a surrogate that is encoded like any other character. */
-const suspectBytes = [0xEF, 0xED];
+/**
+ * First bytes of U+FEFF and of the replacement character in UTF-8, of a surrogate that is encoded like any other character, and of
+ * the key `__proto__`.
+ */
+const suspectBytes = [0xEF, 0xED, 0x5F];
 
 /**
  * Encodes a value as CBOR, prefixed with its length as a 32-bit big-endian integer. Texts that aren't plain are embedded as JSON, unless
--- a/test/runtime/peers/exact-texts.test.ts
+++ b/test/runtime/peers/exact-texts.test.ts
@@ -55,6 +55,12 @@
 		}), {seed, numRuns: runs});
 	});
 
+	// Guards against a key that is renamed or lost on its way.
+	test(`another entry receives the key that names an object's prototype: ${name}`, () => {
+		const sent = '{"__proto__":{"a":1},"list":[{"__proto__":2}]}';
+		assert.equal(JSON.stringify(peers.body(JSON.parse(sent))), sent);
+	});
+
 	// Guards against a caller that gets another result than the target gave, because its job is answered by another entry.
 	test(`another entry receives each JSON value as it was sent: ${name}`, () => {
 		const {value} = fc.letrec(tie => ({
