The soak's payloads have texts that encodings tend to change

The soak compares the payload of each start with the submitted one, but its payloads were plain numbers.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,4 +1,5 @@
 /** Generates the job traffic of a soak. */
+import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
 import type {Random} from '../src/base/random.js';
@@ -10,6 +11,7 @@
 import type {SoakPlan} from './soak-plan.js';
 import type {SoakRecord} from './soak-record.js';
 import {soakHost} from './soak-host.js';
+import {varyPayload} from './vary-payload.js';
 
 const maximumAttempts = 3;
 const maximumTasks = 4;
@@ -60,7 +62,7 @@
 		private readonly entries: readonly EdgeProcess[],
 		private readonly random: Random,
 		private readonly record: SoakRecord,
-		private readonly plan: Pick<SoakPlan, 'crashingOneIn' | 'longestPauseMilliseconds' | 'longestSuspensionMilliseconds'>,
+		private readonly plan: Pick<SoakPlan, 'crashingOneIn' | 'hasVariedPayloads' | 'longestPauseMilliseconds' | 'longestSuspensionMilliseconds'>,
 	) {}
 
 	/** Submits jobs at a mean rate for the given time, then waits for the remaining answers. */
@@ -109,10 +111,11 @@
 		const timeout = isLong ? (isUrgent ? milliseconds + shortMarginMilliseconds : longTimeoutMilliseconds) : soakBounds.callerTimeout;
 		const isFailing = this.random.below(failingOneIn) === 0;
 		const isCrashing = this.plan.crashingOneIn > 0 && this.#jobs % this.plan.crashingOneIn === 0;
+		const payload = isFailing ? 'hopeless' : String(milliseconds);
 		const job = {
 			id: this.#jobs.toString(16).padStart(16, '0'),
 			tasks: 1 + this.random.below(maximumTasks),
-			payload: isCrashing ? crashingPayload : (isFailing ? 'hopeless' : String(milliseconds)),
+			payload: isCrashing ? crashingPayload : (this.plan.hasVariedPayloads ? varyPayload(payload, this.#jobs) : payload),
 			attempts: [] as Attempt[],
 		};
 		this.record.jobs.push(job);
@@ -208,7 +211,7 @@
 			method,
 			path,
 			headers: {
-				host: soakHost, 'content-type': 'application/json', 'content-length': body.length, 'deadline-ms': timeout,
+				host: soakHost, 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'deadline-ms': timeout,
 			},
 		});
 		const timer = setTimeout(() => {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -30,6 +30,7 @@
 	.option('crashing', {type: 'number', default: 0, describe: 'one job in this many crashes every worker that starts its tasks; 0 for none'})
 	.option('pauses', {type: 'number', default: 0, describe: 'longest pause of an entry in seconds, from 3; callers of long jobs may also disconnect and submit elsewhere; 0 for none'})
 	.option('suspensions', {type: 'number', default: 0, describe: 'longest suspension of an entry in seconds, from 1, which its monotonic clock excludes; one job in four is long; 0 for none'})
+	.option('texts', {type: 'boolean', default: true, describe: 'payloads have texts that encodings tend to change; without them, seeds of former commits submit the payloads of then'})
 	.option('timed', {type: 'boolean', default: true, describe: 'check the invariants with time limits, which an overloaded machine can violate'})
 	.option('profile', {type: 'string', describe: 'folder for V8 CPU profiles of the entries, which are then stopped gracefully'})
 	.option('bundle', {type: 'string', default: 'target/savorylock-edge.js', describe: 'bundle of the edge daemon, which may be that of another commit'})
@@ -63,6 +64,7 @@
 		jobsPerSecond,
 		hasFaults,
 		crashingOneIn,
+		hasVariedPayloads: options.texts,
 		longestPauseMilliseconds: options.pauses * 1000,
 		longestSuspensionMilliseconds: options.suspensions * 1000,
 		profileFolder: options.profile,
--- a/soak/soak-plan.ts
+++ b/soak/soak-plan.ts
@@ -15,6 +15,8 @@
 	readonly longestSuspensionMilliseconds: number;
 	/** One job in this many crashes every worker that starts its tasks; 0 for none. */
 	readonly crashingOneIn: number;
+	/** Whether payloads have texts that encodings tend to change. */
+	readonly hasVariedPayloads: boolean;
 	/** Folder for V8 CPU profiles of the entries; `undefined` to take none. */
 	readonly profileFolder: string | undefined;
 	/** Bundle of the edge daemon that the entries run. */
