A test keeps optional parts of libraries out of the bundle

The tests of the modules ran the native decoder of cbor-x, which the bundle looks for at run time and doesn't find. Of the packages in the bundle (zod, smol-toml, http-parser-js, xxhash-wasm, pure-rand, cbor-x) only cbor-x has an optional dependency, and only it called createRequire; all are resolved by the same export condition as the modules.

--- a/test/entries/edge/bundle.test.ts
+++ b/test/entries/edge/bundle.test.ts
@@ -37,3 +37,10 @@
 	const evaluated = [...bundle.matchAll(/^\/\/ (?<module>\S+)\n(?!var \w+ = __commonJS)/gmv)].map(({groups}) => groups?.module);
 	assert.equal(evaluated[0], 'src/entries/edge/early-signals.ts', evaluated.slice(0, 3).join(', '));
 });
+
+// Guards against parts of libraries that the modules load if they are installed, and that the bundle doesn't find: tests of the modules
+// would then run other code than users do.
+test('the bundle loads nothing by require', () => {
+	const bundle = readFileSync('target/savorylock-edge.js', 'utf8');
+	assert.deepEqual([...bundle.matchAll(/\bcreateRequire\b|\b__require\([^\)]/gv)].map(([text]) => text), []);
+});
